Add the workspace and the seams between its modules

Cause: the repository is empty; side-by-side work needs agreed seams first. Change: six Maven modules, formatter and linter bound to verify, ids and values, ports to the outside systems, the dispatcher's events and effects, launch scripts. Conclusion: modules can now grow side by side.

--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Work.java
@@ -0,0 +1,38 @@
+package org.boragebarrow.decision.dispatch;
+
+import com.google.common.primitives.ImmutableLongArray;
+import org.boragebarrow.model.LengthClass;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.ServiceName;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** What a request asks a target to do. */
+public sealed interface Work {
+    /**
+     * A prompt for a model.
+     *
+     * @param prefix chained hashes of the prompt's leading blocks, first block first
+     */
+    record Prompt(ModelId model, int promptTokens, int maxTokens, ImmutableLongArray prefix) implements Work {
+        public Prompt {
+            checkNotNull(model);
+            checkArgument(promptTokens >= 0, "prompt tokens must not be negative: %s", promptTokens);
+            checkArgument(maxTokens > 0, "answer tokens must be positive: %s", maxTokens);
+            checkNotNull(prefix);
+        }
+
+        /** Returns the prompt's length class. */
+        public LengthClass lengthClass() {
+            return LengthClass.of(promptTokens);
+        }
+    }
+
+    /** A call of a plain service. */
+    record ServiceCall(ServiceName service) implements Work {
+        public ServiceCall {
+            checkNotNull(service);
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/model/Ids.java
@@ -0,0 +1,27 @@
+package org.boragebarrow.model;
+
+import com.google.common.base.CharMatcher;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Static checks that the textual ids share. */
+public final class Ids {
+    /** The longest id, in characters. */
+    public static final int MAX_LENGTH = 200;
+
+    private static final CharMatcher PRINTABLE = CharMatcher.inRange('!', '~');
+
+    private Ids() {}
+
+    /** Returns whether the text can be used as an id. */
+    public static boolean isValid(String value) {
+        checkNotNull(value);
+        return !value.isEmpty() && value.length() <= MAX_LENGTH && PRINTABLE.matchesAllOf(value);
+    }
+
+    static void checkId(String type, String value) {
+        checkNotNull(value, "%s is null", type);
+        checkArgument(isValid(value), "%s must be 1 to %s printable ASCII characters: \"%s\"", type, MAX_LENGTH, value);
+    }
+}
