--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/placement/Rendezvous.java
@@ -0,0 +1,69 @@
+package org.boragebarrow.decision.placement;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Ordering;
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import org.boragebarrow.model.HostId;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+/**
+ * Highest-random-weight choice of hosts for a key.
+ *
+ * <p>The choice depends only on the key and the set of hosts, is the same in every process and version, and moves only
+ * the keys of a host that comes or goes.
+ */
+public final class Rendezvous {
+    private static final HashFunction HASH = Hashing.murmur3_128(0);
+
+    private Rendezvous() {}
+
+    /** Returns the host with the highest weight for the key, or empty if there are no hosts. */
+    public static Optional<HostId> choose(String key, Collection<HostId> hosts) {
+        checkNotNull(key);
+        HostId best = null;
+        long bestWeight = 0;
+        for (HostId host : hosts) {
+            long weight = weight(key, host);
+            if (best == null || weight > bestWeight || (weight == bestWeight && host.compareTo(best) < 0)) {
+                best = host;
+                bestWeight = weight;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Returns up to {@code limit} hosts, highest weight for the key first. */
+    public static ImmutableList<HostId> rank(String key, Collection<HostId> hosts, int limit) {
+        checkNotNull(key);
+        checkArgument(limit >= 0, "limit must not be negative: %s", limit);
+        ImmutableList<Weighed> weighed = hosts.stream()
+                .distinct()
+                .map(host -> new Weighed(host, weight(key, host)))
+                .collect(ImmutableList.toImmutableList());
+        return Ordering.from(Weighed.HEAVIEST_FIRST).leastOf(weighed, limit).stream()
+                .map(Weighed::host)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static long weight(String key, HostId host) {
+        return HASH.newHasher(key.length() + host.value().length() + 1)
+                .putString(key, US_ASCII)
+                .putByte((byte) 0)
+                .putString(host.value(), US_ASCII)
+                .hash()
+                .asLong();
+    }
+
+    private record Weighed(HostId host, long weight) {
+        private static final Comparator<Weighed> HEAVIEST_FIRST =
+                Comparator.comparingLong(Weighed::weight).reversed().thenComparing(Weighed::host);
+    }
+}
