Add an HTTP client that tells whether a request left

Cause: adapters for engines, plain services and the platform need a client that proves "not sent" and never takes a short answer as whole. Change: http.client.HttpClient on Netty's codec: whole answers with a bound and a timeout, streamed answers with backpressure, bodies written in pieces without copying, a small pool of idle connections. An answer that only the closing of the connection ends is a failure. Tests: 9 in HttpClientTest pass. Conclusion: the adapters can be built on it.

--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
@@ -0,0 +1,89 @@
+package org.boragebarrow.http.client;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import org.boragebarrow.model.Endpoint;
+
+/** One connection, which carries one call at a time or lies idle in the pool; confined to its event loop. */
+final class Connection extends ChannelInboundHandlerAdapter {
+    private static final long MAX_IDLE_MILLIS = 20_000;
+
+    private final Endpoint endpoint;
+    private final IdlePool pool;
+    private Optional<ActiveCall> current = Optional.empty();
+    private Optional<Future<?>> expiry = Optional.empty();
+
+    Connection(Endpoint endpoint, IdlePool pool) {
+        this.endpoint = endpoint;
+        this.pool = pool;
+    }
+
+    void attach(ActiveCall call) {
+        expiry.ifPresent(timer -> timer.cancel(false));
+        expiry = Optional.empty();
+        current = Optional.of(call);
+    }
+
+    /** Ends the present call and keeps the connection for the next one. */
+    void release(Channel channel) {
+        current = Optional.empty();
+        channel.config().setAutoRead(true);
+        expiry = Optional.of(
+                channel.eventLoop().schedule(() -> expire(channel), MAX_IDLE_MILLIS, TimeUnit.MILLISECONDS));
+        if (!pool.offer(endpoint, channel)) {
+            close(channel);
+        }
+    }
+
+    void close(Channel channel) {
+        expiry.ifPresent(timer -> timer.cancel(false));
+        current = Optional.empty();
+        channel.close();
+    }
+
+    private void expire(Channel channel) {
+        if (pool.remove(endpoint, channel)) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (current.isEmpty()) {
+                pool.remove(endpoint, ctx.channel());
+                ctx.close();
+                return;
+            }
+            current.get().receive((HttpObject) message);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        current.ifPresent(ActiveCall::writeMore);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        pool.remove(endpoint, ctx.channel());
+        expiry.ifPresent(timer -> timer.cancel(false));
+        current.ifPresent(call -> call.fail("connection to " + endpoint + " closed before the answer was whole"));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        pool.remove(endpoint, ctx.channel());
+        current.ifPresent(call -> call.fail("connection to " + endpoint + " failed: " + cause));
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpAnswer.java
@@ -0,0 +1,41 @@
+package org.boragebarrow.http.client;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableListMultimap;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** A whole answer. */
+public record HttpAnswer(int status, ImmutableListMultimap<String, String> headers, byte[] body) {
+    private static final int SUCCESS = 200;
+    private static final int REDIRECTION = 300;
+
+    public HttpAnswer {
+        checkNotNull(headers);
+        checkNotNull(body);
+    }
+
+    /** Returns whether the status tells of success. */
+    public boolean isSuccess() {
+        return status >= SUCCESS && status < REDIRECTION;
+    }
+
+    /** Returns the body as UTF-8 text. */
+    public String text() {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+
+    /** Returns the first value of the header, whatever the case of its name. */
+    public Optional<String> header(String name) {
+        for (Map.Entry<String, String> header : headers.entries()) {
+            if (Ascii.equalsIgnoreCase(header.getKey(), name)) {
+                return Optional.of(header.getValue());
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -0,0 +1,122 @@
+package org.boragebarrow.http.client;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.net.InetAddresses;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.port.EngineClient;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Sends HTTP/1.1 requests; thread-safe, and never blocks the calling thread. */
+public final class HttpClient implements AutoCloseable {
+    /** The longest whole answer, in bytes. */
+    public static final int MAX_ANSWER_BYTES = 16 << 20;
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final int MAX_INITIAL_LINE_BYTES = 4 << 10;
+    private static final int MAX_HEADER_BYTES = 32 << 10;
+    private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+    private final EventLoopGroup group;
+    private final IdlePool pool = new IdlePool();
+
+    /** Creates a client on the given event loops, which it does not shut down. */
+    public HttpClient(EventLoopGroup group) {
+        this.group = checkNotNull(group);
+    }
+
+    /** Sends the call and returns its whole answer; the future fails with {@link HttpCallException}. */
+    public CompletableFuture<HttpAnswer> exchange(Endpoint endpoint, HttpCall call, Duration timeout) {
+        checkArgument(!timeout.isNegative(), "negative timeout: %s", timeout);
+        WholeAnswer answer = new WholeAnswer(MAX_ANSWER_BYTES);
+        ActiveCall active = start(endpoint, call, answer);
+        if (!answer.future().isDone()) {
+            arm(active, answer, "no answer from " + endpoint + " within " + timeout, timeout);
+        }
+        return answer.future();
+    }
+
+    /** Sends the call and streams its answer to the listener. */
+    public EngineClient.Handle stream(Endpoint endpoint, HttpCall call, StreamListener listener) {
+        return start(endpoint, call, checkNotNull(listener));
+    }
+
+    /** Closes the idle connections; calls in progress go on. */
+    @Override
+    public void close() {
+        pool.close();
+    }
+
+    private ActiveCall start(Endpoint endpoint, HttpCall call, StreamListener listener) {
+        checkNotNull(endpoint);
+        Optional<Channel> idle = call.reuse() ? pool.take(endpoint) : Optional.empty();
+        EventLoop loop = idle.isPresent() ? idle.get().eventLoop() : group.next();
+        ActiveCall active = new ActiveCall(loop, endpoint, call, listener);
+        try {
+            loop.execute(() -> send(active, endpoint, idle));
+        } catch (RejectedExecutionException e) {
+            active.fail("the client's event loops are shut down");
+        }
+        return active;
+    }
+
+    private static void arm(ActiveCall active, WholeAnswer answer, String message, Duration timeout) {
+        var timer = active.loop().schedule(() -> active.fail(message), timeout.toMillis(), TimeUnit.MILLISECONDS);
+        answer.future().whenComplete((done, failure) -> timer.cancel(false));
+    }
+
+    private void send(ActiveCall active, Endpoint endpoint, Optional<Channel> idle) {
+        if (idle.isPresent() && idle.get().isActive()) {
+            active.start(idle.get());
+        } else {
+            connect(active, endpoint);
+        }
+    }
+
+    private void connect(ActiveCall active, Endpoint endpoint) {
+        if (active.isDone()) {
+            return;
+        }
+        bootstrap(active.loop(), endpoint)
+                .connect(new InetSocketAddress(InetAddresses.forString(endpoint.address()), endpoint.port()))
+                .addListener((ChannelFuture connected) -> {
+                    if (connected.isSuccess()) {
+                        active.start(connected.channel());
+                    } else {
+                        active.fail("cannot connect to " + endpoint + ": " + connected.cause());
+                    }
+                });
+    }
+
+    private Bootstrap bootstrap(EventLoop loop, Endpoint endpoint) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(new Connection(endpoint, pool));
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/IdlePool.java
@@ -0,0 +1,64 @@
+package org.boragebarrow.http.client;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import io.netty.channel.Channel;
+import org.boragebarrow.model.Endpoint;
+
+/** Keeps a few idle connections to each endpoint; thread-safe. */
+final class IdlePool {
+    private static final int MAX_IDLE_PER_ENDPOINT = 8;
+
+    private final Map<Endpoint, ArrayDeque<Channel>> idle = new HashMap<>();
+    private boolean closed;
+
+    /** Returns the connection that was used last, if any is left. */
+    synchronized Optional<Channel> take(Endpoint endpoint) {
+        ArrayDeque<Channel> channels = idle.get(endpoint);
+        if (channels == null) {
+            return Optional.empty();
+        }
+        Channel channel = channels.pop();
+        dropEmpty(endpoint, channels);
+        return Optional.of(channel);
+    }
+
+    /** Keeps the connection, or returns false if there are enough. */
+    synchronized boolean offer(Endpoint endpoint, Channel channel) {
+        ArrayDeque<Channel> channels = idle.computeIfAbsent(endpoint, e -> new ArrayDeque<>());
+        boolean kept = !closed && channels.size() < MAX_IDLE_PER_ENDPOINT;
+        if (kept) {
+            channels.push(channel);
+        }
+        dropEmpty(endpoint, channels);
+        return kept;
+    }
+
+    /** Removes the connection; returns false if somebody took it already. */
+    synchronized boolean remove(Endpoint endpoint, Channel channel) {
+        ArrayDeque<Channel> channels = idle.get(endpoint);
+        if (channels == null) {
+            return false;
+        }
+        boolean removed = channels.remove(channel);
+        dropEmpty(endpoint, channels);
+        return removed;
+    }
+
+    synchronized void close() {
+        closed = true;
+        for (ArrayDeque<Channel> channels : idle.values()) {
+            channels.forEach(Channel::close);
+        }
+        idle.clear();
+    }
+
+    private void dropEmpty(Endpoint endpoint, ArrayDeque<Channel> channels) {
+        if (channels.isEmpty()) {
+            idle.remove(endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
@@ -0,0 +1,107 @@
+package org.boragebarrow.http.client;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterProperty;
+import org.boragebarrow.model.Endpoint;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HttpClientTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+    private static final HttpCall CALL = HttpCall.of("GET", "/");
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpClient client = new HttpClient(group);
+
+    @AfterProperty
+    void shutDown() {
+        client.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    @Example
+    void anAnswerOfTheToldLengthIsWhole() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false)) {
+            assertThat(get(server.endpoint()).text()).isEqualTo("hi");
+        }
+    }
+
+    @Example
+    void anAnswerThatEndsBeforeItsLengthIsAFailure() throws Exception {
+        assertBroken("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nhi");
+    }
+
+    @Example
+    void anAnswerWithoutItsFinalChunkIsAFailure() throws Exception {
+        assertBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n");
+    }
+
+    @Example
+    void anAnswerThatOnlyTheClosingEndsIsAFailure() throws Exception {
+        assertBroken("HTTP/1.1 200 OK\r\n\r\nhi");
+    }
+
+    @Example
+    void aMalformedAnswerIsAFailure() throws Exception {
+        assertBroken("HTTP/1.1 200 OK\r\nContent-Length: two\r\n\r\nhi");
+    }
+
+    @Example
+    void anInformationalAnswerIsSkipped() throws Exception {
+        String answer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+        try (ScriptedServer server = ScriptedServer.start(answer, false)) {
+            assertThat(get(server.endpoint()).status()).isEqualTo(200);
+        }
+    }
+
+    @Example
+    void aKeptAliveConnectionIsUsedAgain() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", true)) {
+            get(server.endpoint());
+            get(server.endpoint());
+            assertThat(server.connections()).isEqualTo(1);
+        }
+    }
+
+    @Example
+    void aRefusedConnectionSendsNothing() throws Exception {
+        int port;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = socket.getLocalPort();
+        }
+        assertThat(failure(Endpoint.of("127.0.0.1", port), TIMEOUT).sent()).isFalse();
+    }
+
+    @Example
+    void aLateAnswerFailsAsSent() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nhi", true)) {
+            assertThat(failure(server.endpoint(), Duration.ofSeconds(1)).sent()).isTrue();
+        }
+    }
+
+    private void assertBroken(String answer) throws Exception {
+        try (ScriptedServer server = ScriptedServer.start(answer, false)) {
+            assertThat(failure(server.endpoint(), TIMEOUT).sent()).isTrue();
+        }
+    }
+
+    private HttpAnswer get(Endpoint endpoint) {
+        return client.exchange(endpoint, CALL, TIMEOUT).join();
+    }
+
+    private HttpCallException failure(Endpoint endpoint, Duration timeout) {
+        Throwable failure = client.exchange(endpoint, CALL, timeout)
+                .handle((answer, thrown) -> thrown)
+                .join();
+        assertThat(failure).isInstanceOf(HttpCallException.class);
+        return (HttpCallException) failure;
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/ScriptedServer.java
@@ -0,0 +1,86 @@
+package org.boragebarrow.http.client;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.boragebarrow.model.Endpoint;
+
+/** Answers each request's head with fixed bytes and counts its connections. */
+public final class ScriptedServer implements AutoCloseable {
+    private final ServerSocket server;
+    private final byte[] answer;
+    private final boolean keepAlive;
+    private final AtomicInteger connections = new AtomicInteger();
+
+    private ScriptedServer(String answer, boolean keepAlive) throws IOException {
+        this.server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+        this.answer = answer.getBytes(StandardCharsets.UTF_8);
+        this.keepAlive = keepAlive;
+    }
+
+    /** Starts a server that closes each connection after its answer, unless it keeps it alive. */
+    public static ScriptedServer start(String answer, boolean keepAlive) throws IOException {
+        ScriptedServer scripted = new ScriptedServer(answer, keepAlive);
+        Thread.ofVirtual().start(scripted::accept);
+        return scripted;
+    }
+
+    /** Returns where the server listens. */
+    public Endpoint endpoint() {
+        return Endpoint.of(server.getInetAddress().getHostAddress(), server.getLocalPort());
+    }
+
+    /** Returns how many connections the server has accepted. */
+    public int connections() {
+        return connections.get();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                connections.incrementAndGet();
+                Thread.ofVirtual().start(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            while (readHead(socket.getInputStream())) {
+                socket.getOutputStream().write(answer);
+                if (!keepAlive) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static boolean readHead(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                return false;
+            }
+            head.write(next);
+        }
+        return true;
+    }
+}
