Add a deterministic fake of the table service

Cause: tests of the decisions and of the store writer need a table whose answers can be lost, delayed, reordered and stale, the same way each run. Change: core/src/test org.boragebarrow.testing: MemoryTable (versioned rows), FakeTable (immediate or stepped), CommitFault, FaultRates.

--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/testing/FakeTableTest.java
@@ -0,0 +1,113 @@
+package org.boragebarrow.testing;
+
+import java.util.concurrent.CompletableFuture;
+
+import com.google.common.collect.ImmutableList;
+import net.jqwik.api.Example;
+import org.boragebarrow.port.TableService.CommitResult;
+import org.boragebarrow.port.TableService.Committed;
+import org.boragebarrow.port.TableService.Condition;
+import org.boragebarrow.port.TableService.Conflict;
+import org.boragebarrow.port.TableService.Row;
+import org.boragebarrow.port.TableService.Unavailable;
+import org.boragebarrow.port.TableService.Unknown;
+import org.boragebarrow.port.TableService.Write;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FakeTableTest {
+    private static final long SEED = 7;
+
+    private final FakeTable table = FakeTable.immediate(SEED);
+
+    @Example
+    void theSecondInsertOfAKeyConflicts() {
+        assertThat(insert(table).join()).isEqualTo(new Committed());
+        assertThat(insert(table).join()).isEqualTo(new Conflict());
+    }
+
+    @Example
+    void aCommitLostBeforeItsEffectIsUnknownAndLeavesNothing() {
+        table.failNextCommit(CommitFault.LOST_BEFORE_EFFECT);
+        assertThat(insert(table).join()).isEqualTo(new Unknown());
+        assertThat(exists()).isFalse();
+    }
+
+    @Example
+    void aCommitLostAfterItsEffectIsUnknownAndStays() {
+        table.failNextCommit(CommitFault.LOST_AFTER_EFFECT);
+        assertThat(insert(table).join()).isEqualTo(new Unknown());
+        assertThat(exists()).isTrue();
+    }
+
+    @Example
+    void aDelayedCommitTakesEffectAfterTheCallerGaveUp() {
+        table.failNextCommit(CommitFault.DELAYED);
+        assertThat(insert(table).join()).isEqualTo(new Unknown());
+        assertThat(exists()).isFalse();
+        table.deliver();
+        assertThat(exists()).isTrue();
+    }
+
+    @Example
+    void aDownTableRefusesCommitsAndFailsReads() {
+        table.setDown(true);
+        assertThat(insert(table).join()).isEqualTo(new Unavailable());
+        assertThat(table.get("a").isCompletedExceptionally()).isTrue();
+        assertThat(table.scan("", 1).isCompletedExceptionally()).isTrue();
+    }
+
+    @Example
+    void staleReadsStayWithinTheSetCommits() {
+        for (int i = 0; i < 20; i++) {
+            table.commit(ImmutableList.of(), ImmutableList.of(Write.put("a", Integer.toString(i))));
+        }
+        table.setStaleCommits(3);
+        boolean stale = false;
+        for (int i = 0; i < 50; i++) {
+            int value = Integer.parseInt(table.get("a").join().map(Row::value).orElseThrow());
+            assertThat(value).isAtLeast(16);
+            stale |= value < 19;
+        }
+        assertThat(stale).isTrue();
+    }
+
+    @Example
+    void stepsOfTwoCommitsCanBeReordered() {
+        FakeTable stepped = FakeTable.stepped(SEED);
+        CompletableFuture<CommitResult> first = insert(stepped);
+        CompletableFuture<CommitResult> second = insert(stepped);
+        stepped.deliver(1);
+        stepped.deliver(0);
+        assertThat(first.isDone()).isFalse();
+        stepped.deliverAll();
+        assertThat(first.join()).isEqualTo(new Conflict());
+        assertThat(second.join()).isEqualTo(new Committed());
+    }
+
+    @Example
+    void theSameSeedDrawsTheSameFaults() {
+        assertThat(outcomes()).isEqualTo(outcomes());
+    }
+
+    private static ImmutableList<CommitResult> outcomes() {
+        FakeTable table = FakeTable.stepped(SEED);
+        table.setFaultRates(new FaultRates(0.2, 0.2, 0.2, 0.2));
+        ImmutableList.Builder<CompletableFuture<CommitResult>> results = ImmutableList.builder();
+        for (int i = 0; i < 100; i++) {
+            results.add(insert(table));
+        }
+        while (table.deliverAny()) {
+            continue;
+        }
+        return results.build().stream().map(CompletableFuture::join).collect(ImmutableList.toImmutableList());
+    }
+
+    private boolean exists() {
+        return table.rows().get("a").isPresent();
+    }
+
+    private static CompletableFuture<CommitResult> insert(FakeTable table) {
+        return table.commit(ImmutableList.of(Condition.absent("a")), ImmutableList.of(Write.put("a", "1")));
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/testing/MemoryTable.java
@@ -0,0 +1,115 @@
+package org.boragebarrow.testing;
+
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.port.TableService.Condition;
+import org.boragebarrow.port.TableService.Row;
+import org.boragebarrow.port.TableService.Write;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * The rows of a transactional table, which can also be read as they were some commits ago.
+ *
+ * <p>A row's version is the number of the commit that wrote it, so that a version never returns after a deletion. Not
+ * thread-safe.
+ */
+public final class MemoryTable {
+    private final int keptCommits;
+    private final NavigableMap<String, NavigableMap<Long, Optional<String>>> rows = new TreeMap<>();
+    private long commits;
+
+    /** Creates an empty table that can be read as it was up to {@code keptCommits} commits ago. */
+    public MemoryTable(int keptCommits) {
+        checkArgument(keptCommits >= 0, "kept commits must not be negative: %s", keptCommits);
+        this.keptCommits = keptCommits;
+    }
+
+    /** Returns the number of commits that have taken effect. */
+    public long commits() {
+        return commits;
+    }
+
+    /** Returns the present row at the key. */
+    public Optional<Row> get(String key) {
+        return get(key, 0);
+    }
+
+    /** Returns the row at the key as it was the given number of commits ago, bounded by what the table keeps. */
+    public Optional<Row> get(String key, int commitsAgo) {
+        checkNotNull(key);
+        NavigableMap<Long, Optional<String>> values = rows.get(key);
+        return values == null ? Optional.empty() : rowAt(key, values, commits - bounded(commitsAgo));
+    }
+
+    /** Returns up to {@code limit} present rows whose keys start with the prefix, in key order. */
+    public ImmutableList<Row> scan(String prefix, int limit) {
+        return scan(prefix, limit, 0);
+    }
+
+    /** Returns a scan's rows as they were the given number of commits ago, bounded by what the table keeps. */
+    public ImmutableList<Row> scan(String prefix, int limit, int commitsAgo) {
+        checkNotNull(prefix);
+        checkArgument(limit >= 0, "limit must not be negative: %s", limit);
+        long commit = commits - bounded(commitsAgo);
+        ImmutableList.Builder<Row> found = ImmutableList.builder();
+        int count = 0;
+        for (Map.Entry<String, NavigableMap<Long, Optional<String>>> entry :
+                rows.tailMap(prefix, true).entrySet()) {
+            if (count == limit || !entry.getKey().startsWith(prefix)) {
+                break;
+            }
+            Optional<Row> row = rowAt(entry.getKey(), entry.getValue(), commit);
+            if (row.isPresent()) {
+                found.add(row.get());
+                count++;
+            }
+        }
+        return found.build();
+    }
+
+    /** Applies all writes if all conditions hold on the present rows; returns whether they did. */
+    public boolean commit(ImmutableList<Condition> conditions, ImmutableList<Write> writes) {
+        for (Condition condition : conditions) {
+            long version = get(condition.key()).map(Row::version).orElse(0L);
+            if (version != condition.version()) {
+                return false;
+            }
+        }
+        commits++;
+        for (Write write : writes) {
+            put(write);
+        }
+        return true;
+    }
+
+    private void put(Write write) {
+        NavigableMap<Long, Optional<String>> values = rows.computeIfAbsent(write.key(), key -> new TreeMap<>());
+        values.put(commits, write.value());
+        Long oldest = values.floorKey(commits - keptCommits);
+        if (oldest != null) {
+            values.headMap(oldest, false).clear();
+        }
+        if (values.size() == 1 && write.value().isEmpty()) {
+            rows.remove(write.key());
+        }
+    }
+
+    private long bounded(int commitsAgo) {
+        checkArgument(commitsAgo >= 0, "commits must not be negative: %s", commitsAgo);
+        return Math.min(commitsAgo, keptCommits);
+    }
+
+    private static Optional<Row> rowAt(String key, NavigableMap<Long, Optional<String>> values, long commit) {
+        Map.Entry<Long, Optional<String>> value = values.floorEntry(commit);
+        if (value == null) {
+            return Optional.empty();
+        }
+        return value.getValue().map(text -> new Row(key, text, value.getKey()));
+    }
+}
