--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeEntry.java
@@ -0,0 +1,111 @@
+package org.boragebarrow.decision.change;
+
+import java.util.Optional;
+
+import org.boragebarrow.model.Allowance;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.Plan;
+import org.boragebarrow.model.PlanId;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.TargetSwitch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** The new state of one entry; an empty value deletes it. */
+public sealed interface ChangeEntry {
+    /** Returns which entry this is. */
+    EntryKey key();
+
+    /** Returns whether the entry is deleted. */
+    boolean isDeletion();
+
+    /** The plan of an organisation. */
+    record PlanEntry(OrganisationId organisation, Optional<Plan> value) implements ChangeEntry {
+        public PlanEntry {
+            checkNotNull(organisation);
+            checkArgument(
+                    value.isEmpty() || value.get().organisation().equals(organisation),
+                    "%s does not belong to %s",
+                    value,
+                    organisation);
+        }
+
+        /** Returns the entry that sets the plan. */
+        public static PlanEntry set(Plan plan) {
+            return new PlanEntry(plan.organisation(), Optional.of(plan));
+        }
+
+        /** Returns the entry that deletes the organisation's plan. */
+        public static PlanEntry deleted(OrganisationId organisation) {
+            return new PlanEntry(organisation, Optional.empty());
+        }
+
+        @Override
+        public EntryKey key() {
+            return new EntryKey(EntryKey.Kind.PLAN, organisation.value());
+        }
+
+        @Override
+        public boolean isDeletion() {
+            return value.isEmpty();
+        }
+    }
+
+    /** The allowance of a plan. */
+    record AllowanceEntry(PlanId plan, Optional<Allowance> value) implements ChangeEntry {
+        public AllowanceEntry {
+            checkNotNull(plan);
+            checkArgument(value.isEmpty() || value.get().plan().equals(plan), "%s does not belong to %s", value, plan);
+        }
+
+        /** Returns the entry that sets the allowance. */
+        public static AllowanceEntry set(Allowance allowance) {
+            return new AllowanceEntry(allowance.plan(), Optional.of(allowance));
+        }
+
+        /** Returns the entry that deletes the plan's allowance. */
+        public static AllowanceEntry deleted(PlanId plan) {
+            return new AllowanceEntry(plan, Optional.empty());
+        }
+
+        @Override
+        public EntryKey key() {
+            return new EntryKey(EntryKey.Kind.ALLOWANCE, plan.value());
+        }
+
+        @Override
+        public boolean isDeletion() {
+            return value.isEmpty();
+        }
+    }
+
+    /** The switch of a target. */
+    record SwitchEntry(TargetId target, Optional<TargetSwitch> value) implements ChangeEntry {
+        public SwitchEntry {
+            checkNotNull(target);
+            checkArgument(
+                    value.isEmpty() || value.get().target().equals(target), "%s does not belong to %s", value, target);
+        }
+
+        /** Returns the entry that sets the switch. */
+        public static SwitchEntry set(TargetSwitch order) {
+            return new SwitchEntry(order.target(), Optional.of(order));
+        }
+
+        /** Returns the entry that deletes the target's switch. */
+        public static SwitchEntry deleted(TargetId target) {
+            return new SwitchEntry(target, Optional.empty());
+        }
+
+        @Override
+        public EntryKey key() {
+            return new EntryKey(EntryKey.Kind.SWITCH, target.value());
+        }
+
+        @Override
+        public boolean isDeletion() {
+            return value.isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeRows.java
@@ -0,0 +1,52 @@
+package org.boragebarrow.decision.change;
+
+import java.util.Locale;
+
+/** Static names of the table rows that hold the change log. */
+final class ChangeRows {
+    /** Holds the number of the last change. */
+    static final String HEAD = "change-head";
+
+    /** Holds the number and the parts of the latest snapshot. */
+    static final String SNAPSHOT = "change-snapshot";
+
+    /** Changes that share a scan prefix. */
+    static final int BLOCK = 100;
+
+    private static final int DIGITS = 19;
+    private static final int BLOCK_DIGITS = 2;
+
+    private ChangeRows() {}
+
+    static String change(long number) {
+        return "change/" + padded(number);
+    }
+
+    /** Returns the prefix of the block of changes that holds the given one. */
+    static String block(long number) {
+        String key = change(number);
+        return key.substring(0, key.length() - BLOCK_DIGITS);
+    }
+
+    static String changeId(String id) {
+        return "change-id/" + id;
+    }
+
+    static String entry(EntryKey key) {
+        return "change-entry/" + key.kind().name().toLowerCase(Locale.ROOT) + "/" + key.id();
+    }
+
+    /** Returns the prefix of all parts of one snapshot. */
+    static String snapshotParts(long number) {
+        return "change-snapshot-part/" + padded(number) + "/";
+    }
+
+    static String snapshotPart(long number, int part) {
+        return snapshotParts(number) + padded(part);
+    }
+
+    private static String padded(long number) {
+        String digits = Long.toString(number);
+        return "0".repeat(DIGITS - digits.length()) + digits;
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeState.java
@@ -0,0 +1,114 @@
+package org.boragebarrow.decision.change;
+
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import org.boragebarrow.model.Configuration;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.PlanId;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * The configuration after one change, with the version of each entry.
+ *
+ * @param versions the number of the last change of each entry that exists
+ */
+public record ChangeState(Configuration configuration, ImmutableSortedMap<EntryKey, Long> versions) {
+    private static final ChangeState EMPTY = new ChangeState(Configuration.empty(), ImmutableSortedMap.of());
+
+    public ChangeState {
+        checkNotNull(configuration);
+        checkNotNull(versions);
+    }
+
+    /** Returns the state before the first change. */
+    public static ChangeState empty() {
+        return EMPTY;
+    }
+
+    /** Returns the number of the last change. */
+    public long number() {
+        return configuration.number();
+    }
+
+    /** Returns the entry's version, or 0 if it does not exist. */
+    public long versionOf(EntryKey key) {
+        return versions.getOrDefault(checkNotNull(key), 0L);
+    }
+
+    /** Returns the entry's present value; a deletion if it does not exist. */
+    public ChangeEntry entryOf(EntryKey key) {
+        String id = key.id();
+        Configuration now = configuration;
+        return switch (key.kind()) {
+            case PLAN -> {
+                OrganisationId organisation = OrganisationId.of(id);
+                yield new ChangeEntry.PlanEntry(
+                        organisation, Optional.ofNullable(now.plans().get(organisation)));
+            }
+            case ALLOWANCE -> {
+                PlanId plan = PlanId.of(id);
+                yield new ChangeEntry.AllowanceEntry(
+                        plan, Optional.ofNullable(now.allowances().get(plan)));
+            }
+            case SWITCH -> {
+                TargetId target = TargetId.of(id);
+                yield new ChangeEntry.SwitchEntry(
+                        target, Optional.ofNullable(now.switches().get(target)));
+            }
+        };
+    }
+
+    /** Returns the state after the change, which must be the next one. */
+    public ChangeState apply(Change change) {
+        checkArgument(change.number() == number() + 1, "change %s does not follow %s", change.number(), number());
+        return new ChangeState(configure(change), version(change));
+    }
+
+    private Configuration configure(Change change) {
+        Configuration now = configuration;
+        return switch (change.entry()) {
+            case ChangeEntry.PlanEntry entry ->
+                new Configuration(
+                        change.number(),
+                        with(now.plans(), entry.organisation(), entry.value().orElse(null)),
+                        now.allowances(),
+                        now.switches());
+            case ChangeEntry.AllowanceEntry entry ->
+                new Configuration(
+                        change.number(),
+                        now.plans(),
+                        with(now.allowances(), entry.plan(), entry.value().orElse(null)),
+                        now.switches());
+            case ChangeEntry.SwitchEntry entry ->
+                new Configuration(
+                        change.number(),
+                        now.plans(),
+                        now.allowances(),
+                        with(now.switches(), entry.target(), entry.value().orElse(null)));
+        };
+    }
+
+    private ImmutableSortedMap<EntryKey, Long> version(Change change) {
+        EntryKey key = change.entry().key();
+        Long number = change.entry().isDeletion() ? null : change.number();
+        return ImmutableSortedMap.copyOf(with(versions, key, number));
+    }
+
+    private static <K, V> ImmutableMap<K, V> with(ImmutableMap<K, V> map, K key, V valueOrNull) {
+        ImmutableMap.Builder<K, V> copy = ImmutableMap.builderWithExpectedSize(map.size() + 1);
+        for (var each : map.entrySet()) {
+            if (!each.getKey().equals(key)) {
+                copy.put(each);
+            }
+        }
+        if (valueOrNull != null) {
+            copy.put(key, valueOrNull);
+        }
+        return copy.buildOrThrow();
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/TableCatchUp.java
@@ -0,0 +1,87 @@
+package org.boragebarrow.decision.change;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.table.TableAnswer;
+import org.boragebarrow.decision.table.TableCall;
+import org.boragebarrow.port.TableService.Row;
+
+/**
+ * Reads missing changes from the table: block by block, or by way of the latest snapshot after a large gap or when the
+ * next change is not found.
+ */
+final class TableCatchUp {
+    private static final long SNAPSHOT_GAP = 10L * ChangeRows.BLOCK;
+
+    private final ChangeCodec codec;
+    private final AppliedChanges applied;
+    private boolean wantsSnapshot;
+
+    TableCatchUp(ChangeCodec codec, AppliedChanges applied) {
+        this.codec = codec;
+        this.applied = applied;
+    }
+
+    /** Returns the call that a new round of reading begins with. */
+    TableCall first(long known) {
+        if (wantsSnapshot || known - applied.number() > SNAPSHOT_GAP) {
+            return new TableCall.Get(ChangeRows.SNAPSHOT);
+        }
+        return block();
+    }
+
+    /** Takes an answer in and returns the call that this round of reading goes on with, if it does. */
+    Optional<TableCall> next(TableCall call, TableAnswer answer) {
+        if (answer instanceof TableAnswer.Found found) {
+            return Optional.of(parts(found.row()));
+        }
+        if (answer instanceof TableAnswer.Scanned scanned && call instanceof TableCall.Scan scan) {
+            if (scan.prefix().startsWith(ChangeRows.SNAPSHOT)) {
+                adopt(scan, scanned.rows());
+                return Optional.of(block());
+            }
+            apply(scanned.rows());
+        }
+        return Optional.empty();
+    }
+
+    private TableCall block() {
+        return new TableCall.Scan(ChangeRows.block(applied.number() + 1), ChangeRows.BLOCK);
+    }
+
+    private TableCall parts(Optional<Row> pointer) {
+        if (pointer.isEmpty()) {
+            return block();
+        }
+        SnapshotPointer snapshot = SnapshotPointer.parse(pointer.get().value());
+        if (snapshot.number() <= applied.number()) {
+            return block();
+        }
+        return new TableCall.Scan(ChangeRows.snapshotParts(snapshot.number()), snapshot.parts());
+    }
+
+    private void adopt(TableCall.Scan scan, ImmutableList<Row> rows) {
+        if (rows.size() < scan.limit()) {
+            // A stale read or a snapshot that was replaced meanwhile; the next round reads its pointer again.
+            return;
+        }
+        StringBuilder text = new StringBuilder();
+        rows.forEach(row -> text.append(row.value()));
+        applied.adopt(codec.decodeState(text.toString()));
+        wantsSnapshot = false;
+    }
+
+    private void apply(ImmutableList<Row> rows) {
+        List<Change> changes = new ArrayList<>();
+        for (Row row : rows) {
+            changes.add(codec.decode(row.value()));
+        }
+        long before = applied.number();
+        applied.apply(changes);
+        // Without progress either the read was stale or the log was trimmed: look at the snapshot too.
+        wantsSnapshot = applied.number() == before;
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/table/TableAnswer.java
@@ -0,0 +1,22 @@
+package org.boragebarrow.decision.table;
+
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.port.TableService.CommitResult;
+import org.boragebarrow.port.TableService.Row;
+
+/** The outcome of a {@link TableCall}. */
+public sealed interface TableAnswer {
+    /** The row of a {@link TableCall.Get}; may be older than the latest commit. */
+    record Found(Optional<Row> row) implements TableAnswer {}
+
+    /** The rows of a {@link TableCall.Scan}; may be older than the latest commit. */
+    record Scanned(ImmutableList<Row> rows) implements TableAnswer {}
+
+    /** The result of a {@link TableCall.Commit}. */
+    record Finished(CommitResult result) implements TableAnswer {}
+
+    /** A read got no answer. */
+    record ReadFailed() implements TableAnswer {}
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/table/TableCalls.java
@@ -0,0 +1,32 @@
+package org.boragebarrow.decision.table;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.boragebarrow.port.TableService;
+
+/** Static methods that make table calls. */
+public final class TableCalls {
+    private TableCalls() {}
+
+    /** Makes the call; the future always completes normally. */
+    public static CompletableFuture<TableAnswer> make(TableCall call, TableService table) {
+        return switch (call) {
+            case TableCall.Get get ->
+                table.get(get.key())
+                        .<TableAnswer>thenApply(TableAnswer.Found::new)
+                        .exceptionally(e -> failed());
+            case TableCall.Scan scan ->
+                table.scan(scan.prefix(), scan.limit())
+                        .<TableAnswer>thenApply(TableAnswer.Scanned::new)
+                        .exceptionally(e -> failed());
+            case TableCall.Commit commit ->
+                table.commit(commit.conditions(), commit.writes())
+                        .<TableAnswer>thenApply(TableAnswer.Finished::new)
+                        .exceptionally(e -> new TableAnswer.Finished(new TableService.Unknown()));
+        };
+    }
+
+    private static TableAnswer failed() {
+        return new TableAnswer.ReadFailed();
+    }
+}
