Add HTTP adapters of the platform's ports

Cause: hosts reach the table, object store, host list and weight store over HTTP, and a commit's lost answer must never look like a refusal. Change: http.platform adapters and their JSON messages on HttpClient; only an unsent commit or status 429 or 503 is Unavailable, all else without a sound answer is Unknown. Conclusion: the node can wire the ports.

--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/platform/HttpHostList.java
@@ -0,0 +1,29 @@
+package org.boragebarrow.http.platform;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import org.boragebarrow.http.client.HttpCall;
+import org.boragebarrow.http.client.HttpClient;
+import org.boragebarrow.http.platform.HostListMessages.ListingMessage;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.port.HostList;
+
+/** Reaches the host list over HTTP. */
+public final class HttpHostList implements HostList {
+    private static final HttpCall LIST = HttpCall.of("GET", "/hosts");
+
+    private final PlatformCalls calls;
+
+    /** Creates an adapter that gives each call this time to be answered. */
+    public HttpHostList(HttpClient client, Endpoint endpoint, Duration timeout) {
+        calls = new PlatformCalls(client, endpoint, timeout);
+    }
+
+    @Override
+    public CompletableFuture<Listing> list() {
+        return PlatformCalls.parse(
+                calls.exchange(LIST),
+                answer -> PlatformCalls.message(answer, ListingMessage.class).toListing());
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/platform/HttpTableService.java
@@ -0,0 +1,78 @@
+package org.boragebarrow.http.platform;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import com.google.common.collect.ImmutableList;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.boragebarrow.http.client.HttpAnswer;
+import org.boragebarrow.http.client.HttpCallException;
+import org.boragebarrow.http.client.HttpClient;
+import org.boragebarrow.http.platform.TableMessages.CommitAnswer;
+import org.boragebarrow.http.platform.TableMessages.CommitRequest;
+import org.boragebarrow.http.platform.TableMessages.GetRequest;
+import org.boragebarrow.http.platform.TableMessages.RowsAnswer;
+import org.boragebarrow.http.platform.TableMessages.ScanRequest;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.port.TableService;
+
+/**
+ * Reaches the table service over HTTP.
+ *
+ * <p>A commit is {@link Unavailable} only if nothing of it was sent or the service refused it with status 429 or 503;
+ * without an answer, or with one that makes no sense, it is {@link Unknown}.
+ */
+public final class HttpTableService implements TableService {
+    private final PlatformCalls calls;
+
+    /** Creates an adapter that gives each call this time to be answered. */
+    public HttpTableService(HttpClient client, Endpoint endpoint, Duration timeout) {
+        calls = new PlatformCalls(client, endpoint, timeout);
+    }
+
+    @Override
+    public CompletableFuture<Optional<Row>> get(String key) {
+        return rows("/table/get", new GetRequest(key))
+                .thenApply(rows -> rows.stream().findFirst());
+    }
+
+    @Override
+    public CompletableFuture<ImmutableList<Row>> scan(String prefix, int limit) {
+        return rows("/table/scan", new ScanRequest(prefix, limit));
+    }
+
+    @Override
+    public CompletableFuture<CommitResult> commit(ImmutableList<Condition> conditions, ImmutableList<Write> writes) {
+        return calls.post("/table/commit", CommitRequest.of(conditions, writes))
+                .handle((answer, failure) -> failure == null ? result(answer) : result(failure));
+    }
+
+    private CompletableFuture<ImmutableList<Row>> rows(String path, Object request) {
+        return PlatformCalls.parse(
+                calls.post(path, request),
+                answer -> ImmutableList.copyOf(
+                        PlatformCalls.message(answer, RowsAnswer.class).rows()),
+                TableUnavailableException::new);
+    }
+
+    private static CommitResult result(Throwable failure) {
+        boolean unsent = failure instanceof HttpCallException call && !call.sent();
+        return unsent ? new Unavailable() : new Unknown();
+    }
+
+    private static CommitResult result(HttpAnswer answer) {
+        if (answer.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+                || answer.status() == HttpResponseStatus.TOO_MANY_REQUESTS.code()) {
+            return new Unavailable();
+        }
+        try {
+            return switch (PlatformCalls.message(answer, CommitAnswer.class).outcome()) {
+                case COMMITTED -> new Committed();
+                case CONFLICT -> new Conflict();
+            };
+        } catch (IllegalArgumentException e) {
+            return new Unknown();
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/platform/HttpWeightStore.java
@@ -0,0 +1,29 @@
+package org.boragebarrow.http.platform;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import org.boragebarrow.http.client.HttpCall;
+import org.boragebarrow.http.client.HttpClient;
+import org.boragebarrow.http.platform.WeightMessages.RemainingAnswer;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.port.WeightStore;
+
+/** Reaches the weight store over HTTP. */
+public final class HttpWeightStore implements WeightStore {
+    private static final HttpCall REMAINING = HttpCall.of("GET", "/weights/remaining");
+
+    private final PlatformCalls calls;
+
+    /** Creates an adapter that gives each call this time to be answered. */
+    public HttpWeightStore(HttpClient client, Endpoint endpoint, Duration timeout) {
+        calls = new PlatformCalls(client, endpoint, timeout);
+    }
+
+    @Override
+    public CompletableFuture<Integer> remainingLoads() {
+        return PlatformCalls.parse(
+                calls.exchange(REMAINING),
+                answer -> PlatformCalls.message(answer, RemainingAnswer.class).remaining());
+    }
+}
