Add membership by zone-tiered heartbeats

Cause: hosts must agree on who is alive in their zone and hear other zones without a flat exchange of all entries. Change: Membership with direct heartbeats in a zone, suspicion with refutation, bridges with digests, probes of seeds and of ended hosts; a life that was ended comes back only as a higher incarnation. A refutation counts up beside the incarnation, because attempts are owned by a life and must not lose their owner when it refutes a suspicion. Figures: costs not measured yet. Conclusion: ready to be wired; MemberMessage is what goes over the wire.

--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Member.java
@@ -0,0 +1,42 @@
+package org.boragebarrow.decision.member;
+
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * One life of a host as other hosts know it.
+ *
+ * @param refutations how often this life has refuted a suspicion; only the host itself raises it
+ * @param endpoint where its peers reach it
+ * @param leaving whether the host drains and takes no roles any more
+ */
+public record Member(HostLife life, int refutations, AvailabilityZoneId zone, Endpoint endpoint, boolean leaving) {
+    public Member {
+        checkNotNull(life);
+        checkArgument(refutations >= 0, "refutations must not be negative: %s", refutations);
+        checkNotNull(zone);
+        checkNotNull(endpoint);
+    }
+
+    /** Returns the host. */
+    public HostId host() {
+        return life.host();
+    }
+
+    Member withLife(HostLife next) {
+        return new Member(next, 0, zone, endpoint, leaving);
+    }
+
+    Member withRefutations(int count) {
+        return new Member(life, count, zone, endpoint, leaving);
+    }
+
+    Member withLeaving() {
+        return new Member(life, refutations, zone, endpoint, true);
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Peers.java
@@ -0,0 +1,241 @@
+package org.boragebarrow.decision.member;
+
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import org.boragebarrow.decision.member.MemberMessage.Ended;
+import org.boragebarrow.decision.member.MemberMessage.Suspect;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+
+import static com.google.common.base.Preconditions.checkState;
+
+/** The other hosts of this zone and the judgement who of them is alive. */
+final class Peers {
+    private final Map<HostId, Peer> peers = new TreeMap<>();
+    private final MemberSettings settings;
+    private final EndedLives ended;
+
+    Peers(MemberSettings settings, EndedLives ended) {
+        this.settings = settings;
+        this.ended = ended;
+    }
+
+    Collection<Peer> all() {
+        return peers.values();
+    }
+
+    Optional<Peer> find(HostId host) {
+        return Optional.ofNullable(peers.get(host));
+    }
+
+    boolean isHeard(Peer peer, long now) {
+        return now - peer.heardNanos < settings.suspicionTimeout().toNanos();
+    }
+
+    /** Records that a member that has not ended was heard directly; returns whether this life is new. */
+    boolean hear(Member member, long now) {
+        checkState(!ended.contains(member.life()), "an ended life cannot be heard: %s", member);
+        Peer peer = peers.get(member.host());
+        if (peer == null || isNewer(member.life(), peer)) {
+            replace(peer, member, now);
+            return true;
+        }
+        if (!member.life().equals(peer.member.life())) {
+            return false;
+        }
+        boolean joined = peer.introduced;
+        peer.heardNanos = now;
+        peer.reach();
+        if (member.refutations() >= peer.member.refutations()) {
+            peer.member = member;
+        }
+        return joined;
+    }
+
+    /** Records a third host's proof that a member is alive, if it is newer than this host's suspicion. */
+    void vouch(Member member, long now) {
+        if (ended.contains(member.life())) {
+            return;
+        }
+        Peer peer = peers.get(member.host());
+        if (peer == null || isNewer(member.life(), peer)) {
+            replace(peer, member, now);
+            peers.get(member.host()).heardNanos =
+                    now - settings.suspicionTimeout().toNanos();
+            return;
+        }
+        boolean proof = member.life().equals(peer.member.life())
+                && member.refutations() > peer.member.refutations()
+                && peer.askedNanos != Peer.NEVER;
+        if (proof) {
+            peer.member = member;
+            peer.vouchedNanos = now;
+            peer.reach();
+        }
+    }
+
+    /** Starts to ask about a member that another host named and that was never heard. */
+    void introduce(Member member, long now) {
+        if (peers.containsKey(member.host()) || ended.contains(member.life())) {
+            return;
+        }
+        Peer peer = new Peer(member, now - settings.suspicionTimeout().toNanos());
+        peer.introduced = true;
+        peer.unreachable = true;
+        peers.put(member.host(), peer);
+    }
+
+    private void replace(Peer old, Member member, long now) {
+        if (old != null) {
+            ended.add(old.member.life(), old.member.zone(), now);
+        }
+        peers.put(member.host(), new Peer(member, now));
+    }
+
+    private static boolean isNewer(HostLife life, Peer peer) {
+        return life.incarnation().compareTo(peer.member.life().incarnation()) > 0;
+    }
+
+    /** Forgets the host if its life has ended. */
+    void dropEnded(HostId host) {
+        Peer peer = peers.get(host);
+        if (peer != null && ended.contains(peer.member.life())) {
+            peers.remove(host);
+        }
+    }
+
+    /** Treats the hosts at the endpoint as silent for long enough to be suspected. */
+    void suspect(Endpoint endpoint, long now) {
+        long latest = now - settings.suspicionTimeout().toNanos();
+        for (Peer peer : peers.values()) {
+            if (peer.member.endpoint().equals(endpoint)) {
+                peer.heardNanos = Math.min(peer.heardNanos, latest);
+                peer.vouchedNanos = Math.min(peer.vouchedNanos, latest);
+            }
+        }
+    }
+
+    /** Takes a stretch of time in which this host did not run out of every silence. */
+    void shift(long nanos) {
+        peers.values().forEach(peer -> peer.shift(nanos));
+    }
+
+    /**
+     * Suspects silent peers, asks about them, ends those that nobody shows to be alive, and returns these.
+     *
+     * @param zoneHeard whether another zone was heard lately, so that this host is not the one that is cut off
+     */
+    ImmutableList<Member> judge(boolean zoneHeard, Outbox out, long now) {
+        ImmutableList.Builder<Member> over = ImmutableList.builder();
+        boolean canJudge = zoneHeard || hearsMajority(now);
+        for (Iterator<Peer> i = peers.values().iterator(); i.hasNext(); ) {
+            Peer peer = i.next();
+            if (peer.silence(now) < settings.suspicionTimeout().toNanos()) {
+                continue;
+            }
+            if (isOver(peer, canJudge, now)) {
+                i.remove();
+                over.add(peer.member);
+                if (!peer.introduced) {
+                    ended.add(peer.member.life(), peer.member.zone(), now);
+                    out.send(peer.member, new Ended(peer.member.life()));
+                }
+                continue;
+            }
+            ask(peer, out, now);
+        }
+        return over.build();
+    }
+
+    private boolean hearsMajority(long now) {
+        long heard = peers.values().stream().filter(peer -> isHeard(peer, now)).count();
+        long known = peers.values().stream().filter(peer -> !peer.introduced).count();
+        return (heard + 1) * 2 > known + 1;
+    }
+
+    private boolean isOver(Peer peer, boolean canJudge, long now) {
+        boolean silent = peer.silence(now) >= settings.deathTimeout().toNanos();
+        if (silent && peer.introduced) {
+            return true;
+        }
+        if (isAddressTaken(peer, now)) {
+            return true;
+        }
+        if (!silent) {
+            return false;
+        }
+        if (!canJudge) {
+            peer.unreachable = true;
+            peer.graceNanos = Peer.NEVER;
+            return false;
+        }
+        if (!peer.unreachable) {
+            return true;
+        }
+        if (peer.graceNanos == Peer.NEVER) {
+            // Both sides of a healed cut hear each other one by one; nobody is ended before all had their turn.
+            peer.graceNanos = now + settings.deathTimeout().toNanos();
+        }
+        return now >= peer.graceNanos;
+    }
+
+    private boolean isAddressTaken(Peer silent, long now) {
+        Predicate<Peer> takes =
+                peer -> peer != silent && peer.member.endpoint().equals(silent.member.endpoint()) && isHeard(peer, now);
+        return !silent.introduced && peers.values().stream().anyMatch(takes);
+    }
+
+    private void ask(Peer peer, Outbox out, long now) {
+        boolean early = peer.askedNanos != Peer.NEVER
+                && now - peer.askedNanos < settings.heartbeat().toNanos();
+        if (early) {
+            return;
+        }
+        peer.askedNanos = now;
+        Suspect question = new Suspect(peer.member.life(), peer.member.refutations());
+        for (Peer other : peers.values()) {
+            if (other == peer || isHeard(other, now)) {
+                out.send(other.member, question);
+            }
+        }
+    }
+
+    ImmutableSortedMap<HostId, Member> live(Member self) {
+        ImmutableSortedMap.Builder<HostId, Member> live = ImmutableSortedMap.naturalOrder();
+        live.put(self.host(), self);
+        for (Peer peer : peers.values()) {
+            if (!peer.unreachable) {
+                live.put(peer.member.host(), peer.member);
+            }
+        }
+        return live.buildOrThrow();
+    }
+
+    ImmutableSet<HostId> unreachable() {
+        return peers.values().stream()
+                .filter(peer -> peer.unreachable && !peer.introduced)
+                .map(peer -> peer.member.host())
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    ImmutableMap<HostId, Long> applied(HostId self, long ownApplied) {
+        ImmutableMap.Builder<HostId, Long> applied = ImmutableMap.builder();
+        applied.put(self, ownApplied);
+        for (Peer peer : peers.values()) {
+            if (!peer.unreachable) {
+                applied.put(peer.member.host(), peer.applied);
+            }
+        }
+        return applied.buildOrThrow();
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Zones.java
@@ -0,0 +1,72 @@
+package org.boragebarrow.decision.member;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.placement.Roles;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.HostId;
+
+/** The other zones and the bridges to them. */
+final class Zones {
+    private final Map<AvailabilityZoneId, Zone> zones = new TreeMap<>();
+    private final AvailabilityZoneId own;
+
+    Zones(AvailabilityZoneId own) {
+        this.own = own;
+    }
+
+    /** Returns the zone, which is from now on known. */
+    Zone get(AvailabilityZoneId id) {
+        return zones.computeIfAbsent(id, Zone::new);
+    }
+
+    Collection<Zone> all() {
+        return zones.values();
+    }
+
+    boolean isAnyHeard(long withinNanos, long now) {
+        return zones.values().stream().anyMatch(zone -> zone.isHeard(withinNanos, now));
+    }
+
+    void shift(long nanos) {
+        zones.values().forEach(zone -> zone.shift(nanos));
+    }
+
+    /** Returns the hosts of this zone that bridge to each other zone. */
+    ImmutableMap<AvailabilityZoneId, HostId> bridges(ImmutableSet<HostId> eligible) {
+        return Roles.bridges(eligible, zones.keySet());
+    }
+
+    /** Returns whom in another zone to send a digest: its bridge while it is heard, else a few hosts in turn. */
+    ImmutableList<Member> counterparts(Zone zone, boolean heard, int attempts) {
+        if (heard) {
+            HostId bridge = Roles.bridges(zone.hosts(), neighboursOf(zone)).get(own);
+            if (bridge != null) {
+                return zone.find(bridge).map(ImmutableList::of).orElse(ImmutableList.of());
+            }
+        }
+        ImmutableSet.Builder<Member> members = ImmutableSet.builder();
+        for (int i = 0; i < attempts; i++) {
+            zone.nextMember().ifPresent(members::add);
+        }
+        return members.build().asList();
+    }
+
+    private ImmutableSet<AvailabilityZoneId> neighboursOf(Zone zone) {
+        ImmutableSet.Builder<AvailabilityZoneId> neighbours = ImmutableSet.builder();
+        neighbours.add(own);
+        zones.keySet().stream().filter(id -> !id.equals(zone.id)).forEach(neighbours::add);
+        return neighbours.build();
+    }
+
+    ZonesView view(long highestKnown, long timeoutNanos, long now) {
+        ImmutableMap.Builder<AvailabilityZoneId, ZonesView.ZoneStatus> view = ImmutableMap.builder();
+        zones.forEach((id, zone) -> view.put(id, zone.status(timeoutNanos, now)));
+        return new ZonesView(view.buildOrThrow(), highestKnown);
+    }
+}
--- a/boragebarrow-core/src/main/java/org/boragebarrow/model/Incarnation.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/model/Incarnation.java
@@ -3,7 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 /**
- * Numbers one life of a host; a host that restarts or refutes a suspicion takes a higher one.
+ * Numbers one life of a host; a host that restarts, or learns that its life was ended, takes a higher one.
  *
  * <p>Comparable only between incarnations of the same host.
  */
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/MembershipTest.java
@@ -0,0 +1,299 @@
+package org.boragebarrow.decision.member;
+
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import net.jqwik.api.Example;
+import org.boragebarrow.decision.member.MemberEvent.Seed;
+import org.boragebarrow.decision.member.MemberEvent.SeedSource;
+import org.boragebarrow.decision.member.MemberEvent.SeedsListed;
+import org.boragebarrow.decision.member.MemberMessage.Ended;
+import org.boragebarrow.decision.member.MemberMessage.Suspect;
+import org.boragebarrow.decision.placement.Role;
+import org.boragebarrow.decision.placement.Roles;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class MembershipTest {
+    private static final long SEED = 7;
+    private static final AvailabilityZoneId ZONE_B = AvailabilityZoneId.of("b");
+
+    private final SimulatedFleet fleet = settled(SimulatedFleet.start(3, 3, SEED));
+
+    private static SimulatedFleet settled(SimulatedFleet fleet) {
+        fleet.runSeconds(5);
+        return fleet;
+    }
+
+    @Example
+    void hostsThatKnowOnlySeedsFindEachOther() {
+        assertThat(fleet.agrees()).isTrue();
+    }
+
+    @Example
+    void aKilledHostIsGoneFromTheViewsOfItsZoneWithinThreeSeconds() {
+        HostLife killed = fleet.host("a1").life();
+        fleet.kill("a1");
+        fleet.runSeconds(3);
+        for (String id : ImmutableList.of("a0", "a2")) {
+            assertThat(SimulatedFleet.livesSeenBy(fleet.host(id))).doesNotContain(killed);
+            assertThat(fleet.host(id).members.isEnded(killed)).isTrue();
+        }
+    }
+
+    @Example
+    void otherZonesLearnOfAKilledHost() {
+        HostLife killed = fleet.host("a1").life();
+        fleet.kill("a1");
+        fleet.runSeconds(6);
+        assertThat(fleet.agrees()).isTrue();
+        assertThat(fleet.host("c2").members.isEnded(killed)).isTrue();
+    }
+
+    @Example
+    void aHostThatOnlyOnePeerCannotHearStaysAlive() {
+        fleet.cut("a0", "a1");
+        fleet.runSeconds(60);
+        assertThat(fleet.agrees()).isTrue();
+        assertThat(fleet.host("a0").lives).hasSize(1);
+    }
+
+    @Example
+    void aHostThatOnePeerCanNeitherHearNorReachStaysAlive() {
+        fleet.cutBetween(ImmutableSet.of(fleet.host("a0").endpoint), ImmutableSet.of(fleet.host("a1").endpoint));
+        fleet.runSeconds(60);
+        assertThat(fleet.agrees()).isTrue();
+        assertThat(fleet.host("a0").lives).hasSize(1);
+    }
+
+    @Example
+    void aPausedHostComesBackWithAnotherLife() {
+        SimulatedHost paused = fleet.host("b1");
+        HostLife before = paused.life();
+        fleet.network.pause(paused.endpoint);
+        fleet.runSeconds(10);
+        assertThat(fleet.host("b0").members.isEnded(before)).isTrue();
+        fleet.network.resume(paused.endpoint);
+        fleet.runSeconds(5);
+        assertThat(paused.lives).hasSize(2);
+        assertThat(fleet.agrees()).isTrue();
+    }
+
+    @Example
+    void aHostThatWasPausedEndsNobody() {
+        SimulatedHost paused = fleet.host("b1");
+        fleet.network.pause(paused.endpoint);
+        fleet.runSeconds(10);
+        fleet.network.resume(paused.endpoint);
+        fleet.runSeconds(5);
+        assertThat(fleet.host("b0").lives).hasSize(1);
+        assertThat(fleet.host("b2").lives).hasSize(1);
+    }
+
+    @Example
+    void aShortPauseKeepsTheLife() {
+        SimulatedHost paused = fleet.host("b1");
+        fleet.network.pause(paused.endpoint);
+        fleet.runSeconds(1.5);
+        fleet.network.resume(paused.endpoint);
+        fleet.runSeconds(5);
+        assertThat(paused.lives).hasSize(1);
+        assertThat(fleet.agrees()).isTrue();
+    }
+
+    @Example
+    void aRestartedHostSupersedesItsFormerLife() {
+        HostLife before = fleet.host("a1").life();
+        Endpoint at = fleet.host("a1").endpoint;
+        fleet.kill("a1");
+        fleet.add("a1", 2, "a", at);
+        fleet.runSeconds(2);
+        assertThat(fleet.host("a0").members.isEnded(before)).isTrue();
+        assertThat(SimulatedFleet.livesSeenBy(fleet.host("a0")))
+                .contains(fleet.host("a1").life());
+        fleet.runSeconds(5);
+        assertThat(fleet.agrees()).isTrue();
+    }
+
+    @Example
+    void aRestartedHostWithALowerIncarnationTakesAHigherOne() {
+        Endpoint at = fleet.host("a1").endpoint;
+        fleet.kill("a1");
+        fleet.add("a1", 0, "a", at);
+        fleet.runSeconds(10);
+        assertThat(fleet.host("a1").life().incarnation()).isGreaterThan(Incarnation.of(1));
+        assertThat(fleet.agrees()).isTrue();
+    }
+
+    @Example
+    void aReplacementOnTheSameAddressEndsTheHostThatWasThere() {
+        HostLife before = fleet.host("a1").life();
+        Endpoint at = fleet.host("a1").endpoint;
+        fleet.kill("a1");
+        fleet.add("a9", 1, "a", at);
+        fleet.runSeconds(2);
+        assertThat(fleet.host("a2").members.isEnded(before)).isTrue();
+        fleet.runSeconds(5);
+        assertThat(fleet.agrees()).isTrue();
+    }
+
+    @Example
+    void aGracefulLeaveRaisesNoSuspicion() {
+        fleet.hosts.forEach(host -> host.recordsSent = true);
+        SimulatedHost leaver = fleet.host("c1");
+        fleet.tell(leaver, new MemberEvent.Draining());
+        fleet.runSeconds(2);
+        assertThat(fleet.host("c0").members.eligible()).doesNotContain(leaver.id());
+        assertThat(fleet.host("c0").members.live()).containsKey(leaver.id());
+        fleet.tell(leaver, new MemberEvent.Leaving());
+        fleet.kill("c1");
+        fleet.runSeconds(6);
+        assertThat(fleet.agrees()).isTrue();
+        for (SimulatedHost host : fleet.hosts) {
+            assertThat(host.sentMessages.stream().anyMatch(Suspect.class::isInstance))
+                    .isFalse();
+        }
+    }
+
+    @Example
+    void aLeaverThatAnswersNoMoreSendsNothing() {
+        SimulatedHost leaver = fleet.host("c1");
+        fleet.tell(leaver, new MemberEvent.Leaving());
+        assertThat(leaver.apply(new MemberEvent.Ticked(), fleet.network.now())).isEmpty();
+    }
+
+    @Example
+    void aSuspectedHostRefutesWithAHigherCount() {
+        SimulatedHost suspect = fleet.host("a1");
+        suspect.recordsSent = true;
+        HostLife asker = fleet.host("a0").life();
+        fleet.tell(suspect, new MemberEvent.MessageReceived(asker, new Suspect(suspect.life(), 4)));
+        MemberMessage.Alive answer = suspect.sentMessages.stream()
+                .filter(MemberMessage.Alive.class::isInstance)
+                .map(MemberMessage.Alive.class::cast)
+                .findFirst()
+                .orElseThrow();
+        assertThat(answer.member().refutations()).isEqualTo(5);
+        assertThat(suspect.lives).hasSize(1);
+    }
+
+    @Example
+    void aVerdictAboutAHostThatIsHeardIsIgnored() {
+        HostLife alive = fleet.host("a1").life();
+        HostLife judge = fleet.host("a2").life();
+        fleet.tell(fleet.host("a0"), new MemberEvent.MessageReceived(judge, new Ended(alive)));
+        assertThat(fleet.host("a0").members.isEnded(alive)).isFalse();
+    }
+
+    @Example
+    void aZoneThatIsCutOffIsNotHeardButItsHostsAreNotEnded() {
+        fleet.cutBetween(fleet.endpointsOf("b"), union("a", "c"));
+        fleet.runSeconds(20);
+        assertThat(fleet.host("a0").zones.zones().get(ZONE_B).heard()).isFalse();
+        assertThat(fleet.host("a0").zones.zones().get(ZONE_B).members()).hasSize(3);
+        assertThat(fleet.host("a0").members.ended()).isEmpty();
+        assertThat(SimulatedFleet.livesSeenBy(fleet.host("b0"))).hasSize(3);
+        fleet.heal();
+        fleet.runSeconds(4);
+        assertThat(fleet.host("a0").zones.zones().get(ZONE_B).heard()).isTrue();
+        assertThat(fleet.agrees()).isTrue();
+    }
+
+    @Example
+    void aHostThatHearsNobodyEndsNobody() {
+        SimulatedHost alone = fleet.host("b2");
+        ImmutableSet<Endpoint> rest = fleet.hosts.stream()
+                .filter(host -> host != alone)
+                .map(host -> host.endpoint)
+                .collect(ImmutableSet.toImmutableSet());
+        fleet.cutBetween(ImmutableSet.of(alone.endpoint), rest);
+        fleet.runSeconds(20);
+        assertThat(SimulatedFleet.livesSeenBy(alone)).containsExactly(alone.life());
+        assertThat(alone.members.unreachable()).hasSize(2);
+        assertThat(alone.members.ended()).isEmpty();
+        fleet.heal();
+        fleet.runSeconds(15);
+        assertThat(fleet.agrees()).isTrue();
+        assertThat(fleet.host("b0").lives).hasSize(1);
+    }
+
+    @Example
+    void aZoneIsHeardAgainAfterItsBridgeDies() {
+        for (String id : ImmutableList.of("b0", "b1")) {
+            fleet.kill(id);
+            fleet.runSeconds(6);
+            assertThat(fleet.host("a0").zones.zones().get(ZONE_B).heard()).isTrue();
+            assertThat(fleet.agrees()).isTrue();
+        }
+    }
+
+    @Example
+    void staleSeedsAndAMissingListKeepNobodyOut() {
+        ImmutableList<Seed> stale = ImmutableList.of(
+                new Seed(Endpoint.of("10.9.9.9", SimulatedFleet.PORT), Optional.empty()),
+                new Seed(SimulatedFleet.address(1, 2), Optional.of(AvailabilityZoneId.of("a"))));
+        SimulatedHost late = fleet.add("a7", 1, "a", SimulatedFleet.address(0, 7));
+        fleet.tell(late, new SeedsListed(SeedSource.SETTINGS, ImmutableList.of()));
+        fleet.tell(late, new SeedsListed(SeedSource.HOST_LIST, stale));
+        fleet.runSeconds(10);
+        assertThat(late.zones.zones().get(ZONE_B).heard()).isTrue();
+    }
+
+    @Example
+    void aChangeNumberReachesEveryHostWithinTwoSeconds() {
+        fleet.tell(fleet.host("a0"), new MemberEvent.AppliedChange(42));
+        fleet.runSeconds(2);
+        fleet.hosts.forEach(host -> assertThat(host.zones.highestKnown()).isEqualTo(42));
+    }
+
+    @Example
+    void theLowestAppliedChangeOfAZoneCountsEveryHost() {
+        fleet.tell(fleet.host("b0"), new MemberEvent.AppliedChange(5));
+        fleet.tell(fleet.host("b1"), new MemberEvent.AppliedChange(5));
+        fleet.runSeconds(3);
+        assertThat(fleet.host("a0").zones.zones().get(ZONE_B).lowestApplied()).isEqualTo(0);
+        fleet.tell(fleet.host("b2"), new MemberEvent.AppliedChange(5));
+        fleet.runSeconds(3);
+        assertThat(fleet.host("a0").zones.zones().get(ZONE_B).lowestApplied()).isEqualTo(5);
+    }
+
+    @Example
+    void aSummaryReachesTheDispatchersOfOtherZones() {
+        Payload payload = Payload.copyOf(new byte[] {1, 2, 3});
+        fleet.tell(fleet.host("b1"), new MemberEvent.SummaryChanged(payload));
+        fleet.runSeconds(4);
+        for (String zone : ImmutableList.of("a", "c")) {
+            SimulatedHost any = fleet.host(zone + "0");
+            HostId dispatcher =
+                    Roles.holder(new Role.Dispatcher(), any.members.eligible()).orElseThrow();
+            assertThat(fleet.host(dispatcher.value()).zones.zones().get(ZONE_B).summary())
+                    .hasValue(payload);
+        }
+    }
+
+    @Example
+    void aBrokenLinkAloneEndsNobody() {
+        Endpoint peer = fleet.host("a1").endpoint;
+        for (int i = 0; i < 20; i++) {
+            fleet.tell(fleet.host("a0"), new MemberEvent.LinkDown(peer));
+            fleet.runSeconds(0.7);
+        }
+        fleet.runSeconds(2);
+        assertThat(fleet.host("a1").lives).hasSize(1);
+        assertThat(fleet.agrees()).isTrue();
+    }
+
+    private ImmutableSet<Endpoint> union(String... zones) {
+        ImmutableSet.Builder<Endpoint> all = ImmutableSet.builder();
+        for (String zone : zones) {
+            all.addAll(fleet.endpointsOf(zone));
+        }
+        return all.build();
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/SimulatedFleet.java
@@ -0,0 +1,140 @@
+package org.boragebarrow.decision.member;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiPredicate;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.member.MemberEvent.Seed;
+import org.boragebarrow.decision.member.MemberEvent.SeedSource;
+import org.boragebarrow.decision.member.MemberEvent.SeedsListed;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostLife;
+
+/** Hosts over several zones in a simulated network. */
+final class SimulatedFleet {
+    static final int PORT = 7000;
+
+    final SimulatedNetwork network;
+    final List<SimulatedHost> hosts = new ArrayList<>();
+    private final MemberSettings settings = MemberSettings.defaults();
+    private final long seed;
+
+    SimulatedFleet(long seed) {
+        this.seed = seed;
+        this.network = new SimulatedNetwork(seed, MessageSizes::sizeOf);
+    }
+
+    /** Starts hosts {@code a0, a1, ..., b0, ...} that all know the first host of each zone as a seed. */
+    static SimulatedFleet start(int zones, int hostsPerZone, long seed) {
+        SimulatedFleet fleet = new SimulatedFleet(seed);
+        for (int z = 0; z < zones; z++) {
+            for (int h = 0; h < hostsPerZone; h++) {
+                fleet.add(zoneName(z) + h, 1, zoneName(z), address(z, h));
+            }
+        }
+        return fleet;
+    }
+
+    static String zoneName(int zone) {
+        return String.valueOf((char) ('a' + zone));
+    }
+
+    static Endpoint address(int zone, int host) {
+        return Endpoint.of("10.0." + zone + "." + (host + 1), PORT);
+    }
+
+    SimulatedHost add(String id, long incarnation, String zone, Endpoint at) {
+        SimulatedHost host = new SimulatedHost(id, incarnation, zone, at, settings, seed + hosts.size());
+        hosts.add(host);
+        network.start(at, host);
+        ImmutableList.Builder<Seed> seeds = ImmutableList.builder();
+        for (int z = 0; z < 'z' - 'a' && z < zoneCount(); z++) {
+            seeds.add(new Seed(address(z, 0), Optional.of(AvailabilityZoneId.of(zoneName(z)))));
+        }
+        tell(host, new SeedsListed(SeedSource.SETTINGS, seeds.build()));
+        return host;
+    }
+
+    private int zoneCount() {
+        return (int) hosts.stream().map(host -> host.zone).distinct().count();
+    }
+
+    SimulatedHost host(String id) {
+        List<SimulatedHost> found =
+                hosts.stream().filter(host -> host.id().value().equals(id)).toList();
+        return found.get(found.size() - 1);
+    }
+
+    void tell(SimulatedHost host, MemberEvent event) {
+        network.send(host.endpoint, host.apply(event, network.now()));
+    }
+
+    void kill(String id) {
+        SimulatedHost host = host(id);
+        network.kill(host.endpoint);
+        hosts.remove(host);
+    }
+
+    /** Drops everything from one host to another. */
+    void cut(String from, String to) {
+        Endpoint a = host(from).endpoint;
+        Endpoint b = host(to).endpoint;
+        network.cut((x, y) -> x.equals(a) && y.equals(b));
+    }
+
+    /** Drops everything between two groups, in both directions. */
+    void cutBetween(ImmutableSet<Endpoint> one, ImmutableSet<Endpoint> other) {
+        BiPredicate<Endpoint, Endpoint> crosses = (x, y) -> one.contains(x) && other.contains(y);
+        network.cut((x, y) -> crosses.test(x, y) || crosses.test(y, x));
+    }
+
+    void heal() {
+        network.cut((x, y) -> false);
+    }
+
+    ImmutableSet<Endpoint> endpointsOf(String zone) {
+        return hosts.stream()
+                .filter(host -> host.zone.value().equals(zone))
+                .map(host -> host.endpoint)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    void runSeconds(double seconds) {
+        network.run((long) (seconds * 1_000) * SimulatedNetwork.MILLI);
+    }
+
+    /** Returns the present lives of the zone's hosts. */
+    ImmutableSet<HostLife> livesOf(AvailabilityZoneId zone) {
+        return hosts.stream()
+                .filter(host -> host.zone.equals(zone))
+                .map(SimulatedHost::life)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    static ImmutableSet<HostLife> livesSeenBy(SimulatedHost host) {
+        return host.members.live().values().stream().map(Member::life).collect(ImmutableSet.toImmutableSet());
+    }
+
+    static ImmutableSet<HostLife> livesSeenBy(SimulatedHost host, AvailabilityZoneId zone) {
+        if (host.zone.equals(zone)) {
+            return livesSeenBy(host);
+        }
+        ZonesView.ZoneStatus status = host.zones.zones().get(zone);
+        return status == null
+                ? ImmutableSet.of()
+                : status.members().stream().map(Member::life).collect(ImmutableSet.toImmutableSet());
+    }
+
+    /** Returns whether every host sees exactly the present lives of every zone. */
+    boolean agrees() {
+        ImmutableSet<AvailabilityZoneId> zones =
+                hosts.stream().map(host -> host.zone).collect(ImmutableSet.toImmutableSet());
+        return hosts.stream()
+                .allMatch(host ->
+                        zones.stream().allMatch(zone -> livesSeenBy(host, zone).equals(livesOf(zone))));
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/SimulatedHost.java
@@ -0,0 +1,71 @@
+package org.boragebarrow.decision.member;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.member.MemberEvent.MessageReceived;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+
+/** A membership in a simulated network, with what it last reported. */
+final class SimulatedHost implements SimulatedNetwork.Node {
+    record Envelope(HostLife from, MemberMessage message) {}
+
+    final Endpoint endpoint;
+    final AvailabilityZoneId zone;
+    final List<HostLife> lives = new ArrayList<>();
+    final List<MemberMessage> sentMessages = new ArrayList<>();
+    private final Membership membership;
+    MemberView members;
+    ZonesView zones;
+    boolean recordsSent;
+
+    SimulatedHost(String id, long incarnation, String zone, Endpoint endpoint, MemberSettings settings, long seed) {
+        this.endpoint = endpoint;
+        this.zone = AvailabilityZoneId.of(zone);
+        lives.add(HostLife.of(HostId.of(id), Incarnation.of(incarnation)));
+        membership = new Membership(new Self(lives.get(0), this.zone, endpoint), settings, seed);
+    }
+
+    HostLife life() {
+        return lives.get(lives.size() - 1);
+    }
+
+    HostId id() {
+        return life().host();
+    }
+
+    List<SimulatedNetwork.Sent> apply(MemberEvent event, long now) {
+        List<SimulatedNetwork.Sent> sent = new ArrayList<>();
+        ImmutableList<MemberEffect> effects = membership.apply(event, now);
+        for (MemberEffect effect : effects) {
+            switch (effect) {
+                case MemberEffect.Send send -> {
+                    if (recordsSent) {
+                        sentMessages.add(send.message());
+                    }
+                    sent.add(new SimulatedNetwork.Sent(send.endpoint(), new Envelope(life(), send.message())));
+                }
+                case MemberEffect.MembersChanged changed -> members = changed.view();
+                case MemberEffect.ZonesChanged changed -> zones = changed.view();
+                case MemberEffect.LifeReplaced replaced -> lives.add(replaced.next());
+            }
+        }
+        return sent;
+    }
+
+    @Override
+    public List<SimulatedNetwork.Sent> receive(Object message, long now) {
+        Envelope envelope = (Envelope) message;
+        return apply(new MessageReceived(envelope.from, envelope.message), now);
+    }
+
+    @Override
+    public List<SimulatedNetwork.Sent> tick(long now) {
+        return apply(new MemberEvent.Ticked(), now);
+    }
+}
