Add the stand-in of the platform with fault switches

Cause: trials and tests need a table service, object store, host list and weight store that can be down, slow and stale and can lose answers. Change: standins.platform; all draws come from one seeded generator, the fault gate, the lagging host list and the weight budget take time and randomness from outside. Conclusion: the node can be tried against a failing platform.

--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/platform/FaultGate.java
@@ -0,0 +1,84 @@
+package org.boragebarrow.standins.platform;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.boragebarrow.testing.CommitFault;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Lets the calls of one part of the platform take effect, or fail them as its faults say.
+ *
+ * <p>Not thread-safe; the timer must run its actions on the owner's thread.
+ */
+final class FaultGate {
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    private final RandomGenerator random;
+    private final Timer timer;
+    private PlatformFaults faults = PlatformFaults.NONE;
+    private long reads;
+    private long writes;
+
+    FaultGate(RandomGenerator random, Timer timer) {
+        this.random = checkNotNull(random);
+        this.timer = checkNotNull(timer);
+    }
+
+    /** Runs actions later. */
+    @FunctionalInterface
+    interface Timer {
+        void after(Duration delay, Runnable action);
+    }
+
+    void setFaults(PlatformFaults faults) {
+        this.faults = checkNotNull(faults);
+    }
+
+    long reads() {
+        return reads;
+    }
+
+    long writes() {
+        return writes;
+    }
+
+    /** Returns how many commits the present read lags. */
+    int staleCommits() {
+        return faults.staleCommits() == 0 ? 0 : random.nextInt(faults.staleCommits() + 1);
+    }
+
+    void read(Supplier<Reply> query, Consumer<Reply> caller) {
+        reads++;
+        boolean down = faults.down();
+        soon(() -> caller.accept(down ? Reply.status(SERVICE_UNAVAILABLE) : query.get()));
+    }
+
+    void write(Supplier<Reply> effect, Consumer<Reply> caller) {
+        writes++;
+        CommitFault drawn = faults.rates().draw(random);
+        switch (faults.down() ? CommitFault.REFUSED : drawn) {
+            case NONE -> soon(() -> caller.accept(effect.get()));
+            case REFUSED -> soon(() -> caller.accept(Reply.status(SERVICE_UNAVAILABLE)));
+            case LOST_BEFORE_EFFECT -> soon(() -> caller.accept(new Reply.Reset()));
+            case LOST_AFTER_EFFECT ->
+                soon(() -> {
+                    effect.get();
+                    caller.accept(new Reply.Reset());
+                });
+            case DELAYED -> timer.after(Duration.ofMillis(faults.delayMillis()), () -> caller.accept(effect.get()));
+            default -> throw new IllegalStateException("unknown fault");
+        }
+    }
+
+    private void soon(Runnable action) {
+        if (faults.slowMillis() == 0) {
+            action.run();
+        } else {
+            timer.after(Duration.ofMillis(faults.slowMillis()), action);
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/platform/PlatformHandler.java
@@ -0,0 +1,189 @@
+package org.boragebarrow.standins.platform;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.http.platform.HostListMessages.ListingMessage;
+import org.boragebarrow.http.platform.PlatformJson;
+import org.boragebarrow.http.platform.TableMessages.CommitAnswer;
+import org.boragebarrow.http.platform.TableMessages.CommitOutcome;
+import org.boragebarrow.http.platform.TableMessages.CommitRequest;
+import org.boragebarrow.http.platform.TableMessages.GetRequest;
+import org.boragebarrow.http.platform.TableMessages.RowsAnswer;
+import org.boragebarrow.http.platform.TableMessages.ScanRequest;
+import org.boragebarrow.http.platform.WeightMessages.RemainingAnswer;
+import org.boragebarrow.port.HostList.Listing;
+import org.boragebarrow.standins.platform.CountersAnswer.Counts;
+import org.boragebarrow.standins.web.WebHandler;
+import org.boragebarrow.standins.web.WebRequest;
+import org.boragebarrow.standins.web.WebResponse;
+import org.boragebarrow.testing.MemoryTable;
+
+/** Routes each call to its part of the platform; not thread-safe. */
+final class PlatformHandler implements WebHandler {
+    private static final int KEPT_COMMITS = 1_000;
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int TOO_MANY_REQUESTS = 429;
+
+    private final Ticker ticker;
+    private final Map<PlatformPart, FaultGate> gates = new EnumMap<>(PlatformPart.class);
+    private final MemoryTable table = new MemoryTable(KEPT_COMMITS);
+    private final Map<String, byte[]> objects = new HashMap<>();
+    private final LaggingHostList hosts;
+    private final WeightBudget weights;
+
+    PlatformHandler(PlatformSettings settings, Ticker ticker, FaultGate.Timer timer) {
+        this.ticker = ticker;
+        hosts = new LaggingHostList(settings.hostListLag(), settings.hosts());
+        weights = new WeightBudget(settings.loadsPerMinute());
+        SplittableRandom random = new SplittableRandom(settings.seed());
+        for (PlatformPart part : PlatformPart.values()) {
+            gates.put(part, new FaultGate(random.split(), timer));
+        }
+    }
+
+    @Override
+    public void handle(WebRequest request, WebResponse response) {
+        ImmutableList<String> segments = request.segments();
+        String first = segments.isEmpty() ? "" : segments.get(0);
+        Optional<String> second = segments.size() < 2 ? Optional.empty() : Optional.of(segments.get(1));
+        Consumer<Reply> caller = reply -> send(reply, response);
+        switch (request.method() + " " + first) {
+            case "POST table" -> handleTable(second.orElse(""), request.body(), caller);
+            case "GET objects" -> read(PlatformPart.OBJECTS, () -> getObject(second.orElse("")), caller);
+            case "PUT objects" ->
+                write(PlatformPart.OBJECTS, () -> putObject(second.orElse(""), request.body()), caller);
+            case "DELETE objects" -> write(PlatformPart.OBJECTS, () -> deleteObject(second.orElse("")), caller);
+            case "GET hosts" -> read(PlatformPart.HOSTS, this::listHosts, caller);
+            case "PUT hosts" -> editHosts(request.body(), caller);
+            case "POST hosts" -> announceLeaving(request, caller);
+            case "GET weights" -> read(PlatformPart.WEIGHTS, this::remainingLoads, caller);
+            case "POST weights" -> write(PlatformPart.WEIGHTS, this::load, caller);
+            case "POST faults" -> setFaults(second, request.body(), caller);
+            case "GET counters" -> caller.accept(Reply.json(counters()));
+            default -> caller.accept(Reply.status(NOT_FOUND));
+        }
+    }
+
+    private void handleTable(String operation, byte[] body, Consumer<Reply> caller) {
+        switch (operation) {
+            case "get" -> {
+                GetRequest get = PlatformJson.read(body, GetRequest.class);
+                read(PlatformPart.TABLE, () -> get(get), caller);
+            }
+            case "scan" -> {
+                ScanRequest scan = PlatformJson.read(body, ScanRequest.class);
+                read(PlatformPart.TABLE, () -> scan(scan), caller);
+            }
+            case "commit" -> {
+                CommitRequest commit = PlatformJson.read(body, CommitRequest.class);
+                write(PlatformPart.TABLE, () -> commit(commit), caller);
+            }
+            default -> caller.accept(Reply.status(NOT_FOUND));
+        }
+    }
+
+    private Reply get(GetRequest request) {
+        int commitsAgo = gates.get(PlatformPart.TABLE).staleCommits();
+        return Reply.json(
+                new RowsAnswer(table.get(request.key(), commitsAgo).stream().toList()));
+    }
+
+    private Reply scan(ScanRequest request) {
+        int commitsAgo = gates.get(PlatformPart.TABLE).staleCommits();
+        return Reply.json(new RowsAnswer(table.scan(request.prefix(), request.limit(), commitsAgo)));
+    }
+
+    private Reply commit(CommitRequest request) {
+        boolean committed = table.commit(ImmutableList.copyOf(request.conditions()), request.toWrites());
+        return Reply.json(new CommitAnswer(committed ? CommitOutcome.COMMITTED : CommitOutcome.CONFLICT));
+    }
+
+    private Reply getObject(String key) {
+        byte[] bytes = objects.get(key);
+        return bytes == null ? Reply.status(NOT_FOUND) : Reply.bytes(bytes);
+    }
+
+    private Reply putObject(String key, byte[] bytes) {
+        objects.put(key, bytes);
+        return Reply.status(OK);
+    }
+
+    private Reply deleteObject(String key) {
+        objects.remove(key);
+        return Reply.status(OK);
+    }
+
+    private Reply listHosts() {
+        return Reply.json(ListingMessage.of(hosts.read(ticker.read())));
+    }
+
+    private void editHosts(byte[] body, Consumer<Reply> caller) {
+        Listing listing = PlatformJson.read(body, ListingMessage.class).toListing();
+        hosts.edit(listing, ticker.read());
+        caller.accept(Reply.status(OK));
+    }
+
+    private void announceLeaving(WebRequest request, Consumer<Reply> caller) {
+        ImmutableList<String> segments = request.segments();
+        boolean announced = segments.size() == 3
+                && segments.get(2).equals("leaving")
+                && hosts.announceLeaving(segments.get(1), ticker.read());
+        caller.accept(Reply.status(announced ? OK : NOT_FOUND));
+    }
+
+    private Reply remainingLoads() {
+        return Reply.json(new RemainingAnswer(weights.remaining(ticker.read())));
+    }
+
+    private Reply load() {
+        return weights.tryLoad(ticker.read()) ? remainingLoads() : Reply.status(TOO_MANY_REQUESTS);
+    }
+
+    private void setFaults(Optional<String> part, byte[] body, Consumer<Reply> caller) {
+        PlatformFaults faults = PlatformJson.read(body, PlatformFaults.class);
+        if (part.isPresent()) {
+            gates.get(PlatformPart.valueOf(part.get().toUpperCase(Locale.ROOT))).setFaults(faults);
+        } else {
+            gates.values().forEach(gate -> gate.setFaults(faults));
+        }
+        caller.accept(Reply.status(OK));
+    }
+
+    private CountersAnswer counters() {
+        return new CountersAnswer(
+                counts(PlatformPart.TABLE),
+                counts(PlatformPart.OBJECTS),
+                counts(PlatformPart.HOSTS),
+                counts(PlatformPart.WEIGHTS));
+    }
+
+    private Counts counts(PlatformPart part) {
+        FaultGate gate = gates.get(part);
+        return new Counts(gate.reads(), gate.writes());
+    }
+
+    private void read(PlatformPart part, Supplier<Reply> query, Consumer<Reply> caller) {
+        gates.get(part).read(query, caller);
+    }
+
+    private void write(PlatformPart part, Supplier<Reply> effect, Consumer<Reply> caller) {
+        gates.get(part).write(effect, caller);
+    }
+
+    private static void send(Reply reply, WebResponse response) {
+        switch (reply) {
+            case Reply.Answer answer -> response.send(answer.status(), answer.contentType(), answer.body());
+            case Reply.Reset reset -> response.abort();
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/platform/Reply.java
@@ -0,0 +1,25 @@
+package org.boragebarrow.standins.platform;
+
+import io.netty.handler.codec.http.HttpHeaderValues;
+import org.boragebarrow.http.platform.PlatformJson;
+
+/** What a caller sees of its call. */
+sealed interface Reply {
+    /** A whole answer. */
+    record Answer(int status, String contentType, byte[] body) implements Reply {}
+
+    /** A reset connection. */
+    record Reset() implements Reply {}
+
+    static Reply status(int status) {
+        return new Answer(status, HttpHeaderValues.TEXT_PLAIN.toString(), new byte[0]);
+    }
+
+    static Reply json(Object message) {
+        return new Answer(200, HttpHeaderValues.APPLICATION_JSON.toString(), PlatformJson.write(message));
+    }
+
+    static Reply bytes(byte[] bytes) {
+        return new Answer(200, HttpHeaderValues.APPLICATION_OCTET_STREAM.toString(), bytes);
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/platform/WeightBudget.java
@@ -0,0 +1,32 @@
+package org.boragebarrow.standins.platform;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** Allows a number of model loads in any one minute; not thread-safe. */
+final class WeightBudget {
+    private static final long WINDOW_NANOS = Duration.ofMinutes(1).toNanos();
+
+    private final int loadsPerMinute;
+    private final Queue<Long> loads = new ArrayDeque<>();
+
+    WeightBudget(int loadsPerMinute) {
+        checkArgument(loadsPerMinute >= 0, "loads must not be negative: %s", loadsPerMinute);
+        this.loadsPerMinute = loadsPerMinute;
+    }
+
+    int remaining(long nowNanos) {
+        while (!loads.isEmpty() && nowNanos - loads.peek() >= WINDOW_NANOS) {
+            loads.poll();
+        }
+        return loadsPerMinute - loads.size();
+    }
+
+    /** Takes one load; returns false if none is left. */
+    boolean tryLoad(long nowNanos) {
+        return remaining(nowNanos) > 0 && loads.add(nowNanos);
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins of the platform: table service, object store, host list and weight store, with fault switches. */
+package org.boragebarrow.standins.platform;
--- /dev/null
+++ b/boragebarrow-standins/src/test/java/org/boragebarrow/standins/platform/FaultGateTest.java
@@ -0,0 +1,103 @@
+package org.boragebarrow.standins.platform;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.Example;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FaultGateTest {
+    private static final Reply DONE = Reply.status(200);
+
+    private final Queue<Runnable> timers = new ArrayDeque<>();
+    private final List<Reply> replies = new ArrayList<>();
+    private final FaultGate gate = new FaultGate(new SplittableRandom(5), (delay, action) -> timers.add(action));
+    private int effects;
+
+    @Example
+    void withoutFaultsACallTakesEffectAndIsAnswered() {
+        write();
+        assertThat(effects).isEqualTo(1);
+        assertThat(status()).isEqualTo(200);
+    }
+
+    @Example
+    void aDownPartRefusesReadsAndWritesWithoutEffect() {
+        gate.setFaults(new PlatformFaults(true, 0, 0, 1, 0, 0, 0, 0));
+        write();
+        assertThat(status()).isEqualTo(503);
+        gate.read(this::effect, replies::add);
+        assertThat(status()).isEqualTo(503);
+        assertThat(effects).isEqualTo(0);
+    }
+
+    @Example
+    void aRefusedWriteHasNoEffect() {
+        gate.setFaults(new PlatformFaults(false, 1, 0, 0, 0, 0, 0, 0));
+        write();
+        assertThat(status()).isEqualTo(503);
+        assertThat(effects).isEqualTo(0);
+    }
+
+    @Example
+    void aWriteLostBeforeItsEffectResetsTheConnection() {
+        gate.setFaults(new PlatformFaults(false, 0, 1, 0, 0, 0, 0, 0));
+        write();
+        assertThat(replies).containsExactly(new Reply.Reset());
+        assertThat(effects).isEqualTo(0);
+    }
+
+    @Example
+    void aWriteLostAfterItsEffectResetsTheConnection() {
+        gate.setFaults(new PlatformFaults(false, 0, 0, 1, 0, 0, 0, 0));
+        write();
+        assertThat(replies).containsExactly(new Reply.Reset());
+        assertThat(effects).isEqualTo(1);
+    }
+
+    @Example
+    void aDelayedWriteTakesEffectOnlyWhenItsTimeHasCome() {
+        gate.setFaults(new PlatformFaults(false, 0, 0, 0, 1, 5_000, 0, 0));
+        write();
+        assertThat(effects).isEqualTo(0);
+        assertThat(replies).isEmpty();
+        timers.remove().run();
+        assertThat(effects).isEqualTo(1);
+    }
+
+    @Example
+    void aSlowCallWaitsBeforeItTakesEffect() {
+        gate.setFaults(new PlatformFaults(false, 0, 0, 0, 0, 0, 100, 0));
+        gate.read(this::effect, replies::add);
+        assertThat(effects).isEqualTo(0);
+        timers.remove().run();
+        assertThat(status()).isEqualTo(200);
+    }
+
+    @Example
+    void failedCallsAreCountedToo() {
+        gate.setFaults(new PlatformFaults(true, 0, 0, 0, 0, 0, 0, 0));
+        write();
+        write();
+        gate.read(this::effect, replies::add);
+        assertThat(gate.writes()).isEqualTo(2);
+        assertThat(gate.reads()).isEqualTo(1);
+    }
+
+    private void write() {
+        gate.write(this::effect, replies::add);
+    }
+
+    private Reply effect() {
+        effects++;
+        return DONE;
+    }
+
+    private int status() {
+        return ((Reply.Answer) replies.get(replies.size() - 1)).status();
+    }
+}
