Add the zone's dispatcher with fair queues, placement and gangs

Cause: fronts need one place per availability zone that says where and when each request runs. Change: a single-writer machine with bounded queues, predicted admission, fair queueing inside length classes, reserved shares for short prompts, holds for long ones, prefix-aware placement, gangs, leases, circuit breakers and allowances; round robin and least load are selectable as baselines.

--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/allowance/AllowanceLedger.java
@@ -0,0 +1,121 @@
+package org.boragebarrow.decision.allowance;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableMap;
+import org.boragebarrow.model.Allowance;
+import org.boragebarrow.model.OrganisationId;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+import static com.google.common.base.Preconditions.checkState;
+
+/**
+ * Charges requests to their organisations' allowances in one availability zone.
+ *
+ * <p>Not thread-safe. A request is charged when it is admitted and settled when it ends. The zone enforces its {@link
+ * ZoneShares share} of the rate and of the concurrency.
+ */
+public final class AllowanceLedger {
+    private static final double SECONDS_PER_MINUTE = 60;
+
+    private final ZoneShares shares;
+    private final Duration burst;
+    private final Map<OrganisationId, Account> accounts = new HashMap<>();
+
+    /**
+     * Creates a ledger without accounts.
+     *
+     * @param burst how long the rate may be saved up for
+     */
+    public AllowanceLedger(ZoneShares shares, Duration burst) {
+        this.shares = checkNotNull(shares);
+        this.burst = checkNotNull(burst);
+        checkArgument(!burst.isNegative() && !burst.isZero(), "burst must be positive: %s", burst);
+    }
+
+    /**
+     * Charges a request, or returns how long its organisation must wait.
+     *
+     * <p>Counts the request as demand either way.
+     */
+    public Optional<Duration> admit(OrganisationId organisation, Allowance allowance, long tokens, long nowNanos) {
+        checkArgument(tokens >= 0, "tokens must not be negative: %s", tokens);
+        Account account = account(organisation, nowNanos);
+        account.demand.add(tokens, nowNanos);
+        double share = shares.share(organisation, account.demand.perMinute(nowNanos));
+        TokenBucket bucket = account.bucket(allowance, share, burst, nowNanos);
+        if (account.inProgress >= concurrency(allowance, share)) {
+            return Optional.of(burst);
+        }
+        if (!bucket.isPositive(nowNanos)) {
+            return Optional.of(bucket.untilPositive(nowNanos));
+        }
+        bucket.take(tokens);
+        account.inProgress++;
+        return Optional.empty();
+    }
+
+    /** Counts a request that another dispatcher admitted. */
+    public void adopt(OrganisationId organisation, long nowNanos) {
+        account(organisation, nowNanos).inProgress++;
+    }
+
+    /** Ends a request and gives back what it was charged but did not use. */
+    public void settle(OrganisationId organisation, long unusedTokens) {
+        Account account = accounts.get(organisation);
+        checkState(account != null && account.inProgress > 0, "%s has no request in progress", organisation);
+        account.inProgress--;
+        account.bucket.ifPresent(b -> b.giveBack(Math.max(0, unusedTokens)));
+    }
+
+    /** Returns the organisation's admitted requests that have not ended. */
+    public int inProgress(OrganisationId organisation) {
+        Account account = accounts.get(organisation);
+        return account == null ? 0 : account.inProgress;
+    }
+
+    /** Returns the tokens a minute that each organisation asks for in this zone. */
+    public ImmutableMap<OrganisationId, Long> demand(long nowNanos) {
+        ImmutableMap.Builder<OrganisationId, Long> demand = ImmutableMap.builder();
+        for (Map.Entry<OrganisationId, Account> e : accounts.entrySet()) {
+            long perMinute = Math.round(e.getValue().demand.perMinute(nowNanos));
+            if (perMinute > 0) {
+                demand.put(e.getKey(), perMinute);
+            }
+        }
+        return demand.buildOrThrow();
+    }
+
+    private static int concurrency(Allowance allowance, double share) {
+        return Math.max(1, (int) Math.floor(allowance.maxConcurrent() * share + 1e-9));
+    }
+
+    private Account account(OrganisationId organisation, long nowNanos) {
+        return accounts.computeIfAbsent(checkNotNull(organisation), o -> new Account(nowNanos));
+    }
+
+    private static final class Account {
+        private final DemandMeter demand;
+        private Optional<TokenBucket> bucket = Optional.empty();
+        private int inProgress;
+
+        Account(long nowNanos) {
+            demand = new DemandMeter(nowNanos);
+        }
+
+        TokenBucket bucket(Allowance allowance, double share, Duration burst, long nowNanos) {
+            double rate = allowance.tokensPerMinute() * share / SECONDS_PER_MINUTE;
+            double most = rate * burst.toMillis() / 1e3;
+            if (bucket.isEmpty()) {
+                bucket = Optional.of(new TokenBucket(rate, most, nowNanos));
+            }
+            TokenBucket b = bucket.get();
+            b.setRate(rate, most, nowNanos);
+            return b;
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Choice.java
@@ -0,0 +1,19 @@
+package org.boragebarrow.decision.dispatch;
+
+import com.google.common.collect.ImmutableList;
+
+/**
+ * Where a prompt can run now.
+ *
+ * @param engines in target id order; the first one is the head of a gang
+ * @param tokensEach the KV memory on each engine, in tokens
+ * @param prefillEach the prefill on each engine, in tokens
+ * @param startSeconds the predicted time until the first token
+ * @param finishSeconds the predicted time until the last token
+ */
+record Choice(
+        ImmutableList<EngineView> engines,
+        long tokensEach,
+        double prefillEach,
+        double startSeconds,
+        double finishSeconds) {}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Dispatcher.java
@@ -0,0 +1,298 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.Machine;
+import org.boragebarrow.decision.allowance.AllowanceLedger;
+import org.boragebarrow.decision.allowance.ZoneShares;
+import org.boragebarrow.decision.prefix.PrefixIndex;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Configuration;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Grants targets to the requests of one availability zone.
+ *
+ * <p>Every submitted attempt gets exactly one answer (granted, refused or spilled) unless its front withdraws it or
+ * dies; a repeated submission of a granted attempt repeats the answer. Work that waits for time rather than for an
+ * event is looked at when time is told: {@link DispatchEvent.Ticked} should come at least every 20 ms.
+ */
+public final class Dispatcher implements Machine<DispatchEvent, DispatchEffect> {
+    private final DispatchSettings settings;
+    private final TargetTable targets;
+    private final Queues queues;
+    private final GrantTable grants = new GrantTable();
+    private final AnswerEstimator answers = new AnswerEstimator();
+    private final PrefixIndex prefixes;
+    private final ZoneShares shares;
+    private final AllowanceLedger ledger;
+    private final Neighbours neighbours;
+    private final Admission admission;
+    private final Outcomes outcomes;
+    private final Scheduler scheduler;
+    private Configuration configuration = Configuration.empty();
+    private long sequence;
+
+    /** Creates a dispatcher that knows of no target and no plan. */
+    public Dispatcher(AvailabilityZoneId zone, DispatchSettings settings) {
+        this.settings = checkNotNull(settings);
+        targets = new TargetTable(checkNotNull(zone), settings);
+        queues = new Queues(settings);
+        prefixes = new PrefixIndex(settings.cache().maxBlocks());
+        shares = new ZoneShares(zone, settings.shares().floor());
+        ledger = new AllowanceLedger(shares, settings.shares().burst());
+        neighbours = new Neighbours(zone);
+        admission = new Admission(settings, targets, queues, ledger, neighbours, answers);
+        outcomes = new Outcomes(settings, targets, queues, grants, ledger, prefixes);
+        Placement placement = new Placement(settings, prefixes);
+        scheduler = new Scheduler(settings, placement, admission, queues, outcomes);
+    }
+
+    @Override
+    public ImmutableList<DispatchEffect> apply(DispatchEvent event, long nowNanos) {
+        checkNotNull(event);
+        expire(nowNanos);
+        switch (event) {
+            case DispatchEvent.Submitted e -> submit(e.request(), nowNanos);
+            case DispatchEvent.Withdrawn e -> withdraw(e, nowNanos);
+            case DispatchEvent.Renewed e -> renew(e, nowNanos);
+            case DispatchEvent.Finished e -> finish(e, nowNanos);
+            case DispatchEvent.FrontLost e -> loseFront(e, nowNanos);
+            case DispatchEvent.TargetsListed e -> list(e, nowNanos);
+            case DispatchEvent.LoadReported e -> report(e, nowNanos);
+            case DispatchEvent.CacheReported e -> noteCache(e);
+            case DispatchEvent.ReachabilityChanged e -> setReachable(e, nowNanos);
+            case DispatchEvent.Configured e -> configure(e, nowNanos);
+            case DispatchEvent.ZonesSummarised e -> summarise(e);
+            case DispatchEvent.Ticked e -> runAll(nowNanos);
+        }
+        return outcomes.take();
+    }
+
+    /** Returns what this zone tells the others about itself. */
+    public ZoneSummary summary(long nowNanos) {
+        return Summaries.summarise(targets, ledger, nowNanos);
+    }
+
+    /** Returns the requests that wait for a grant. */
+    public int queued() {
+        return queues.size();
+    }
+
+    /** Returns the grants in use. */
+    public int granted() {
+        return grants.size();
+    }
+
+    private void expire(long nowNanos) {
+        while (true) {
+            Optional<Queued> expired = queues.expired(nowNanos);
+            if (expired.isEmpty()) {
+                break;
+            }
+            Queued q = expired.get();
+            outcomes.refuse(
+                    q,
+                    Admission.refused(q.request, ErrorKind.TIMED_OUT_NOT_RUN, "the time limit passed in the queue")
+                            .orElseThrow());
+        }
+        while (true) {
+            Optional<Grant> lapsed = grants.lapsed(nowNanos);
+            if (lapsed.isEmpty()) {
+                return;
+            }
+            release(lapsed.get(), 0, nowNanos);
+        }
+    }
+
+    private void submit(GrantRequest request, long nowNanos) {
+        Optional<Grant> granted = grants.get(request.attempt());
+        if (granted.isPresent()) {
+            outcomes.announce(granted.get());
+            return;
+        }
+        if (queues.contains(request.attempt())) {
+            return;
+        }
+        double expected = request.work() instanceof Work.Prompt p ? answers.expect(request.organisation(), p) : 0;
+        Queued queued = new Queued(request, sequence++, expected);
+        Optional<DispatchEffect> refusal = admission.judge(queued, configuration, nowNanos);
+        if (refusal.isPresent()) {
+            outcomes.add(refusal.get());
+            return;
+        }
+        enqueue(queued, nowNanos);
+    }
+
+    private void enqueue(Queued queued, long nowNanos) {
+        int weight = configuration
+                .allowanceOf(queued.request.organisation())
+                .orElseThrow()
+                .weight();
+        switch (queued.request.work()) {
+            case Work.Prompt p -> {
+                ModelPool pool = targets.modelPool(p.model()).orElseThrow();
+                pool.onSubmitted(queued.lengthClass, p.promptTokens());
+                queues.add(queued, pool, admission.queueIndex(pool, queued), weight);
+                scheduler.run(pool, configuration, nowNanos);
+            }
+            case Work.ServiceCall c -> {
+                ServicePool pool = targets.servicePool(c.service()).orElseThrow();
+                queues.add(queued, pool, weight);
+                scheduler.run(pool, configuration, nowNanos);
+            }
+        }
+    }
+
+    private void withdraw(DispatchEvent.Withdrawn event, long nowNanos) {
+        queues.get(event.attempt()).ifPresent(outcomes::drop);
+        Optional<Grant> granted = grants.get(event.attempt());
+        if (granted.isPresent()) {
+            Grant g = granted.get();
+            g.targets.forEach(id -> targets.get(id).ifPresent(t -> t.breaker.onInconclusive(nowNanos)));
+            release(g, g.tokens(), nowNanos);
+        }
+    }
+
+    private void renew(DispatchEvent.Renewed event, long nowNanos) {
+        for (DispatchEvent.HeldGrant held : event.grants()) {
+            Optional<Grant> known = grants.get(held.request().attempt());
+            if (known.isPresent()) {
+                grants.renew(known.get(), nowNanos + settings.lease().toNanos());
+            } else {
+                outcomes.adopt(held, nowNanos);
+            }
+        }
+    }
+
+    private void finish(DispatchEvent.Finished event, long nowNanos) {
+        Optional<TargetView> target = targets.get(event.target());
+        target.ifPresent(t -> t.onOutcome(event.outcome(), nowNanos));
+        Optional<Grant> granted = grants.get(event.attempt());
+        if (granted.isEmpty()) {
+            return;
+        }
+        Grant g = granted.get();
+        long unused = 0;
+        if (g.request.work() instanceof Work.Prompt p) {
+            unused = unusedTokens(p, event);
+            if (event.outcome() == DispatchEvent.Outcome.COMPLETED) {
+                answers.onAnswer(g.request.organisation(), p, event.answerTokens());
+            }
+        }
+        release(g, unused, nowNanos);
+    }
+
+    private static long unusedTokens(Work.Prompt prompt, DispatchEvent.Finished event) {
+        long unanswered = Math.max(0, prompt.maxTokens() - event.answerTokens());
+        // A failed attempt is tried again elsewhere and charged there.
+        return event.outcome() == DispatchEvent.Outcome.FAILED ? unanswered + prompt.promptTokens() : unanswered;
+    }
+
+    private void loseFront(DispatchEvent.FrontLost event, long nowNanos) {
+        queues.of(event.front()).forEach(outcomes::drop);
+        for (Grant g : grants.of(event.front())) {
+            outcomes.release(g, 0, nowNanos);
+        }
+        unblockAll();
+        runAll(nowNanos);
+    }
+
+    private void list(DispatchEvent.TargetsListed event, long nowNanos) {
+        TargetTable.Difference difference = targets.list(event.targets(), configuration);
+        difference.gone().forEach(prefixes::onRemoved);
+        for (TargetId id : difference.added()) {
+            TargetView view = targets.get(id).orElseThrow();
+            grants.on(id).forEach(g -> view.add(g, nowNanos));
+        }
+        unblockAll();
+        runAll(nowNanos);
+    }
+
+    private void report(DispatchEvent.LoadReported event, long nowNanos) {
+        Optional<EngineView> engine = targets.engine(event.target());
+        if (engine.isEmpty()) {
+            return;
+        }
+        EngineView e = engine.get();
+        if (e.report(event.report(), nowNanos)) {
+            targets.regroup();
+            runAll(nowNanos);
+            return;
+        }
+        runPoolsOf(e.models(), nowNanos);
+    }
+
+    private void noteCache(DispatchEvent.CacheReported event) {
+        if (targets.engine(event.target()).isPresent()) {
+            prefixes.onEvents(event.target(), event.events());
+        }
+    }
+
+    private void setReachable(DispatchEvent.ReachabilityChanged event, long nowNanos) {
+        targets.get(event.target()).ifPresent(t -> t.setReachable(event.reachable()));
+        unblockAll();
+        runAll(nowNanos);
+    }
+
+    private void configure(DispatchEvent.Configured event, long nowNanos) {
+        if (event.configuration().number() < configuration.number()) {
+            return;
+        }
+        configuration = event.configuration();
+        targets.configure(configuration);
+        unblockAll();
+        runAll(nowNanos);
+    }
+
+    private void summarise(DispatchEvent.ZonesSummarised event) {
+        neighbours.update(event.zones());
+        shares.update(neighbours.demand());
+    }
+
+    private void release(Grant grant, long unusedTokens, long nowNanos) {
+        outcomes.release(grant, unusedTokens, nowNanos);
+        switch (grant.request.work()) {
+            case Work.ServiceCall c ->
+                targets.servicePool(c.service()).ifPresent(p -> scheduler.run(p, configuration, nowNanos));
+            case Work.Prompt p -> {
+                Optional<EngineView> head =
+                        grant.targets.isEmpty() ? Optional.empty() : targets.engine(grant.targets.get(0));
+                ImmutableSet<ModelId> models = head.filter(EngineView::isReported)
+                        .map(EngineView::models)
+                        .orElse(ImmutableSet.of(p.model()));
+                runPoolsOf(models, nowNanos);
+            }
+        }
+    }
+
+    private void runPoolsOf(ImmutableSet<ModelId> models, long nowNanos) {
+        for (ModelId m : models) {
+            Optional<ModelPool> pool = targets.modelPool(m);
+            if (pool.isPresent()) {
+                pool.get().unblock();
+                scheduler.run(pool.get(), configuration, nowNanos);
+            }
+        }
+    }
+
+    private void unblockAll() {
+        targets.modelPools().forEach(ModelPool::unblock);
+    }
+
+    private void runAll(long nowNanos) {
+        for (ModelPool p : targets.modelPools()) {
+            p.unblock();
+            scheduler.run(p, configuration, nowNanos);
+        }
+        for (ServicePool p : targets.servicePools()) {
+            scheduler.run(p, configuration, nowNanos);
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/EngineView.java
@@ -0,0 +1,227 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.LengthClass;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.port.EngineControl;
+
+/**
+ * What the dispatcher knows of an engine: its last load report, corrected by the grants since.
+ *
+ * <p>Own grants count with all memory that they may come to use. What a report shows beyond them belongs to others and
+ * counts on top; it may be underestimated by the answer tokens that own grants have not produced yet.
+ */
+final class EngineView extends TargetView {
+    // A grant reaches its engine, and a release shows in its reports, only after a while.
+    private static final long SETTLE_NANOS = 200_000_000L;
+
+    private final DispatchSettings settings;
+    private final LinkedHashSet<Grant> grants = new LinkedHashSet<>();
+    private final ArrayDeque<Release> releases = new ArrayDeque<>();
+    private final PrefillBacklog backlog = new PrefillBacklog();
+    private Optional<Hold> hold = Optional.empty();
+
+    private boolean reported;
+    private boolean accepting = true;
+    private ImmutableSet<ModelId> models = ImmutableSet.of();
+    private long capacity;
+    private int slots;
+    private double prefillRate;
+    private double decodeRate;
+
+    private long otherTokens;
+    private int otherSequences;
+    private long ownTokens;
+    private long ownShortTokens;
+    private int ownShort;
+
+    EngineView(TargetId id, DispatchSettings settings) {
+        super(id);
+        this.settings = settings;
+        DispatchSettings.EngineDefaults assumed = settings.unknownEngine();
+        capacity = assumed.capacityTokens();
+        slots = assumed.batchSlots();
+        prefillRate = assumed.prefillTokensPerSecond();
+        decodeRate = assumed.decodeTokensPerSecond();
+    }
+
+    /** Takes a load report; returns whether the served models changed. */
+    boolean report(EngineControl.LoadReport report, long nowNanos) {
+        DispatchSettings.EngineDefaults assumed = settings.unknownEngine();
+        backlog.advance(prefillRate, nowNanos);
+        boolean changed = !reported || !models.equals(report.models());
+        reported = true;
+        accepting = report.accepting();
+        models = report.models();
+        capacity = Math.max(0, report.capacityTokens());
+        slots = Math.max(1, report.batchSlots());
+        prefillRate = orElse(report.prefillTokensPerSecond(), assumed.prefillTokensPerSecond());
+        decodeRate = orElse(report.decodeTokensPerSecond(), assumed.decodeTokensPerSecond());
+        countOthers(report, nowNanos);
+        if (grants.isEmpty() && report.running() + report.queued() == 0) {
+            backlog.clear();
+        }
+        return changed;
+    }
+
+    private void countOthers(EngineControl.LoadReport report, long nowNanos) {
+        long madeAt = nowNanos - Math.max(0, report.age().toNanos());
+        long tokens = report.usedTokens();
+        int sequences = report.running() + report.queued();
+        for (Grant g : grants) {
+            if (g.grantedAtNanos - madeAt <= 0) {
+                tokens -= g.tokensEach;
+                sequences--;
+            }
+        }
+        while (!releases.isEmpty() && releases.getFirst().atNanos + SETTLE_NANOS - madeAt < 0) {
+            releases.removeFirst();
+        }
+        for (Release r : releases) {
+            tokens -= r.tokens;
+            sequences--;
+        }
+        otherTokens = Math.max(0, tokens);
+        otherSequences = Math.max(0, sequences);
+    }
+
+    private static double orElse(double value, double fallback) {
+        return value > 0 && Double.isFinite(value) ? value : fallback;
+    }
+
+    @Override
+    boolean isAvailable(long nowNanos) {
+        return accepting && super.isAvailable(nowNanos);
+    }
+
+    @Override
+    void add(Grant grant, long nowNanos) {
+        backlog.advance(prefillRate, nowNanos);
+        grants.add(grant);
+        ownTokens += grant.tokensEach;
+        if (grant.isShort()) {
+            ownShort++;
+            ownShortTokens += grant.tokensEach;
+        }
+        backlog.add(grant.lengthClass, grant.prefillEach);
+    }
+
+    @Override
+    void remove(Grant grant, long nowNanos) {
+        if (!grants.remove(grant)) {
+            return;
+        }
+        backlog.advance(prefillRate, nowNanos);
+        ownTokens -= grant.tokensEach;
+        if (grant.isShort()) {
+            ownShort--;
+            ownShortTokens -= grant.tokensEach;
+        }
+        releases.add(new Release(nowNanos, grant.tokensEach));
+        if (grants.isEmpty()) {
+            backlog.clear();
+            return;
+        }
+        double worked = (nowNanos - grant.grantedAtNanos) / 1e9 * prefillRate;
+        backlog.remove(grant.lengthClass, Math.max(0, grant.prefillEach - worked));
+    }
+
+    boolean isReported() {
+        return reported;
+    }
+
+    ImmutableSet<ModelId> models() {
+        return models;
+    }
+
+    long capacity() {
+        return capacity;
+    }
+
+    int slots() {
+        return slots;
+    }
+
+    double prefillRate() {
+        return prefillRate;
+    }
+
+    double decodeRate() {
+        return decodeRate;
+    }
+
+    Optional<Hold> hold() {
+        return hold;
+    }
+
+    void setHold(Optional<Hold> hold) {
+        this.hold = hold;
+    }
+
+    Iterable<Grant> grants() {
+        return grants;
+    }
+
+    /** Returns the requests that the engine is believed to have. */
+    int sequences() {
+        return grants.size() + otherSequences;
+    }
+
+    long freeTokens() {
+        return Math.max(0, capacity - ownTokens - otherTokens);
+    }
+
+    /** Returns the memory that one request of the class can get at most. */
+    long usable(LengthClass lengthClass) {
+        return lengthClass == LengthClass.SHORT || !settings.policy().isClassAware()
+                ? capacity
+                : capacity - (long) (capacity * settings.order().shortMemoryShare());
+    }
+
+    boolean hasSlot(LengthClass lengthClass) {
+        if (sequences() >= slots) {
+            return false;
+        }
+        if (lengthClass == LengthClass.SHORT || !settings.policy().isClassAware()) {
+            return true;
+        }
+        return sequences() - ownShort < longerSlots();
+    }
+
+    boolean hasMemory(LengthClass lengthClass, long tokens) {
+        long used = ownTokens + otherTokens;
+        if (used + tokens > capacity) {
+            return false;
+        }
+        return used - ownShortTokens + tokens <= usable(lengthClass) || lengthClass == LengthClass.SHORT;
+    }
+
+    /** Returns whether the held request would still fit beside another one of the given size. */
+    boolean leavesRoom(Hold held, long tokens) {
+        return sequences() + 2 <= slots && ownTokens + otherTokens + tokens + held.tokensEach() <= capacity;
+    }
+
+    /** Returns the wait before new work of the class is read, in seconds. */
+    double waitSeconds(LengthClass lengthClass, long nowNanos) {
+        backlog.advance(prefillRate, nowNanos);
+        return backlog.ahead(lengthClass) / prefillRate;
+    }
+
+    boolean readsLongPrompt(long nowNanos) {
+        backlog.advance(prefillRate, nowNanos);
+        return backlog.hasLong();
+    }
+
+    private int longerSlots() {
+        return slots == 1
+                ? 1
+                : slots - Math.max(1, (int) (slots * settings.order().shortSlotShare()));
+    }
+
+    private record Release(long atNanos, long tokens) {}
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Forecast.java
@@ -0,0 +1,74 @@
+package org.boragebarrow.decision.dispatch;
+
+import org.boragebarrow.model.LengthClass;
+
+/** Predicts how long a prompt that is queued now waits and runs. */
+final class Forecast {
+    private static final int SHORTEST_CLASS = 0;
+
+    private Forecast() {}
+
+    /** Returns the predicted wait in the queue, in seconds. */
+    static double queueSeconds(ModelPool pool, int index, Queued queued, int weight, boolean classAware) {
+        double promptTokens = 0;
+        double answerTokens = 0;
+        for (int i = SHORTEST_CLASS; i <= index; i++) {
+            FairQueue queue = pool.queue(i);
+            if (queue.isEmpty()) {
+                continue;
+            }
+            double share = i == index && classAware
+                    ? queue.shareAhead(queued.request.organisation(), queued.cost(), weight)
+                    : 1;
+            promptTokens += share * queue.promptTokens();
+            answerTokens += share * queue.answerTokens();
+        }
+        double prefillRate = 0;
+        double decodeRate = 0;
+        for (EngineView e : pool.engines()) {
+            prefillRate += e.prefillRate();
+            decodeRate += e.slots() * e.decodeRate();
+        }
+        if (prefillRate == 0 || decodeRate == 0) {
+            return 0;
+        }
+        // Engines read and answer at the same time, so the slower of the two decides.
+        return Math.max(promptTokens / prefillRate, answerTokens / decodeRate);
+    }
+
+    /** Returns the predicted time from the grant to the last token on the best engine, in seconds. */
+    static double runSeconds(ModelPool pool, Queued queued, int gangSize, long nowNanos) {
+        double best = Double.MAX_VALUE;
+        for (EngineView e : pool.engines()) {
+            if (!Placement.isCandidate(e, queued, nowNanos)) {
+                continue;
+            }
+            double seconds = serviceSeconds(e, queued, gangSize);
+            if (gangSize == 1) {
+                seconds += e.waitSeconds(queued.lengthClass, nowNanos);
+            }
+            best = Math.min(best, seconds);
+        }
+        return best == Double.MAX_VALUE ? 0 : best;
+    }
+
+    /** Returns the time that an idle engine takes for the prompt, in seconds. */
+    static double serviceSeconds(EngineView engine, Queued queued, int gangSize) {
+        return queued.promptTokens() / engine.prefillRate() / gangSize
+                + queued.expectedAnswerTokens / engine.decodeRate();
+    }
+
+    /** Returns the predicted wait of a short prompt that is queued now, in seconds. */
+    static double shortWaitSeconds(ModelPool pool, long nowNanos) {
+        FairQueue queue = pool.queue(LengthClass.SHORT.ordinal());
+        double prefillRate = 0;
+        double least = Double.MAX_VALUE;
+        for (EngineView e : pool.engines()) {
+            prefillRate += e.prefillRate();
+            if (e.isAvailable(nowNanos)) {
+                least = Math.min(least, e.waitSeconds(LengthClass.SHORT, nowNanos));
+            }
+        }
+        return prefillRate == 0 || least == Double.MAX_VALUE ? 0 : least + queue.promptTokens() / prefillRate;
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Grant.java
@@ -0,0 +1,55 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.util.Comparator;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.model.LengthClass;
+import org.boragebarrow.model.TargetId;
+
+/** A granted request and what it takes up. */
+final class Grant {
+    /** Orders by the end of the lease. */
+    static final Comparator<Grant> BY_LEASE = (a, b) -> {
+        int order = Long.compare(a.leaseUntilNanos, b.leaseUntilNanos);
+        return order != 0 ? order : a.request.attempt().compareTo(b.request.attempt());
+    };
+
+    final GrantRequest request;
+    final ImmutableList<TargetId> targets;
+    final LengthClass lengthClass;
+    /** The KV memory on each target, in tokens. */
+    final long tokensEach;
+    /** The prefill on each target, in tokens. */
+    final double prefillEach;
+
+    final int priority;
+    final long grantedAtNanos;
+    final long expectedEndNanos;
+    long leaseUntilNanos;
+
+    Grant(
+            GrantRequest request,
+            ImmutableList<TargetId> targets,
+            long tokensEach,
+            double prefillEach,
+            int priority,
+            long grantedAtNanos,
+            long expectedEndNanos) {
+        this.request = request;
+        this.targets = targets;
+        this.lengthClass = request.work() instanceof Work.Prompt p ? p.lengthClass() : LengthClass.SHORT;
+        this.tokensEach = tokensEach;
+        this.prefillEach = prefillEach;
+        this.priority = priority;
+        this.grantedAtNanos = grantedAtNanos;
+        this.expectedEndNanos = expectedEndNanos;
+    }
+
+    long tokens() {
+        return request.work() instanceof Work.Prompt p ? (long) p.promptTokens() + p.maxTokens() : 0;
+    }
+
+    boolean isShort() {
+        return lengthClass == LengthClass.SHORT;
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/GrantTable.java
@@ -0,0 +1,76 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.base.Preconditions.checkState;
+
+/** The grants in use and their leases. */
+final class GrantTable {
+    private final Map<AttemptId, Grant> byAttempt = new HashMap<>();
+    private final TreeSet<Grant> byLease = new TreeSet<>(Grant.BY_LEASE);
+
+    Optional<Grant> get(AttemptId attempt) {
+        return Optional.ofNullable(byAttempt.get(attempt));
+    }
+
+    void add(Grant grant) {
+        Grant earlier = byAttempt.putIfAbsent(grant.request.attempt(), grant);
+        checkState(earlier == null, "%s is granted twice", grant.request.attempt());
+        byLease.add(grant);
+    }
+
+    void remove(Grant grant) {
+        checkState(byAttempt.remove(grant.request.attempt(), grant), "%s has no grant", grant.request.attempt());
+        byLease.remove(grant);
+    }
+
+    void renew(Grant grant, long leaseUntilNanos) {
+        byLease.remove(grant);
+        grant.leaseUntilNanos = leaseUntilNanos;
+        byLease.add(grant);
+    }
+
+    /** Returns a grant whose lease has run out. */
+    Optional<Grant> lapsed(long nowNanos) {
+        if (byLease.isEmpty() || byLease.first().leaseUntilNanos - nowNanos > 0) {
+            return Optional.empty();
+        }
+        return Optional.of(byLease.first());
+    }
+
+    /** Returns the grants of a front; a scan, as fronts rarely die. */
+    ImmutableList<Grant> of(HostLife front) {
+        List<Grant> found = new ArrayList<>();
+        for (Grant g : byAttempt.values()) {
+            if (g.request.attempt().owner().equals(front)) {
+                found.add(g);
+            }
+        }
+        return ImmutableList.copyOf(found);
+    }
+
+    /** Returns the grants on a target; a scan, as targets are rarely listed anew. */
+    ImmutableList<Grant> on(TargetId target) {
+        List<Grant> found = new ArrayList<>();
+        for (Grant g : byAttempt.values()) {
+            if (g.targets.contains(target)) {
+                found.add(g);
+            }
+        }
+        return ImmutableList.copyOf(found);
+    }
+
+    int size() {
+        return byAttempt.size();
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/ModelPool.java
@@ -0,0 +1,180 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.model.LengthClass;
+import org.boragebarrow.model.ModelId;
+
+/** The engines that serve one model and the prompts that wait for them. */
+final class ModelPool {
+    /** The queue of prompts that are larger than one engine. */
+    static final int GANG_QUEUE = LengthClass.values().length;
+
+    /** The number of queues. */
+    static final int QUEUES = GANG_QUEUE + 1;
+
+    private static final double SHARE_MEMORY = 0.98;
+
+    final ModelId model;
+    private final int passLimit;
+    private final FairQueue[] queues = new FairQueue[QUEUES];
+    private final boolean[] blocked = new boolean[QUEUES];
+    private final long[] grantsAtLastTurn = new long[QUEUES];
+    private final Hold[] holds = new Hold[QUEUES];
+    private ImmutableList<EngineView> engines = ImmutableList.of();
+    private long grants;
+    private double longTokens;
+    private double allTokens;
+    private int turn;
+
+    ModelPool(ModelId model, int passLimit) {
+        this.model = model;
+        this.passLimit = passLimit;
+        for (int i = 0; i < QUEUES; i++) {
+            queues[i] = new FairQueue(passLimit);
+        }
+    }
+
+    FairQueue queue(int index) {
+        return queues[index];
+    }
+
+    ImmutableList<EngineView> engines() {
+        return engines;
+    }
+
+    void setEngines(ImmutableList<EngineView> engines) {
+        this.engines = engines;
+        unblock();
+    }
+
+    /** Notes a submitted prompt, to follow the part of long ones. */
+    void onSubmitted(LengthClass lengthClass, int promptTokens) {
+        longTokens *= SHARE_MEMORY;
+        allTokens *= SHARE_MEMORY;
+        allTokens += promptTokens;
+        if (isLong(lengthClass)) {
+            longTokens += promptTokens;
+        }
+    }
+
+    /** Returns the part of long prompts in the tokens that were submitted lately. */
+    double longShare() {
+        return allTokens <= 0 ? 0 : longTokens / allTokens;
+    }
+
+    static boolean isLong(LengthClass lengthClass) {
+        return lengthClass.compareTo(LengthClass.LONG) >= 0;
+    }
+
+    boolean isBlocked(int index) {
+        return blocked[index];
+    }
+
+    /** Notes that nothing of a queue fits until something changes. */
+    void block(int index) {
+        blocked[index] = true;
+    }
+
+    /** Notes that capacity may have become free. */
+    void unblock() {
+        Arrays.fill(blocked, false);
+    }
+
+    /** Adds a prompt to one of the queues. */
+    void enqueue(int index, Queued queued, int weight, boolean classAware) {
+        if (queues[index].isEmpty()) {
+            grantsAtLastTurn[index] = grants;
+        }
+        if (classAware) {
+            queues[index].add(queued, weight);
+        } else {
+            queues[index].addLast(queued);
+        }
+    }
+
+    /** Takes a granted prompt out of its queue. */
+    void grant(int index, Queued queued) {
+        queues[index].grant(queued);
+        grants++;
+        grantsAtLastTurn[index] = grants;
+        releaseHold(queued);
+    }
+
+    /** Takes a prompt that is not granted out of its queue. */
+    void remove(int index, Queued queued) {
+        queues[index].remove(queued);
+        releaseHold(queued);
+    }
+
+    /** Returns whether the other queues had so many grants since this one's last that it may keep an engine. */
+    boolean isStarved(int index) {
+        return !queues[index].isEmpty() && grants - grantsAtLastTurn[index] >= passLimit;
+    }
+
+    Optional<Hold> hold(int index) {
+        return Optional.ofNullable(holds[index]);
+    }
+
+    void setHold(int index, Hold hold) {
+        releaseHold(index);
+        holds[index] = hold;
+        for (EngineView e : hold.engines()) {
+            e.setHold(Optional.of(hold));
+        }
+    }
+
+    /** Lets go of holds whose engines take no new work any more. */
+    void refreshHolds(long nowNanos) {
+        for (int i = 0; i < QUEUES; i++) {
+            Hold hold = holds[i];
+            if (hold == null) {
+                continue;
+            }
+            for (EngineView e : hold.engines()) {
+                if (!e.isAvailable(nowNanos) || !engines.contains(e)) {
+                    releaseHold(i);
+                    break;
+                }
+            }
+        }
+    }
+
+    /** Returns the next number of a round robin. */
+    int nextTurn() {
+        turn = turn == Integer.MAX_VALUE ? 0 : turn + 1;
+        return turn;
+    }
+
+    boolean isIdle() {
+        for (FairQueue q : queues) {
+            if (!q.isEmpty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void releaseHold(Queued queued) {
+        for (int i = 0; i < QUEUES; i++) {
+            if (holds[i] != null && holds[i].queued() == queued) {
+                releaseHold(i);
+            }
+        }
+    }
+
+    private void releaseHold(int index) {
+        Hold hold = holds[index];
+        if (hold == null) {
+            return;
+        }
+        holds[index] = null;
+        for (EngineView e : hold.engines()) {
+            if (e.hold().filter(h -> h == hold).isPresent()) {
+                e.setHold(Optional.empty());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Placement.java
@@ -0,0 +1,161 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.prefix.PrefixIndex;
+import org.boragebarrow.model.LengthClass;
+
+/** Picks the engine for a prompt that fits on one. */
+final class Placement {
+    // Prefill beyond this is kept in the dispatcher's queue, where the order can still change.
+    private static final double HORIZON_SECONDS = 0.5;
+    private static final double OCCUPANCY_SECONDS = 0.05;
+    private static final double LOAD_BOUND = 1.25;
+    private static final int MIN_SEGREGATED = 4;
+    private static final double MIN_PART = 0.25;
+    private static final double LONG_HEADROOM = 1.2;
+
+    private final DispatchSettings settings;
+    private final PrefixIndex prefixes;
+    private final double interferenceSeconds;
+
+    Placement(DispatchSettings settings, PrefixIndex prefixes) {
+        this.settings = settings;
+        this.prefixes = prefixes;
+        interferenceSeconds = settings.interference().toMillis() / 1e3;
+    }
+
+    /** Returns the best engine that can take the prompt now. */
+    Optional<Choice> choose(ModelPool pool, Queued queued, long nowNanos) {
+        return switch (settings.policy()) {
+            case PlacementPolicy.PredictedCost p -> cheapest(pool, queued, nowNanos);
+            case PlacementPolicy.RoundRobin p -> nextInTurn(pool, queued, nowNanos);
+            case PlacementPolicy.LeastLoad p -> leastLoaded(pool, queued, nowNanos);
+        };
+    }
+
+    /** Returns whether the engine's state, apart from its load, lets it take the prompt. */
+    static boolean isCandidate(EngineView engine, Queued queued, long nowNanos) {
+        return engine.isAvailable(nowNanos) && !queued.request.excluded().contains(engine.id);
+    }
+
+    private Optional<Choice> cheapest(ModelPool pool, Queued queued, long nowNanos) {
+        Work.Prompt prompt = (Work.Prompt) queued.request.work();
+        prefixes.match(prompt.prefix());
+        int first = firstEngine(pool, queued.lengthClass);
+        ImmutableList<EngineView> engines = pool.engines();
+        double bound = loadBound(engines);
+        Optional<EngineView> best = Optional.empty();
+        double least = Double.MAX_VALUE;
+        for (int i = first; i < engines.size(); i++) {
+            EngineView e = engines.get(i);
+            if (!isCandidate(e, queued, nowNanos) || !fits(e, queued, nowNanos)) {
+                continue;
+            }
+            double score = score(e, queued, prompt, e.sequences() < bound, nowNanos);
+            if (score < least) {
+                best = Optional.of(e);
+                least = score;
+            }
+        }
+        return best.map(e -> choice(e, queued, prompt, nowNanos));
+    }
+
+    private double score(EngineView engine, Queued queued, Work.Prompt prompt, boolean affine, long nowNanos) {
+        double cached = affine ? cachedTokens(engine, prompt) : 0;
+        double score = engine.waitSeconds(queued.lengthClass, nowNanos);
+        score += (prompt.promptTokens() - cached) / engine.prefillRate();
+        score += OCCUPANCY_SECONDS * engine.sequences() / engine.slots();
+        if (!ModelPool.isLong(queued.lengthClass) && engine.readsLongPrompt(nowNanos)) {
+            score += interferenceSeconds;
+        }
+        return score;
+    }
+
+    private double cachedTokens(EngineView engine, Work.Prompt prompt) {
+        // The last token is always computed, as its output is the first answer token.
+        double most = Math.max(0, prompt.promptTokens() - 1);
+        return Math.min(
+                most, prefixes.cachedBlocks(engine.id) * settings.cache().blockTokens());
+    }
+
+    private Choice choice(EngineView engine, Queued queued, Work.Prompt prompt, long nowNanos) {
+        double prefill = prompt.promptTokens() - cachedTokens(engine, prompt);
+        double start = engine.waitSeconds(queued.lengthClass, nowNanos) + prefill / engine.prefillRate();
+        double finish = start + queued.expectedAnswerTokens / engine.decodeRate();
+        return new Choice(ImmutableList.of(engine), queued.tokens, prefill, start, finish);
+    }
+
+    private boolean fits(EngineView engine, Queued queued, long nowNanos) {
+        LengthClass c = queued.lengthClass;
+        if (!engine.hasSlot(c) || !engine.hasMemory(c, queued.tokens)) {
+            return false;
+        }
+        if (engine.waitSeconds(c, nowNanos) > HORIZON_SECONDS) {
+            return false;
+        }
+        Optional<Hold> hold = engine.hold();
+        return hold.isEmpty() || mayBackfill(engine, queued, hold.get(), nowNanos);
+    }
+
+    private static boolean mayBackfill(EngineView engine, Queued queued, Hold hold, long nowNanos) {
+        if (hold.queued() == queued || engine.leavesRoom(hold, queued.tokens)) {
+            return true;
+        }
+        double seconds = engine.waitSeconds(queued.lengthClass, nowNanos)
+                + queued.promptTokens() / engine.prefillRate()
+                + ((Work.Prompt) queued.request.work()).maxTokens() / engine.decodeRate();
+        return nowNanos + (long) (seconds * 1e9) - hold.startNanos() <= 0;
+    }
+
+    /** Returns the index of the first engine that is open to the class; the ones before it read no long prompts. */
+    private static int firstEngine(ModelPool pool, LengthClass lengthClass) {
+        int n = pool.engines().size();
+        if (!ModelPool.isLong(lengthClass) || n < MIN_SEGREGATED) {
+            return 0;
+        }
+        int least = Math.max(1, (int) (n * MIN_PART));
+        int open = (int) Math.ceil(n * pool.longShare() * LONG_HEADROOM);
+        return n - Math.min(n - least, Math.max(least, open));
+    }
+
+    private static double loadBound(ImmutableList<EngineView> engines) {
+        double sum = 0;
+        for (EngineView e : engines) {
+            sum += e.sequences();
+        }
+        return LOAD_BOUND * sum / Math.max(1, engines.size()) + 1;
+    }
+
+    private Optional<Choice> nextInTurn(ModelPool pool, Queued queued, long nowNanos) {
+        int turn = pool.nextTurn();
+        ImmutableList<EngineView> engines = pool.engines();
+        for (int i = 0; i < engines.size(); i++) {
+            EngineView e = engines.get((turn + i) % engines.size());
+            if (isCandidate(e, queued, nowNanos) && hasRoom(e, queued)) {
+                return Optional.of(choice(e, queued, (Work.Prompt) queued.request.work(), nowNanos));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<Choice> leastLoaded(ModelPool pool, Queued queued, long nowNanos) {
+        Optional<EngineView> best = Optional.empty();
+        int least = Integer.MAX_VALUE;
+        int turn = pool.nextTurn();
+        ImmutableList<EngineView> engines = pool.engines();
+        for (int i = 0; i < engines.size(); i++) {
+            EngineView e = engines.get((turn + i) % engines.size());
+            if (isCandidate(e, queued, nowNanos) && hasRoom(e, queued) && e.sequences() < least) {
+                best = Optional.of(e);
+                least = e.sequences();
+            }
+        }
+        return best.map(e -> choice(e, queued, (Work.Prompt) queued.request.work(), nowNanos));
+    }
+
+    private static boolean hasRoom(EngineView engine, Queued queued) {
+        return engine.hasSlot(queued.lengthClass) && engine.hasMemory(queued.lengthClass, queued.tokens);
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/ServicePool.java
@@ -0,0 +1,56 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
+
+/** The targets that offer one plain service and the calls that wait for them. */
+final class ServicePool {
+    final ServiceName service;
+    final FairQueue queue;
+    private final int maxCalls;
+    private ImmutableList<ServiceView> targets = ImmutableList.of();
+    private int turn;
+
+    ServicePool(ServiceName service, DispatchSettings settings) {
+        this.service = service;
+        this.queue = new FairQueue(settings.order().passLimit());
+        this.maxCalls = settings.bounds().maxServiceCalls();
+    }
+
+    ImmutableList<ServiceView> targets() {
+        return targets;
+    }
+
+    void setTargets(ImmutableList<ServiceView> targets) {
+        this.targets = targets;
+    }
+
+    /** Returns the target with the fewest calls in flight; equal ones take turns. */
+    Optional<ServiceView> choose(ImmutableSet<TargetId> excluded, long nowNanos) {
+        turn = turn == Integer.MAX_VALUE ? 0 : turn + 1;
+        Optional<ServiceView> best = Optional.empty();
+        int fewest = maxCalls;
+        for (int i = 0; i < targets.size(); i++) {
+            ServiceView t = targets.get((turn + i) % targets.size());
+            if (t.inFlight() < fewest && t.isAvailable(nowNanos) && !excluded.contains(t.id)) {
+                best = Optional.of(t);
+                fewest = t.inFlight();
+            }
+        }
+        return best;
+    }
+
+    /** Returns whether some target could take a call of this kind if it had fewer, or later. */
+    boolean hasTargetFor(ImmutableSet<TargetId> excluded) {
+        for (ServiceView t : targets) {
+            if (!excluded.contains(t.id)) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Summaries.java
@@ -0,0 +1,32 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.allowance.AllowanceLedger;
+import org.boragebarrow.model.ModelId;
+
+/** Sums a zone up for the others. */
+final class Summaries {
+    private Summaries() {}
+
+    static ZoneSummary summarise(TargetTable targets, AllowanceLedger ledger, long nowNanos) {
+        long freeTokens = 0;
+        List<EngineView> available = new ArrayList<>();
+        ImmutableSet.Builder<ModelId> models = ImmutableSet.builder();
+        for (TargetView v : targets.all()) {
+            if (v instanceof EngineView e && e.isReported() && e.isAvailable(nowNanos)) {
+                available.add(e);
+                freeTokens += e.freeTokens();
+                models.addAll(e.models());
+            }
+        }
+        double wait = 0;
+        for (ModelPool p : targets.modelPools()) {
+            wait = Math.max(wait, Forecast.shortWaitSeconds(p, nowNanos));
+        }
+        return new ZoneSummary(
+                ledger.demand(nowNanos), freeTokens, Gangs.capacity(available), wait, models.build(), true);
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/TargetTable.java
@@ -0,0 +1,173 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Configuration;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.TargetKind;
+
+/** The zone's targets and the pools that they form. */
+final class TargetTable {
+    private final AvailabilityZoneId zone;
+    private final DispatchSettings settings;
+    private final TreeMap<TargetId, TargetView> views = new TreeMap<>();
+    private final Map<ModelId, ModelPool> models = new HashMap<>();
+    private final Map<ServiceName, ServicePool> services = new HashMap<>();
+    private final Map<TargetId, ServiceName> offered = new HashMap<>();
+
+    TargetTable(AvailabilityZoneId zone, DispatchSettings settings) {
+        this.zone = zone;
+        this.settings = settings;
+    }
+
+    /** Replaces the list; returns the ids that were not listed before and those that are gone. */
+    Difference list(ImmutableList<Target> targets, Configuration configuration) {
+        List<TargetId> added = new ArrayList<>();
+        Set<TargetId> gone = new HashSet<>(views.keySet());
+        for (Target t : targets) {
+            if (!t.zone().equals(zone)) {
+                continue;
+            }
+            gone.remove(t.id());
+            if (put(t, configuration)) {
+                added.add(t.id());
+            }
+        }
+        for (TargetId id : gone) {
+            views.remove(id);
+            offered.remove(id);
+        }
+        regroup();
+        return new Difference(ImmutableList.copyOf(added), ImmutableList.copyOf(gone));
+    }
+
+    private boolean put(Target target, Configuration configuration) {
+        TargetView view = views.get(target.id());
+        boolean engine = target.kind() == TargetKind.ENGINE;
+        boolean added = view == null || view instanceof EngineView != engine;
+        if (added) {
+            view = engine ? new EngineView(target.id(), settings) : new ServiceView(target.id());
+            views.put(target.id(), view);
+        }
+        view.setTarget(target);
+        view.setStarted(configuration.isStarted(target.id()));
+        target.service().ifPresent(s -> offered.put(target.id(), s));
+        return added;
+    }
+
+    void configure(Configuration configuration) {
+        for (TargetView v : views.values()) {
+            v.setStarted(configuration.isStarted(v.id));
+        }
+    }
+
+    /** Forms the pools anew after the list or the served models changed. */
+    void regroup() {
+        for (ServiceName s : offered.values()) {
+            services.computeIfAbsent(s, n -> new ServicePool(n, settings));
+        }
+        for (TargetView v : views.values()) {
+            if (v instanceof EngineView e) {
+                e.models().forEach(this::pool);
+            }
+        }
+        models.values().forEach(p -> p.setEngines(enginesFor(p.model)));
+        models.values().removeIf(p -> p.engines().isEmpty() && p.isIdle());
+        services.values().forEach(p -> p.setTargets(targetsFor(p.service)));
+        services.values().removeIf(p -> p.targets().isEmpty() && p.queue.isEmpty());
+    }
+
+    Optional<TargetView> get(TargetId id) {
+        return Optional.ofNullable(views.get(id));
+    }
+
+    Optional<EngineView> engine(TargetId id) {
+        return views.get(id) instanceof EngineView e ? Optional.of(e) : Optional.empty();
+    }
+
+    Iterable<ModelPool> modelPools() {
+        return models.values();
+    }
+
+    Iterable<ServicePool> servicePools() {
+        return services.values();
+    }
+
+    /** Returns the model's pool; engines that have not reported yet are taken to serve it if no other does. */
+    Optional<ModelPool> modelPool(ModelId model) {
+        ModelPool known = models.get(model);
+        if (known != null) {
+            return Optional.of(known);
+        }
+        ImmutableList<EngineView> engines = enginesFor(model);
+        if (engines.isEmpty()) {
+            return Optional.empty();
+        }
+        pool(model).setEngines(engines);
+        return Optional.of(pool(model));
+    }
+
+    Optional<ServicePool> servicePool(ServiceName service) {
+        return Optional.ofNullable(services.get(service));
+    }
+
+    boolean hasEngines() {
+        for (TargetView v : views.values()) {
+            if (v instanceof EngineView) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    Iterable<TargetView> all() {
+        return views.values();
+    }
+
+    private ModelPool pool(ModelId model) {
+        return models.computeIfAbsent(
+                model, m -> new ModelPool(m, settings.order().passLimit()));
+    }
+
+    private ImmutableList<EngineView> enginesFor(ModelId model) {
+        ImmutableList.Builder<EngineView> serving = ImmutableList.builder();
+        ImmutableList.Builder<EngineView> unknown = ImmutableList.builder();
+        for (TargetView v : views.values()) {
+            if (!(v instanceof EngineView e)) {
+                continue;
+            }
+            if (!e.isReported()) {
+                unknown.add(e);
+            } else if (e.models().contains(model)) {
+                serving.add(e);
+            }
+        }
+        ImmutableList<EngineView> known = serving.build();
+        return known.isEmpty() ? unknown.build() : known;
+    }
+
+    private ImmutableList<ServiceView> targetsFor(ServiceName service) {
+        ImmutableList.Builder<ServiceView> found = ImmutableList.builder();
+        for (TargetView v : views.values()) {
+            if (v instanceof ServiceView s && service.equals(offered.get(s.id))) {
+                found.add(s);
+            }
+        }
+        return found.build();
+    }
+
+    /** What a new list changed. */
+    record Difference(ImmutableList<TargetId> added, ImmutableList<TargetId> gone) {}
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/TargetView.java
@@ -0,0 +1,52 @@
+package org.boragebarrow.decision.dispatch;
+
+import org.boragebarrow.decision.retry.CircuitBreaker;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** What the dispatcher knows of a target. */
+abstract sealed class TargetView permits EngineView, ServiceView {
+    final TargetId id;
+    final CircuitBreaker breaker = new CircuitBreaker();
+    private boolean leaving;
+    private boolean started = true;
+    private boolean reachable = true;
+
+    TargetView(TargetId id) {
+        this.id = checkNotNull(id);
+    }
+
+    void setTarget(Target target) {
+        leaving = target.leaving();
+    }
+
+    void setStarted(boolean started) {
+        this.started = started;
+    }
+
+    void setReachable(boolean reachable) {
+        this.reachable = reachable;
+    }
+
+    /** Returns whether the target may get new work, whatever its load. */
+    boolean isAvailable(long nowNanos) {
+        return !leaving && started && reachable && breaker.allows(nowNanos);
+    }
+
+    /** Notes how a request ended at the target. */
+    void onOutcome(DispatchEvent.Outcome outcome, long nowNanos) {
+        if (outcome == DispatchEvent.Outcome.COMPLETED) {
+            breaker.onSuccess();
+        } else if (outcome == DispatchEvent.Outcome.FAILED) {
+            breaker.onFailure(nowNanos);
+        } else {
+            breaker.onInconclusive(nowNanos);
+        }
+    }
+
+    abstract void add(Grant grant, long nowNanos);
+
+    abstract void remove(Grant grant, long nowNanos);
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/prefix/package-info.java
@@ -0,0 +1,2 @@
+/** Remembers which engines hold which leading prompt blocks in their caches. */
+package org.boragebarrow.decision.prefix;
