--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpAnswer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpAnswer.java
@@ -31,6 +31,11 @@
 
     /** Returns the first value of the header, whatever the case of its name. */
     public Optional<String> header(String name) {
+        return header(headers, name);
+    }
+
+    /** Returns the first value of the header among the given ones, whatever the case of its name. */
+    public static Optional<String> header(ImmutableListMultimap<String, String> headers, String name) {
         for (Map.Entry<String, String> header : headers.entries()) {
             if (Ascii.equalsIgnoreCase(header.getKey(), name)) {
                 return Optional.of(header.getValue());
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/StreamListener.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/StreamListener.java
@@ -7,7 +7,8 @@
 /**
  * Receives an answer as it comes.
  *
- * <p>Called on the connection's event loop; after the end, a failure or the closing of the handle no more.
+ * <p>Called on the connection's event loop; after the end, a failure or the closing of the handle no more. A call whose listener throws
+ * fails as broken.
  */
 public interface StreamListener {
     /** Receives the status and headers. */
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/engine/EngineMessages.java
@@ -0,0 +1,234 @@
+package org.boragebarrow.http.engine;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.port.EngineControl.CacheEvent;
+import org.boragebarrow.port.EngineControl.CacheEvents;
+import org.boragebarrow.port.EngineControl.ChangeRole;
+import org.boragebarrow.port.EngineControl.Export;
+import org.boragebarrow.port.EngineControl.Holdings;
+import org.boragebarrow.port.EngineControl.LoadModel;
+import org.boragebarrow.port.EngineControl.LoadReport;
+import org.boragebarrow.port.EngineControl.Order;
+import org.boragebarrow.port.EngineControl.Reservation;
+import org.boragebarrow.port.EngineControl.Sequence;
+import org.boragebarrow.port.EngineControl.UnloadModel;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Static functions that write and read the JSON messages of engines.
+ *
+ * <p>The reading functions throw {@link IllegalArgumentException} on a message of another form.
+ */
+public final class EngineMessages {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+    private static final String LOAD_MODEL = "load_model";
+    private static final String UNLOAD_MODEL = "unload_model";
+    private static final String CHANGE_ROLE = "change_role";
+
+    private EngineMessages() {}
+
+    /** Parses JSON. */
+    public static JsonNode parse(byte[] json) {
+        try {
+            return MAPPER.readTree(json);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("not JSON: " + e.getMessage(), e);
+        }
+    }
+
+    /** Writes a load report. */
+    public static ObjectNode write(LoadReport load) {
+        ObjectNode node = NODES.objectNode()
+                .put("age_ms", load.age().toMillis())
+                .put("capacity_tokens", load.capacityTokens())
+                .put("used_tokens", load.usedTokens())
+                .put("batch_slots", load.batchSlots())
+                .put("running", load.running())
+                .put("queued", load.queued())
+                .put("prefill_tokens_per_second", load.prefillTokensPerSecond())
+                .put("decode_tokens_per_second", load.decodeTokensPerSecond())
+                .put("role", load.role())
+                .put("accepting", load.accepting());
+        ArrayNode models = node.putArray("models");
+        load.models().forEach(model -> models.add(model.value()));
+        return node;
+    }
+
+    /** Reads a load report. */
+    public static LoadReport readLoad(JsonNode node) {
+        ImmutableSet.Builder<ModelId> models = ImmutableSet.builder();
+        for (JsonNode model : array(node, "models")) {
+            models.add(ModelId.of(model.asText()));
+        }
+        return new LoadReport(
+                millis(node, "age_ms"),
+                integer(node, "capacity_tokens"),
+                integer(node, "used_tokens"),
+                Math.toIntExact(integer(node, "batch_slots")),
+                Math.toIntExact(integer(node, "running")),
+                Math.toIntExact(integer(node, "queued")),
+                decimal(node, "prefill_tokens_per_second"),
+                decimal(node, "decode_tokens_per_second"),
+                models.build(),
+                text(node, "role"),
+                bool(node, "accepting"));
+    }
+
+    /** Writes holdings. */
+    public static ObjectNode write(Holdings holdings) {
+        ObjectNode node = NODES.objectNode();
+        ArrayNode sequences = node.putArray("sequences");
+        for (Sequence sequence : holdings.sequences()) {
+            sequences.add(holding(sequence.attempt(), sequence.remaining(), sequence.tokens()));
+        }
+        ArrayNode reservations = node.putArray("reservations");
+        for (Reservation reservation : holdings.reservations()) {
+            reservations.add(holding(reservation.attempt(), reservation.remaining(), reservation.tokens()));
+        }
+        ArrayNode exports = node.putArray("exports");
+        for (Export export : holdings.exports()) {
+            exports.addObject()
+                    .put("id", export.id())
+                    .put("attempt", export.attempt().toString())
+                    .put("tokens", export.tokens());
+        }
+        return node;
+    }
+
+    private static ObjectNode holding(AttemptId attempt, Duration remaining, long tokens) {
+        return NODES.objectNode()
+                .put("attempt", attempt.toString())
+                .put("remaining_ms", remaining.toMillis())
+                .put("tokens", tokens);
+    }
+
+    /** Reads holdings. */
+    public static Holdings readHoldings(JsonNode node) {
+        ImmutableList.Builder<Sequence> sequences = ImmutableList.builder();
+        for (JsonNode item : array(node, "sequences")) {
+            sequences.add(new Sequence(attempt(item), millis(item, "remaining_ms"), integer(item, "tokens")));
+        }
+        ImmutableList.Builder<Reservation> reservations = ImmutableList.builder();
+        for (JsonNode item : array(node, "reservations")) {
+            reservations.add(new Reservation(attempt(item), millis(item, "remaining_ms"), integer(item, "tokens")));
+        }
+        ImmutableList.Builder<Export> exports = ImmutableList.builder();
+        for (JsonNode item : array(node, "exports")) {
+            exports.add(new Export(text(item, "id"), attempt(item), integer(item, "tokens")));
+        }
+        return new Holdings(sequences.build(), reservations.build(), exports.build());
+    }
+
+    /** Writes cache events. */
+    public static ObjectNode write(CacheEvents events) {
+        ObjectNode node = NODES.objectNode().put("first", events.first()).put("next", events.next());
+        ArrayNode items = node.putArray("events");
+        for (CacheEvent event : events.events()) {
+            items.addObject().put("block", event.blockHash()).put("stored", event.stored());
+        }
+        return node;
+    }
+
+    /** Reads cache events. */
+    public static CacheEvents readCacheEvents(JsonNode node) {
+        ImmutableList.Builder<CacheEvent> events = ImmutableList.builder();
+        for (JsonNode item : array(node, "events")) {
+            events.add(new CacheEvent(integer(item, "block"), bool(item, "stored")));
+        }
+        return new CacheEvents(integer(node, "first"), integer(node, "next"), events.build());
+    }
+
+    /** Writes an order. */
+    public static ObjectNode write(Order order, long fencingNumber) {
+        ObjectNode node = NODES.objectNode().put("fencing", fencingNumber);
+        return switch (order) {
+            case LoadModel load ->
+                node.put("type", LOAD_MODEL).put("model", load.model().value());
+            case UnloadModel unload ->
+                node.put("type", UNLOAD_MODEL).put("model", unload.model().value());
+            case ChangeRole change -> node.put("type", CHANGE_ROLE).put("role", change.role());
+        };
+    }
+
+    /** Reads an order. */
+    public static Order readOrder(JsonNode node) {
+        String type = text(node, "type");
+        return switch (type) {
+            case LOAD_MODEL -> new LoadModel(ModelId.of(text(node, "model")));
+            case UNLOAD_MODEL -> new UnloadModel(ModelId.of(text(node, "model")));
+            case CHANGE_ROLE -> new ChangeRole(text(node, "role"));
+            default -> throw new IllegalArgumentException("unknown order: \"" + type + "\"");
+        };
+    }
+
+    /** Reads an order's fencing number. */
+    public static long readFencingNumber(JsonNode node) {
+        return integer(node, "fencing");
+    }
+
+    /** Writes a wish to reserve memory. */
+    public static ObjectNode writeReservation(long tokens, Duration timeToLive) {
+        return NODES.objectNode().put("tokens", tokens).put("ttl_ms", timeToLive.toMillis());
+    }
+
+    /** Reads the size of a wish to reserve memory. */
+    public static long readReservedTokens(JsonNode node) {
+        return integer(node, "tokens");
+    }
+
+    /** Reads the time-to-live of a wish to reserve memory. */
+    public static Duration readTimeToLive(JsonNode node) {
+        return millis(node, "ttl_ms");
+    }
+
+    private static AttemptId attempt(JsonNode node) {
+        return AttemptId.parse(text(node, "attempt"));
+    }
+
+    private static Duration millis(JsonNode node, String field) {
+        return Duration.ofMillis(integer(node, field));
+    }
+
+    private static JsonNode array(JsonNode node, String field) {
+        JsonNode value = node.path(field);
+        checkArgument(value.isArray(), "\"%s\" is not an array: %s", field, value);
+        return value;
+    }
+
+    private static long integer(JsonNode node, String field) {
+        JsonNode value = node.path(field);
+        checkArgument(value.canConvertToLong() && value.isIntegralNumber(), "\"%s\" is no integer: %s", field, value);
+        return value.longValue();
+    }
+
+    private static double decimal(JsonNode node, String field) {
+        JsonNode value = node.path(field);
+        checkArgument(value.isNumber(), "\"%s\" is no number: %s", field, value);
+        return value.doubleValue();
+    }
+
+    private static String text(JsonNode node, String field) {
+        JsonNode value = node.path(field);
+        checkArgument(value.isTextual(), "\"%s\" is no text: %s", field, value);
+        return value.textValue();
+    }
+
+    private static boolean bool(JsonNode node, String field) {
+        JsonNode value = node.path(field);
+        checkArgument(value.isBoolean(), "\"%s\" is no boolean: %s", field, value);
+        return value.booleanValue();
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/engine/EventFields.java
@@ -0,0 +1,83 @@
+package org.boragebarrow.http.engine;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** The fields that occur in the data of an engine's events; others are skipped. */
+record EventFields(
+        OptionalInt index,
+        Optional<String> text,
+        OptionalInt count,
+        OptionalInt promptTokens,
+        Optional<String> finishReason,
+        Optional<String> attempt,
+        Optional<String> message) {
+    private static final JsonFactory FACTORY = JsonFactory.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
+
+    /** Parses the data; throws {@link IllegalArgumentException} if it is no JSON object or a field has a wrong type. */
+    static EventFields parse(byte[] data, int offset, int length) {
+        try (JsonParser parser = FACTORY.createParser(data, offset, length)) {
+            checkArgument(parser.nextToken() == JsonToken.START_OBJECT, "event data is no JSON object");
+            EventFields fields = new Reader().read(parser);
+            checkArgument(parser.nextToken() == null, "event data goes on after its object");
+            return fields;
+        } catch (IOException e) {
+            throw new IllegalArgumentException("malformed event data: " + e.getMessage(), e);
+        }
+    }
+
+    private static final class Reader {
+        private OptionalInt index = OptionalInt.empty();
+        private Optional<String> text = Optional.empty();
+        private OptionalInt count = OptionalInt.empty();
+        private OptionalInt promptTokens = OptionalInt.empty();
+        private Optional<String> finishReason = Optional.empty();
+        private Optional<String> attempt = Optional.empty();
+        private Optional<String> message = Optional.empty();
+
+        EventFields read(JsonParser parser) throws IOException {
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String name = parser.currentName();
+                parser.nextToken();
+                readField(name, parser);
+            }
+            checkArgument(parser.currentToken() == JsonToken.END_OBJECT, "event data ends early");
+            return new EventFields(index, text, count, promptTokens, finishReason, attempt, message);
+        }
+
+        private void readField(String name, JsonParser parser) throws IOException {
+            switch (name) {
+                case "index" -> index = OptionalInt.of(integer(parser));
+                case "text" -> text = Optional.of(string(parser));
+                case "count" -> count = OptionalInt.of(integer(parser));
+                case "prompt_tokens" -> promptTokens = OptionalInt.of(integer(parser));
+                case "finish_reason" -> finishReason = Optional.of(string(parser));
+                case "attempt" -> attempt = Optional.of(string(parser));
+                case "message" -> message = Optional.of(string(parser));
+                default -> parser.skipChildren();
+            }
+        }
+
+        private static int integer(JsonParser parser) throws IOException {
+            checkArgument(parser.currentToken() == JsonToken.VALUE_NUMBER_INT, "not an integer: %s", parser.getText());
+            int value = parser.getIntValue();
+            checkArgument(value >= 0, "negative number: %s", value);
+            return value;
+        }
+
+        private static String string(JsonParser parser) throws IOException {
+            checkArgument(parser.currentToken() == JsonToken.VALUE_STRING, "not a text: %s", parser.getText());
+            return parser.getText();
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/engine/SequenceStream.java
@@ -0,0 +1,137 @@
+package org.boragebarrow.http.engine;
+
+import java.nio.charset.StandardCharsets;
+
+import com.google.common.collect.ImmutableListMultimap;
+import io.netty.buffer.ByteBuf;
+import org.boragebarrow.http.client.HttpAnswer;
+import org.boragebarrow.http.client.StreamListener;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.port.EngineClient.Listener;
+import org.boragebarrow.port.TargetFailure;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** Turns an engine's answer into tokens; tokens out of order or of another attempt are a failure. */
+final class SequenceStream implements StreamListener {
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int INTERNAL_SERVER_ERROR = 500;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int MAX_ERROR_CHARS = 500;
+    private static final String CONTENT_TYPE = "Content-Type";
+    private static final String EVENT_STREAM = "text/event-stream";
+
+    private final AttemptId attempt;
+    private final Listener listener;
+    private final SseParser parser = new SseParser(this::onEvent);
+    private final StringBuilder error = new StringBuilder();
+    private int status;
+    private int next;
+    private boolean started;
+    private boolean done;
+
+    SequenceStream(AttemptId attempt, int firstIndex, Listener listener) {
+        this.attempt = attempt;
+        this.next = firstIndex;
+        this.listener = listener;
+    }
+
+    @Override
+    public void onHead(int answerStatus, ImmutableListMultimap<String, String> headers) {
+        status = answerStatus;
+        if (status != OK) {
+            return;
+        }
+        String contentType = HttpAnswer.header(headers, CONTENT_TYPE).orElse("");
+        checkArgument(contentType.startsWith(EVENT_STREAM), "answer is no event stream but \"%s\"", contentType);
+    }
+
+    @Override
+    public void onBody(ByteBuf part) {
+        if (done) {
+            return;
+        }
+        if (status != OK) {
+            int length = Math.min(part.readableBytes(), MAX_ERROR_CHARS - error.length());
+            error.append(part.toString(part.readerIndex(), Math.max(0, length), StandardCharsets.UTF_8));
+            return;
+        }
+        parser.feed(part);
+    }
+
+    @Override
+    public void onEnd() {
+        if (done) {
+            return;
+        }
+        done = true;
+        if (status == OK) {
+            listener.onFailure(TargetFailure.broken("stream ended without its end event"));
+            return;
+        }
+        String message = "status " + status + ": " + error;
+        listener.onFailure(isRefusal() ? TargetFailure.refused(message) : TargetFailure.broken(message));
+    }
+
+    @Override
+    public void onFailure(TargetFailure failure) {
+        if (!done) {
+            done = true;
+            listener.onFailure(failure);
+        }
+    }
+
+    private boolean isRefusal() {
+        return status >= BAD_REQUEST && status < INTERNAL_SERVER_ERROR || status == SERVICE_UNAVAILABLE;
+    }
+
+    private void onEvent(String type, byte[] data, int offset, int length) {
+        if (done) {
+            return;
+        }
+        EventFields fields = EventFields.parse(data, offset, length);
+        if (type.equals(EngineProtocol.START_EVENT)) {
+            start(fields);
+            return;
+        }
+        checkArgument(started, "\"%s\" before the start event", type);
+        switch (type) {
+            case "message" -> takeToken(fields);
+            case EngineProtocol.END_EVENT -> end(fields);
+            case EngineProtocol.ERROR_EVENT -> giveUp(fields);
+            default -> throw new IllegalArgumentException("unknown event type \"" + type + "\"");
+        }
+    }
+
+    private void start(EventFields fields) {
+        String named = fields.attempt().orElse("");
+        checkArgument(named.equals(attempt.toString()), "answer to attempt \"%s\"", named);
+        checkArgument(!started, "second start event");
+        started = true;
+    }
+
+    private void takeToken(EventFields fields) {
+        checkArgument(fields.index().isPresent() && fields.text().isPresent(), "token without index or text");
+        int index = fields.index().getAsInt();
+        checkArgument(index == next, "token %s instead of %s", index, next);
+        next++;
+        listener.onToken(index, fields.text().get());
+    }
+
+    private void end(EventFields fields) {
+        checkArgument(fields.count().isPresent() && fields.promptTokens().isPresent(), "end without its counts");
+        checkArgument(fields.finishReason().isPresent(), "end without a reason");
+        int count = fields.count().getAsInt();
+        checkArgument(count == next, "end after %s tokens tells of %s", next, count);
+        done = true;
+        listener.onEnd(
+                count, fields.promptTokens().getAsInt(), fields.finishReason().get());
+    }
+
+    private void giveUp(EventFields fields) {
+        done = true;
+        listener.onFailure(
+                TargetFailure.broken("engine gave up: " + fields.message().orElse("no reason told")));
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/service/HttpServiceClient.java
@@ -0,0 +1,111 @@
+package org.boragebarrow.http.service;
+
+import java.nio.ByteBuffer;
+
+import com.google.common.base.Ascii;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSet;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import org.boragebarrow.http.client.HttpCall;
+import org.boragebarrow.http.client.HttpClient;
+import org.boragebarrow.http.client.StreamListener;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.port.EngineClient;
+import org.boragebarrow.port.ServiceClient;
+import org.boragebarrow.port.TargetFailure;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Calls plain services over HTTP, each time on a connection of its own.
+ *
+ * <p>A kept-alive connection might just be closing, and then a call that may not be repeated would be lost for nothing.
+ */
+public final class HttpServiceClient implements ServiceClient {
+    private static final String REQUEST_ID = "Request-Id";
+    private static final String ATTEMPT_ID = "Attempt-Id";
+    private static final String CONNECTION = "connection";
+    private static final Splitter NAMES = Splitter.on(',').trimResults().omitEmptyStrings();
+    private static final ImmutableSet<String> HOP_BY_HOP = ImmutableSet.of(
+            CONNECTION,
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade");
+    private static final ImmutableSet<String> REPLACED =
+            ImmutableSet.of(Ascii.toLowerCase(REQUEST_ID), Ascii.toLowerCase(ATTEMPT_ID), "host", "expect");
+
+    private final HttpClient client;
+
+    /** Creates an adapter on the given client. */
+    public HttpServiceClient(HttpClient client) {
+        this.client = checkNotNull(client);
+    }
+
+    @Override
+    public EngineClient.Handle call(Target service, Call call, Listener listener) {
+        checkNotNull(service);
+        checkNotNull(call);
+        checkNotNull(listener);
+        HttpCall sent = new HttpCall(call.method(), call.path(), requestHeaders(call), call.body(), false);
+        return client.stream(service.endpoint(), sent, new Relay(listener));
+    }
+
+    private static ImmutableListMultimap<String, String> requestHeaders(Call call) {
+        ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
+        endToEnd(call.headers()).forEach((name, value) -> {
+            if (!REPLACED.contains(Ascii.toLowerCase(name))) {
+                headers.put(name, value);
+            }
+        });
+        headers.put(REQUEST_ID, call.request().value());
+        headers.put(ATTEMPT_ID, call.attempt().toString());
+        return headers.build();
+    }
+
+    /** Returns the headers without those that belong to a single connection. */
+    static ImmutableListMultimap<String, String> endToEnd(ImmutableListMultimap<String, String> headers) {
+        ImmutableSet.Builder<String> dropped = ImmutableSet.<String>builder().addAll(HOP_BY_HOP);
+        headers.forEach((name, value) -> {
+            if (Ascii.equalsIgnoreCase(name, CONNECTION)) {
+                dropped.addAll(NAMES.split(Ascii.toLowerCase(value)));
+            }
+        });
+        ImmutableSet<String> names = dropped.build();
+        ImmutableListMultimap.Builder<String, String> kept = ImmutableListMultimap.builder();
+        headers.forEach((name, value) -> {
+            if (!names.contains(Ascii.toLowerCase(name))) {
+                kept.put(name, value);
+            }
+        });
+        return kept.build();
+    }
+
+    private record Relay(Listener listener) implements StreamListener {
+        @Override
+        public void onHead(int status, ImmutableListMultimap<String, String> headers) {
+            listener.onHead(status, endToEnd(headers));
+        }
+
+        @Override
+        public void onBody(ByteBuf part) {
+            listener.onBody(ByteBuffer.wrap(ByteBufUtil.getBytes(part)));
+        }
+
+        @Override
+        public void onEnd() {
+            listener.onEnd();
+        }
+
+        @Override
+        public void onFailure(TargetFailure failure) {
+            listener.onFailure(failure);
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/service/package-info.java
@@ -0,0 +1,2 @@
+/** The adapter for plain services. */
+package org.boragebarrow.http.service;
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/CacheEventLog.java
@@ -0,0 +1,65 @@
+package org.boragebarrow.standins.engine;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.random.RandomGenerator;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.port.EngineControl.CacheEvent;
+import org.boragebarrow.port.EngineControl.CacheEvents;
+
+/** Numbers cache events from 1, and shows them late and with gaps. */
+final class CacheEventLog {
+    private static final int MAX_EVENTS = 8_192;
+    private static final int MAX_BATCH_EVENTS = 1_024;
+
+    private final long lagNanos;
+    private final double loss;
+    private final RandomGenerator random;
+    private final Deque<Entry> entries = new ArrayDeque<>();
+    private long last;
+    private long visibleNanos = Long.MIN_VALUE;
+
+    private record Entry(long number, CacheEvent event, long visibleNanos) {}
+
+    CacheEventLog(Duration lag, double loss, RandomGenerator random) {
+        this.lagNanos = lag.toNanos();
+        this.loss = loss;
+        this.random = random;
+    }
+
+    void add(long blockHash, boolean stored, long nowNanos) {
+        last++;
+        if (random.nextDouble() < loss) {
+            return;
+        }
+        long lag = lagNanos == 0 ? 0 : lagNanos / 2 + random.nextLong(lagNanos);
+        visibleNanos = Math.max(visibleNanos, nowNanos + lag);
+        entries.add(new Entry(last, new CacheEvent(blockHash, stored), visibleNanos));
+        if (entries.size() > MAX_EVENTS) {
+            entries.remove();
+        }
+    }
+
+    /** Returns the visible events after the number, up to the next gap; a number from an earlier life starts anew. */
+    CacheEvents after(long number, long nowNanos) {
+        long known = number > last ? 0 : number;
+        ImmutableList.Builder<CacheEvent> events = ImmutableList.builder();
+        long first = known + 1;
+        long next = first;
+        for (Entry entry : entries) {
+            if (entry.number <= known) {
+                continue;
+            }
+            boolean gap = next > first && entry.number != next;
+            if (gap || entry.visibleNanos > nowNanos || next - first == MAX_BATCH_EVENTS) {
+                break;
+            }
+            first = next == first ? entry.number : first;
+            next = entry.number + 1;
+            events.add(entry.event);
+        }
+        return new CacheEvents(first, next, events.build());
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/EngineDriver.java
@@ -0,0 +1,123 @@
+package org.boragebarrow.standins.engine;
+
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+
+/** Drives an {@link EngineModel} by the clock; confined to its event loop but for {@link #execute}. */
+final class EngineDriver {
+    private final EventLoop loop;
+    private final EngineSettings settings;
+    private final SplittableRandom random;
+    private final LongSupplier nanoClock;
+    private final TokenStreams streams = new TokenStreams();
+    private final Queue<Runnable> frozenCalls = new ArrayDeque<>();
+    private EngineModel model;
+    private EngineFaults faults = EngineFaults.none();
+    private Optional<Future<?>> timer = Optional.empty();
+    private boolean stopped;
+
+    EngineDriver(EventLoop loop, EngineSettings settings, SplittableRandom random, LongSupplier nanoClock) {
+        this.loop = loop;
+        this.settings = settings;
+        this.random = random;
+        this.nanoClock = nanoClock;
+        this.model = newModel();
+    }
+
+    /** Runs the action on the event loop. */
+    void execute(Runnable action) {
+        loop.execute(action);
+    }
+
+    void start() {
+        call(() -> {});
+    }
+
+    void stop() {
+        stopped = true;
+        timer.ifPresent(armed -> armed.cancel(false));
+    }
+
+    /** Runs one call on the model at the present time, or once the engine is no longer frozen. */
+    void call(Runnable action) {
+        if (model.isFrozen()) {
+            frozenCalls.add(action);
+            return;
+        }
+        advance();
+        action.run();
+        streams.flush();
+        arm();
+    }
+
+    EngineModel model() {
+        return model;
+    }
+
+    TokenStreams streams() {
+        return streams;
+    }
+
+    EngineFaults faults() {
+        return faults;
+    }
+
+    void setFaults(EngineFaults changed) {
+        advance();
+        faults = changed;
+        model.setSlowFactor(changed.slowFactor());
+        model.setRefusing(changed.refuse());
+        model.setLeaving(changed.leaving());
+        streams.setDropAfterTokens(changed.dropAfterTokens());
+        streams.setDieAfterTokens(changed.dieAfterTokens());
+        model.setFrozen(changed.frozen());
+        while (!model.isFrozen() && !frozenCalls.isEmpty()) {
+            call(frozenCalls.remove());
+        }
+        arm();
+    }
+
+    private EngineModel newModel() {
+        return new EngineModel(settings, random.split(), streams, nanoClock.getAsLong());
+    }
+
+    private void advance() {
+        model.advance(nanoClock.getAsLong());
+        if (streams.takeDying()) {
+            streams.dropAll();
+            model = newModel();
+            setFaults(new EngineFaults(
+                    faults.slowFactor(),
+                    faults.refuse(),
+                    faults.leaving(),
+                    faults.frozen(),
+                    faults.loseCancelAnswers(),
+                    0,
+                    0));
+        }
+    }
+
+    private void tick() {
+        timer = Optional.empty();
+        advance();
+        streams.flush();
+        arm();
+    }
+
+    private void arm() {
+        timer.ifPresent(armed -> armed.cancel(false));
+        timer = Optional.empty();
+        long due = model.nextNanos();
+        if (!stopped && due != Long.MAX_VALUE) {
+            long delay = Math.max(0, due - nanoClock.getAsLong());
+            timer = Optional.of(loop.schedule(this::tick, delay, TimeUnit.NANOSECONDS));
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/EngineModel.java
@@ -0,0 +1,349 @@
+package org.boragebarrow.standins.engine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.port.EngineControl.CacheEvents;
+import org.boragebarrow.port.EngineControl.Holdings;
+import org.boragebarrow.port.EngineControl.LoadReport;
+import org.boragebarrow.port.EngineControl.Order;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Emulates an engine that batches continuously, step by step.
+ *
+ * <p>Not thread-safe; time is passed in and never goes back. The sink must not call back into the model.
+ */
+final class EngineModel {
+    private static final long MIN_STEP_NANOS = 1_000;
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final int MAX_ENDED = 4_096;
+    private static final String TIME_LIMIT = "the sequence's time limit has passed";
+
+    private final EngineSettings settings;
+    private final SequenceSink sink;
+    private final CacheEventLog cacheEvents;
+    private final Memory memory;
+    private final Roster roster;
+    private final LoadSampler load;
+    private final Map<AttemptId, Sequence> live = new HashMap<>();
+    private final Map<AttemptId, Sequence> ended = new LinkedHashMap<>();
+    private final TreeSet<Sequence> waiting = new TreeSet<>(Sequence.ORDER);
+    private final TreeSet<Sequence> batch = new TreeSet<>(Sequence.ORDER);
+    private double slowFactor = 1;
+    private boolean leaving;
+    private boolean refusing;
+    private long frozenSinceNanos = NEVER;
+    private long stepEndNanos = NEVER;
+    private long nowNanos;
+    private long arrivals;
+
+    EngineModel(EngineSettings settings, RandomGenerator random, SequenceSink sink, long nowNanos) {
+        this.settings = checkNotNull(settings);
+        this.sink = checkNotNull(sink);
+        this.nowNanos = nowNanos;
+        this.cacheEvents = new CacheEventLog(settings.cacheEventLag(), settings.cacheEventLoss(), random);
+        this.memory = new Memory(settings.capacityTokens(), new BlockCache(cacheEvents));
+        this.roster =
+                new Roster(settings.checksFencing(), settings.loadTime(), settings.models(), settings.role(), nowNanos);
+        this.load = new LoadSampler(settings.loadReportInterval(), this::measure, nowNanos);
+    }
+
+    /** Does everything that is due by now. */
+    void advance(long toNanos) {
+        checkArgument(toNanos >= nowNanos, "time went back by %s ns", nowNanos - toNanos);
+        if (isFrozen()) {
+            nowNanos = toNanos;
+            return;
+        }
+        long due = nextNanos();
+        while (due <= toNanos) {
+            nowNanos = Math.max(nowNanos, due);
+            load.sample(nowNanos);
+            expire();
+            if (stepEndNanos <= nowNanos) {
+                finishStep();
+            }
+            startStep();
+            due = nextNanos();
+        }
+        nowNanos = toNanos;
+    }
+
+    /** Returns when something is due next. */
+    long nextNanos() {
+        if (isFrozen()) {
+            return NEVER;
+        }
+        long next = Math.min(stepEndNanos, Math.min(load.nextNanos(), memory.nextExpiryNanos()));
+        for (Sequence sequence : live.values()) {
+            next = Math.min(next, sequence.deadlineNanos());
+        }
+        return next;
+    }
+
+    Admission submit(SequenceRequest request) {
+        Optional<Admission.Reason> refusal = refusal(request);
+        if (refusal.isPresent()) {
+            return new Admission.Refused(refusal.get());
+        }
+        Sequence sequence = new Sequence(request, arrivals++, nowNanos);
+        if (request.gang()) {
+            sequence.hold(memory.allocateReserved(request.attempt()).orElseThrow());
+        }
+        ended.remove(request.attempt());
+        live.put(request.attempt(), sequence);
+        waiting.add(sequence);
+        startStep();
+        return new Admission.Accepted();
+    }
+
+    private Optional<Admission.Reason> refusal(SequenceRequest request) {
+        if (leaving || refusing) {
+            return Optional.of(Admission.Reason.NOT_ACCEPTING);
+        }
+        if (live.containsKey(request.attempt())) {
+            return Optional.of(Admission.Reason.DUPLICATE_ATTEMPT);
+        }
+        if (!roster.isLoaded(request.model(), nowNanos)) {
+            return Optional.of(Admission.Reason.UNKNOWN_MODEL);
+        }
+        if (request.gang()) {
+            boolean reserved = memory.reservations(nowNanos).stream()
+                    .anyMatch(r -> r.attempt().equals(request.attempt()));
+            return reserved ? Optional.empty() : Optional.of(Admission.Reason.NO_RESERVATION);
+        }
+        if (request.tokens() > settings.capacityTokens()) {
+            return Optional.of(Admission.Reason.TOO_LARGE);
+        }
+        return waiting.size() < settings.maxWaiting() ? Optional.empty() : Optional.of(Admission.Reason.FULL);
+    }
+
+    /** Returns the sequence of the attempt, also for a while after its end. */
+    Optional<Sequence> find(AttemptId attempt) {
+        return Optional.ofNullable(live.getOrDefault(attempt, ended.get(attempt)));
+    }
+
+    /** Stops and forgets the sequence and frees its memory; does nothing if it is unknown. */
+    void cancel(AttemptId attempt) {
+        ended.remove(attempt);
+        memory.release(attempt);
+        Sequence sequence = live.get(attempt);
+        if (sequence != null) {
+            remove(sequence);
+            startStep();
+        }
+    }
+
+    boolean reserve(AttemptId attempt, long tokens, Duration timeToLive) {
+        checkArgument(tokens > 0, "tokens must be positive: %s", tokens);
+        return !leaving && !refusing && memory.reserve(attempt, tokens, timeToLive, nowNanos);
+    }
+
+    void release(AttemptId attempt) {
+        memory.release(attempt);
+        startStep();
+    }
+
+    /** Stops the sequence and keeps its memory as an export. */
+    Optional<String> export(AttemptId attempt) {
+        Optional<String> id = memory.export(attempt);
+        id.ifPresent(exported -> cancel(attempt));
+        return id;
+    }
+
+    void deleteExport(String id) {
+        memory.deleteExport(id);
+        startStep();
+    }
+
+    boolean order(Order order, long fencingNumber) {
+        return roster.obey(order, fencingNumber, nowNanos);
+    }
+
+    LoadReport load() {
+        return load.report(nowNanos);
+    }
+
+    CacheEvents cacheEvents(long after) {
+        return cacheEvents.after(after, nowNanos);
+    }
+
+    Holdings holdings() {
+        ImmutableList.Builder<org.boragebarrow.port.EngineControl.Sequence> sequences = ImmutableList.builder();
+        for (Sequence sequence : live.values()) {
+            Duration remaining = Duration.ofNanos(Math.max(0, sequence.deadlineNanos() - nowNanos));
+            sequences.add(new org.boragebarrow.port.EngineControl.Sequence(
+                    sequence.attempt(), remaining, sequence.heldTokens()));
+        }
+        return new Holdings(sequences.build(), memory.reservations(nowNanos), memory.exports());
+    }
+
+    /** Returns the memory that sequences, reservations and exports hold. */
+    long heldTokens() {
+        return memory.heldTokens();
+    }
+
+    void setLeaving(boolean value) {
+        leaving = value;
+    }
+
+    void setRefusing(boolean value) {
+        refusing = value;
+    }
+
+    void setSlowFactor(double value) {
+        checkArgument(value > 0, "slow factor must be positive: %s", value);
+        slowFactor = value;
+    }
+
+    /** Stops or continues all work; a step that was in progress goes on where it stopped. */
+    void setFrozen(boolean frozen) {
+        if (frozen == isFrozen()) {
+            return;
+        }
+        if (frozen) {
+            frozenSinceNanos = nowNanos;
+            return;
+        }
+        if (stepEndNanos != NEVER) {
+            stepEndNanos += nowNanos - frozenSinceNanos;
+        }
+        frozenSinceNanos = NEVER;
+        startStep();
+    }
+
+    boolean isFrozen() {
+        return frozenSinceNanos != NEVER;
+    }
+
+    private void expire() {
+        memory.expire(nowNanos);
+        for (Sequence sequence : ImmutableList.copyOf(live.values())) {
+            if (sequence.deadlineNanos() <= nowNanos) {
+                remove(sequence);
+                sink.onStop(sequence.attempt(), TIME_LIMIT);
+            }
+        }
+    }
+
+    private void remove(Sequence sequence) {
+        live.remove(sequence.attempt());
+        waiting.remove(sequence);
+        batch.remove(sequence);
+        memory.free(sequence.attempt());
+    }
+
+    private void startStep() {
+        if (stepEndNanos != NEVER || isFrozen()) {
+            return;
+        }
+        fillBatch();
+        if (batch.isEmpty()) {
+            return;
+        }
+        long prefillTokens = 0;
+        int decoding = 0;
+        for (Sequence sequence : batch) {
+            if (sequence.isDecoding()) {
+                decoding++;
+            }
+            prefillTokens += sequence.joinStep(settings.chunkTokens() - prefillTokens);
+        }
+        double nanos = settings.stepBase().toNanos()
+                + (double) decoding * settings.stepPerSequence().toNanos()
+                + prefillTokens
+                        / settings.prefillTokensPerSecond()
+                        * Duration.ofSeconds(1).toNanos();
+        stepEndNanos = nowNanos + Math.max(MIN_STEP_NANOS, (long) (nanos * slowFactor));
+    }
+
+    private void fillBatch() {
+        while (!waiting.isEmpty() && batch.size() < settings.batchSlots()) {
+            Sequence first = waiting.first();
+            if (!admit(first)) {
+                return;
+            }
+            waiting.remove(first);
+            batch.add(first);
+        }
+    }
+
+    private boolean admit(Sequence sequence) {
+        SequenceRequest request = sequence.request();
+        long cached = memory.matchPrefix(request.blocks());
+        if (request.gang()) {
+            sequence.startPrefill(Math.min(request.promptTokens(), sequence.heldTokens()) - cached);
+            return true;
+        }
+        if (!memory.allocate(request.attempt(), request.tokens(), nowNanos)) {
+            return false;
+        }
+        sequence.hold(request.tokens());
+        sequence.startPrefill(request.promptTokens() + (long) request.firstIndex() - cached);
+        return true;
+    }
+
+    private void finishStep() {
+        stepEndNanos = NEVER;
+        List<Sequence> members = new ArrayList<>(batch);
+        for (Sequence sequence : members) {
+            if (sequence.isInStep()) {
+                finishStep(sequence);
+            }
+        }
+    }
+
+    private void finishStep(Sequence sequence) {
+        boolean wasDecoding = sequence.isDecoding();
+        if (!sequence.leaveStep()) {
+            return;
+        }
+        if (!wasDecoding) {
+            memory.storePrefix(sequence.request().blocks(), nowNanos);
+        }
+        if (!sequence.isComplete()) {
+            sink.onToken(sequence.attempt(), sequence.takeToken());
+        }
+        if (sequence.isComplete()) {
+            remove(sequence);
+            // A running sequence holds its own blocks; the rest of them fit once its memory is free.
+            memory.storePrefix(sequence.request().blocks(), nowNanos);
+            keepEnded(sequence);
+            sink.onEnd(sequence.attempt());
+        }
+    }
+
+    private void keepEnded(Sequence sequence) {
+        ended.put(sequence.attempt(), sequence);
+        if (ended.size() > MAX_ENDED) {
+            ended.remove(ended.keySet().iterator().next());
+        }
+    }
+
+    private LoadReport measure() {
+        return new LoadReport(
+                Duration.ZERO,
+                settings.capacityTokens(),
+                memory.heldTokens(),
+                settings.batchSlots(),
+                batch.size(),
+                waiting.size(),
+                settings.prefillTokensPerSecond() / slowFactor,
+                settings.decodeTokensPerSecond() / slowFactor,
+                roster.loaded(nowNanos),
+                roster.role(),
+                !leaving && !refusing);
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/EngineSettings.java
@@ -0,0 +1,195 @@
+package org.boragebarrow.standins.engine;
+
+import java.time.Duration;
+
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.ModelId;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * The size and speed of an emulated engine.
+ *
+ * @param stepBase the time of a step that does nothing
+ * @param stepPerSequence the time that each decoding sequence adds to a step
+ * @param chunkTokens the most prompt tokens that one step takes in
+ * @param batchSlots the most sequences in a batch
+ * @param maxWaiting the most sequences that wait for the batch
+ * @param capacityTokens KV memory, in tokens
+ * @param cacheEventLag how late cache events become visible
+ * @param cacheEventLoss the part of the cache events that is lost
+ * @param loadReportInterval how often the load is sampled; reports lag by up to twice as much
+ * @param loadTime how long an order to load a model takes
+ * @param checksFencing whether orders with an old fencing number are refused
+ */
+public record EngineSettings(
+        double prefillTokensPerSecond,
+        Duration stepBase,
+        Duration stepPerSequence,
+        int chunkTokens,
+        int batchSlots,
+        int maxWaiting,
+        long capacityTokens,
+        Duration cacheEventLag,
+        double cacheEventLoss,
+        Duration loadReportInterval,
+        Duration loadTime,
+        boolean checksFencing,
+        ImmutableSet<ModelId> models,
+        String role) {
+    public EngineSettings {
+        checkArgument(prefillTokensPerSecond > 0, "prefill speed must be positive: %s", prefillTokensPerSecond);
+        checkNotNull(stepBase);
+        checkNotNull(stepPerSequence);
+        checkArgument(chunkTokens > 0, "chunk tokens must be positive: %s", chunkTokens);
+        checkArgument(batchSlots > 0, "batch slots must be positive: %s", batchSlots);
+        checkArgument(maxWaiting >= 0, "waiting places must not be negative: %s", maxWaiting);
+        checkArgument(capacityTokens > 0, "capacity must be positive: %s", capacityTokens);
+        checkNotNull(cacheEventLag);
+        checkArgument(cacheEventLoss >= 0 && cacheEventLoss <= 1, "not a probability: %s", cacheEventLoss);
+        checkNotNull(loadReportInterval);
+        checkNotNull(loadTime);
+        checkNotNull(models);
+        checkNotNull(role);
+    }
+
+    /** Returns the settings of an engine that holds 400,000 tokens and serves the model {@code model}. */
+    public static EngineSettings defaults() {
+        return builder().build();
+    }
+
+    /** Returns a builder that starts from the defaults. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the token rate of a single sequence. */
+    public double decodeTokensPerSecond() {
+        double step = stepBase.plus(stepPerSequence).toNanos();
+        return Duration.ofSeconds(1).toNanos() / Math.max(1, step);
+    }
+
+    /** Builds settings. */
+    public static final class Builder {
+        private double prefillTokensPerSecond = 20_000;
+        private Duration stepBase = Duration.ofMillis(8);
+        private Duration stepPerSequence = Duration.ofNanos(250_000);
+        private int chunkTokens = 2_048;
+        private int batchSlots = 48;
+        private int maxWaiting = 512;
+        private long capacityTokens = 400_000;
+        private Duration cacheEventLag = Duration.ofMillis(500);
+        private double cacheEventLoss = 0.01;
+        private Duration loadReportInterval = Duration.ofMillis(250);
+        private Duration loadTime = Duration.ofSeconds(5);
+        private boolean checksFencing = true;
+        private ImmutableSet<ModelId> models = ImmutableSet.of(ModelId.of("model"));
+        private String role = "both";
+
+        private Builder() {}
+
+        /** Sets how many prompt tokens a second the engine takes in. */
+        public Builder prefillTokensPerSecond(double value) {
+            prefillTokensPerSecond = value;
+            return this;
+        }
+
+        /** Sets the time of a step that does nothing. */
+        public Builder stepBase(Duration value) {
+            stepBase = value;
+            return this;
+        }
+
+        /** Sets the time that each decoding sequence adds to a step. */
+        public Builder stepPerSequence(Duration value) {
+            stepPerSequence = value;
+            return this;
+        }
+
+        /** Sets the most prompt tokens that one step takes in. */
+        public Builder chunkTokens(int value) {
+            chunkTokens = value;
+            return this;
+        }
+
+        /** Sets the most sequences in a batch. */
+        public Builder batchSlots(int value) {
+            batchSlots = value;
+            return this;
+        }
+
+        /** Sets the most sequences that wait. */
+        public Builder maxWaiting(int value) {
+            maxWaiting = value;
+            return this;
+        }
+
+        /** Sets the KV memory, in tokens. */
+        public Builder capacityTokens(long value) {
+            capacityTokens = value;
+            return this;
+        }
+
+        /** Sets how late cache events become visible. */
+        public Builder cacheEventLag(Duration value) {
+            cacheEventLag = value;
+            return this;
+        }
+
+        /** Sets the part of the cache events that is lost. */
+        public Builder cacheEventLoss(double value) {
+            cacheEventLoss = value;
+            return this;
+        }
+
+        /** Sets how often the load is sampled. */
+        public Builder loadReportInterval(Duration value) {
+            loadReportInterval = value;
+            return this;
+        }
+
+        /** Sets how long an order to load a model takes. */
+        public Builder loadTime(Duration value) {
+            loadTime = value;
+            return this;
+        }
+
+        /** Sets whether orders with an old fencing number are refused. */
+        public Builder checksFencing(boolean value) {
+            checksFencing = value;
+            return this;
+        }
+
+        /** Sets the models that the engine has loaded at its start. */
+        public Builder models(ImmutableSet<ModelId> value) {
+            models = value;
+            return this;
+        }
+
+        /** Sets the role at the start. */
+        public Builder role(String value) {
+            role = value;
+            return this;
+        }
+
+        /** Returns the settings. */
+        public EngineSettings build() {
+            return new EngineSettings(
+                    prefillTokensPerSecond,
+                    stepBase,
+                    stepPerSequence,
+                    chunkTokens,
+                    batchSlots,
+                    maxWaiting,
+                    capacityTokens,
+                    cacheEventLag,
+                    cacheEventLoss,
+                    loadReportInterval,
+                    loadTime,
+                    checksFencing,
+                    models,
+                    role);
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/EngineStandin.java
@@ -0,0 +1,85 @@
+package org.boragebarrow.standins.engine;
+
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.standins.web.WebServer;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** A running stand-in for a model engine; everything in it happens on one event loop. */
+public final class EngineStandin implements AutoCloseable {
+    private static final long SHUTDOWN_SECONDS = 2;
+
+    private final TargetId id;
+    private final EngineDriver driver;
+    private final WebServer server;
+    private final Optional<EventLoopGroup> ownGroup;
+
+    private EngineStandin(TargetId id, EngineDriver driver, WebServer server, Optional<EventLoopGroup> ownGroup) {
+        this.id = id;
+        this.driver = driver;
+        this.server = server;
+        this.ownGroup = ownGroup;
+    }
+
+    /** Starts an engine on a thread of its own; port 0 takes any free port. */
+    public static EngineStandin start(TargetId id, Endpoint endpoint, EngineSettings settings, long seed) {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        return start(group, id, endpoint, settings, seed, Optional.of(group));
+    }
+
+    /** Starts an engine on one loop of a group, which it does not shut down. */
+    public static EngineStandin start(
+            EventLoopGroup group, TargetId id, Endpoint endpoint, EngineSettings settings, long seed) {
+        return start(group, id, endpoint, settings, seed, Optional.empty());
+    }
+
+    private static EngineStandin start(
+            EventLoopGroup group,
+            TargetId id,
+            Endpoint endpoint,
+            EngineSettings settings,
+            long seed,
+            Optional<EventLoopGroup> ownGroup) {
+        checkNotNull(id);
+        checkNotNull(endpoint);
+        checkNotNull(settings);
+        var loop = group.next();
+        EngineDriver driver = new EngineDriver(loop, settings, new SplittableRandom(seed), System::nanoTime);
+        WebServer server = WebServer.start(loop, endpoint, new EngineRoutes(driver));
+        loop.execute(driver::start);
+        return new EngineStandin(id, driver, server, ownGroup);
+    }
+
+    /** Returns the engine's id. */
+    public TargetId id() {
+        return id;
+    }
+
+    /** Returns where the engine listens. */
+    public Endpoint endpoint() {
+        return server.endpoint();
+    }
+
+    /** Replaces the faults that the engine shows. */
+    public void setFaults(EngineFaults faults) {
+        checkNotNull(faults);
+        driver.execute(() -> driver.setFaults(faults));
+    }
+
+    /** Stops the engine as if it were killed: its connections are dropped and its state is lost. */
+    @Override
+    public void close() {
+        driver.execute(driver::stop);
+        server.close();
+        ownGroup.ifPresent(group ->
+                group.shutdownGracefully(0, SHUTDOWN_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly());
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/Memory.java
@@ -0,0 +1,150 @@
+package org.boragebarrow.standins.engine;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.ImmutableLongArray;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.port.EngineControl.Export;
+import org.boragebarrow.port.EngineControl.Reservation;
+
+import static com.google.common.base.Preconditions.checkState;
+
+/** Accounts for KV memory: what sequences, reservations and exports hold, and the prefix cache in the rest. */
+final class Memory {
+    private final long capacityTokens;
+    private final BlockCache cache;
+    private final Map<AttemptId, Claim> reservations = new LinkedHashMap<>();
+    private final Map<String, Export> exports = new LinkedHashMap<>();
+    private final Map<AttemptId, Long> sequences = new HashMap<>();
+    private long heldTokens;
+    private long exportCount;
+
+    private record Claim(long tokens, long expiryNanos) {}
+
+    Memory(long capacityTokens, BlockCache cache) {
+        this.capacityTokens = capacityTokens;
+        this.cache = cache;
+    }
+
+    long heldTokens() {
+        return heldTokens;
+    }
+
+    long matchPrefix(ImmutableLongArray blocks) {
+        return cache.match(blocks);
+    }
+
+    void storePrefix(ImmutableLongArray blocks, long nowNanos) {
+        cache.store(blocks, capacityTokens - heldTokens, nowNanos);
+    }
+
+    /** Takes memory for a sequence, evicting cached blocks; returns false if the memory is held by others. */
+    boolean allocate(AttemptId attempt, long tokens, long nowNanos) {
+        if (!take(tokens, nowNanos)) {
+            return false;
+        }
+        checkState(sequences.put(attempt, tokens) == null, "%s holds memory already", attempt);
+        return true;
+    }
+
+    /** Turns the attempt's reservation into the memory of its sequence, if there is one. */
+    Optional<Long> allocateReserved(AttemptId attempt) {
+        Claim claim = reservations.remove(attempt);
+        if (claim == null) {
+            return Optional.empty();
+        }
+        checkState(sequences.put(attempt, claim.tokens) == null, "%s holds memory already", attempt);
+        return Optional.of(claim.tokens);
+    }
+
+    void free(AttemptId attempt) {
+        Long tokens = sequences.remove(attempt);
+        if (tokens != null) {
+            give(tokens);
+        }
+    }
+
+    boolean reserve(AttemptId attempt, long tokens, Duration timeToLive, long nowNanos) {
+        release(attempt);
+        if (sequences.containsKey(attempt) || !take(tokens, nowNanos)) {
+            return false;
+        }
+        reservations.put(attempt, new Claim(tokens, nowNanos + timeToLive.toNanos()));
+        return true;
+    }
+
+    void release(AttemptId attempt) {
+        Claim claim = reservations.remove(attempt);
+        if (claim != null) {
+            give(claim.tokens);
+        }
+    }
+
+    /** Moves the memory of a sequence to an export, if the sequence holds any. */
+    Optional<String> export(AttemptId attempt) {
+        Long tokens = sequences.remove(attempt);
+        if (tokens == null) {
+            return Optional.empty();
+        }
+        String id = "export-" + ++exportCount;
+        exports.put(id, new Export(id, attempt, tokens));
+        return Optional.of(id);
+    }
+
+    void deleteExport(String id) {
+        Export export = exports.remove(id);
+        if (export != null) {
+            give(export.tokens());
+        }
+    }
+
+    void expire(long nowNanos) {
+        Iterator<Claim> claims = reservations.values().iterator();
+        while (claims.hasNext()) {
+            Claim claim = claims.next();
+            if (claim.expiryNanos <= nowNanos) {
+                claims.remove();
+                give(claim.tokens);
+            }
+        }
+    }
+
+    long nextExpiryNanos() {
+        long next = Long.MAX_VALUE;
+        for (Claim claim : reservations.values()) {
+            next = Math.min(next, claim.expiryNanos);
+        }
+        return next;
+    }
+
+    ImmutableList<Reservation> reservations(long nowNanos) {
+        ImmutableList.Builder<Reservation> listed = ImmutableList.builder();
+        reservations.forEach((attempt, claim) -> listed.add(
+                new Reservation(attempt, Duration.ofNanos(Math.max(0, claim.expiryNanos - nowNanos)), claim.tokens)));
+        return listed.build();
+    }
+
+    ImmutableList<Export> exports() {
+        return ImmutableList.copyOf(exports.values());
+    }
+
+    private boolean take(long tokens, long nowNanos) {
+        if (heldTokens + tokens > capacityTokens) {
+            return false;
+        }
+        heldTokens += tokens;
+        cache.shrink(capacityTokens - heldTokens, nowNanos);
+        return true;
+    }
+
+    private void give(long tokens) {
+        heldTokens -= tokens;
+        checkState(heldTokens >= 0, "freed more memory than was held: %s tokens", heldTokens);
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/Roster.java
@@ -0,0 +1,61 @@
+package org.boragebarrow.standins.engine;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.port.EngineControl.ChangeRole;
+import org.boragebarrow.port.EngineControl.LoadModel;
+import org.boragebarrow.port.EngineControl.Order;
+import org.boragebarrow.port.EngineControl.UnloadModel;
+
+/** The models that an engine has loaded and its role, as orders have changed them. */
+final class Roster {
+    private final boolean checksFencing;
+    private final long loadNanos;
+    private final Map<ModelId, Long> readyNanos = new HashMap<>();
+    private String role;
+    private long highestFencing = Long.MIN_VALUE;
+
+    Roster(boolean checksFencing, Duration loadTime, ImmutableSet<ModelId> models, String role, long nowNanos) {
+        this.checksFencing = checksFencing;
+        this.loadNanos = loadTime.toNanos();
+        this.role = role;
+        models.forEach(model -> readyNanos.put(model, nowNanos));
+    }
+
+    /** Obeys the order, or returns false if its fencing number is old and the engine checks it. */
+    boolean obey(Order order, long fencingNumber, long nowNanos) {
+        if (checksFencing && fencingNumber < highestFencing) {
+            return false;
+        }
+        highestFencing = Math.max(highestFencing, fencingNumber);
+        switch (order) {
+            case LoadModel load -> readyNanos.putIfAbsent(load.model(), nowNanos + loadNanos);
+            case UnloadModel unload -> readyNanos.remove(unload.model());
+            case ChangeRole change -> role = change.role();
+        }
+        return true;
+    }
+
+    boolean isLoaded(ModelId model, long nowNanos) {
+        Long ready = readyNanos.get(model);
+        return ready != null && ready <= nowNanos;
+    }
+
+    ImmutableSet<ModelId> loaded(long nowNanos) {
+        ImmutableSet.Builder<ModelId> loaded = ImmutableSet.builder();
+        readyNanos.forEach((model, ready) -> {
+            if (ready <= nowNanos) {
+                loaded.add(model);
+            }
+        });
+        return loaded.build();
+    }
+
+    String role() {
+        return role;
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/Sequence.java
@@ -0,0 +1,93 @@
+package org.boragebarrow.standins.engine;
+
+import java.util.Comparator;
+
+import org.boragebarrow.model.AttemptId;
+
+import static com.google.common.base.Preconditions.checkState;
+
+/** A sequence that waits, runs or has ended. */
+final class Sequence {
+    /** Lower priorities first, then the order of arrival. */
+    static final Comparator<Sequence> ORDER =
+            Comparator.<Sequence>comparingInt(s -> s.request.priority()).thenComparingLong(s -> s.arrival);
+
+    private final SequenceRequest request;
+    private final long arrival;
+    private final long deadlineNanos;
+    private long heldTokens;
+    private long prefillTokens;
+    private long chunkTokens;
+    private int next;
+    private boolean inStep;
+
+    Sequence(SequenceRequest request, long arrival, long nowNanos) {
+        this.request = request;
+        this.arrival = arrival;
+        this.deadlineNanos = nowNanos + request.remaining().toNanos();
+        this.next = request.firstIndex();
+    }
+
+    AttemptId attempt() {
+        return request.attempt();
+    }
+
+    SequenceRequest request() {
+        return request;
+    }
+
+    long deadlineNanos() {
+        return deadlineNanos;
+    }
+
+    /** Returns the memory that the sequence holds now; 0 while it waits, unless it took over a reservation. */
+    long heldTokens() {
+        return heldTokens;
+    }
+
+    /** Returns the index of the next token. */
+    int next() {
+        return next;
+    }
+
+    boolean isDecoding() {
+        return prefillTokens == 0;
+    }
+
+    boolean isComplete() {
+        return next >= request.maxTokens();
+    }
+
+    boolean isInStep() {
+        return inStep;
+    }
+
+    void hold(long tokens) {
+        heldTokens = tokens;
+    }
+
+    void startPrefill(long tokens) {
+        prefillTokens = Math.max(1, tokens);
+    }
+
+    /** Joins the step that starts and returns how many of its prompt tokens the step takes in. */
+    long joinStep(long budgetTokens) {
+        inStep = true;
+        chunkTokens = Math.min(budgetTokens, prefillTokens);
+        return chunkTokens;
+    }
+
+    /** Ends the step; returns whether the sequence is ready to give a token. */
+    boolean leaveStep() {
+        checkState(inStep, "%s is in no step", attempt());
+        inStep = false;
+        prefillTokens -= chunkTokens;
+        chunkTokens = 0;
+        return prefillTokens == 0;
+    }
+
+    int takeToken() {
+        checkState(!isComplete(), "%s is complete", attempt());
+        return next++;
+    }
+}
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/TokenStreams.java
@@ -0,0 +1,160 @@
+package org.boragebarrow.standins.engine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import org.boragebarrow.http.engine.EngineProtocol;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.standins.web.WebResponse;
+
+/** Writes the tokens of sequences to the connections that listen to them; a sequence goes on without one. */
+final class TokenStreams implements SequenceSink {
+    private final Map<AttemptId, TokenStream> streams = new HashMap<>();
+    private final Set<TokenStream> dirty = new LinkedHashSet<>();
+    private long dropAfterTokens;
+    private long dieAfterTokens;
+    private boolean dying;
+
+    private static final class TokenStream {
+        private final WebResponse response;
+        private final SequenceRequest request;
+        private final StringBuilder text = new StringBuilder();
+        private boolean ended;
+
+        TokenStream(WebResponse response, SequenceRequest request) {
+            this.response = response;
+            this.request = request;
+        }
+
+        void event(String type, String data) {
+            text.append("event: ").append(type).append("\ndata: ").append(data).append("\n\n");
+        }
+
+        void token(int index) {
+            text.append("data: {\"index\":").append(index).append(",\"text\":\"");
+            text.append(TokenTexts.text(request.bodyHash(), index)).append("\"}\n\n");
+        }
+
+        void end() {
+            event(
+                    EngineProtocol.END_EVENT,
+                    "{\"count\":" + request.maxTokens() + ",\"prompt_tokens\":" + request.promptTokens()
+                            + ",\"finish_reason\":\"length\"}");
+            ended = true;
+        }
+
+        void flush() {
+            if (!text.isEmpty()) {
+                response.write(text.toString());
+                text.setLength(0);
+            }
+            if (ended) {
+                response.end();
+            }
+        }
+    }
+
+    /** Sends the tokens from the index on to the response, those that there are already at once. */
+    void attach(Sequence sequence, int firstIndex, WebResponse response) {
+        AttemptId attempt = sequence.attempt();
+        drop(attempt);
+        TokenStream stream = new TokenStream(response, sequence.request());
+        response.startStream(200, "text/event-stream");
+        response.onClose(() -> streams.remove(attempt, stream));
+        stream.event(
+                EngineProtocol.START_EVENT,
+                JsonNodeFactory.instance
+                        .objectNode()
+                        .put("attempt", attempt.toString())
+                        .toString());
+        for (int index = firstIndex; index < sequence.next(); index++) {
+            stream.token(index);
+        }
+        if (sequence.isComplete()) {
+            stream.end();
+        } else {
+            streams.put(attempt, stream);
+        }
+        dirty.add(stream);
+    }
+
+    /** Resets the connection that listens to the attempt, if there is one. */
+    void drop(AttemptId attempt) {
+        TokenStream stream = streams.remove(attempt);
+        if (stream != null) {
+            dirty.remove(stream);
+            stream.response.abort();
+        }
+    }
+
+    void dropAll() {
+        new ArrayList<>(streams.keySet()).forEach(this::drop);
+    }
+
+    /** Sends what has been written since the last flush. */
+    void flush() {
+        dirty.forEach(TokenStream::flush);
+        dirty.clear();
+    }
+
+    void setDropAfterTokens(long tokens) {
+        dropAfterTokens = tokens;
+    }
+
+    void setDieAfterTokens(long tokens) {
+        dieAfterTokens = tokens;
+    }
+
+    /** Returns whether the engine is to lose its state now, once. */
+    boolean takeDying() {
+        boolean taken = dying;
+        dying = false;
+        return taken;
+    }
+
+    @Override
+    public void onToken(AttemptId attempt, int index) {
+        if (dying) {
+            return;
+        }
+        TokenStream stream = streams.get(attempt);
+        if (stream != null) {
+            stream.token(index);
+            dirty.add(stream);
+        }
+        if (dropAfterTokens > 0 && stream != null && --dropAfterTokens == 0) {
+            stream.flush();
+            drop(attempt);
+        }
+        dying = dieAfterTokens > 0 && --dieAfterTokens == 0;
+    }
+
+    @Override
+    public void onEnd(AttemptId attempt) {
+        if (dying) {
+            return;
+        }
+        TokenStream stream = streams.remove(attempt);
+        if (stream != null) {
+            stream.end();
+            dirty.add(stream);
+        }
+    }
+
+    @Override
+    public void onStop(AttemptId attempt, String reason) {
+        if (dying) {
+            return;
+        }
+        TokenStream stream = streams.remove(attempt);
+        if (stream != null) {
+            stream.event(EngineProtocol.ERROR_EVENT, "{\"message\":\"" + reason + "\"}");
+            stream.ended = true;
+            dirty.add(stream);
+        }
+    }
+}
