--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/Section.java
@@ -0,0 +1,93 @@
+package org.boragebarrow.standins;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Function;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** One section of the file, which remembers the settings that were asked for, so that unknown ones can be refused. */
+final class Section {
+    private final String name;
+    private final SubnodeConfiguration configuration;
+    private final Set<String> known = new HashSet<>();
+
+    Section(String name, SubnodeConfiguration configuration) {
+        this.name = name;
+        this.configuration = configuration;
+    }
+
+    String name() {
+        return name;
+    }
+
+    /** Returns the text of a setting that must be there. */
+    String text(String key) {
+        String value = text(key, "");
+        checkArgument(!value.isEmpty(), "[%s] lacks %s", name, key);
+        return value;
+    }
+
+    String text(String key, String otherwise) {
+        known.add(key);
+        return configuration.getString(key, otherwise).trim();
+    }
+
+    int integer(String key, int otherwise) {
+        return parse(key, otherwise, Integer::parseInt);
+    }
+
+    long number(String key, long otherwise) {
+        return parse(key, otherwise, Long::parseLong);
+    }
+
+    double real(String key, double otherwise) {
+        return parse(key, otherwise, Double::parseDouble);
+    }
+
+    Duration millis(String key, Duration otherwise) {
+        return parse(key, otherwise, text -> Duration.ofMillis(Long.parseLong(text)));
+    }
+
+    Duration micros(String key, Duration otherwise) {
+        return parse(key, otherwise, text -> Duration.ofNanos(Math.multiplyExact(Long.parseLong(text), 1_000)));
+    }
+
+    boolean flag(String key, boolean otherwise) {
+        String value = text(key, Boolean.toString(otherwise));
+        checkArgument(value.equals("true") || value.equals("false"), "[%s] %s is not a flag: %s", name, key, value);
+        return value.equals("true");
+    }
+
+    Endpoint endpoint() {
+        return Endpoint.parse(text("endpoint"));
+    }
+
+    AvailabilityZoneId zone() {
+        return AvailabilityZoneId.of(text("zone"));
+    }
+
+    void checkNoUnknown() {
+        Set<String> unknown = Sets.difference(ImmutableSet.copyOf(configuration.getKeys()), known);
+        checkArgument(unknown.isEmpty(), "[%s] has unknown settings: %s", name, unknown);
+    }
+
+    private <T> T parse(String key, T otherwise, Function<String, T> parser) {
+        String value = text(key, "");
+        if (value.isEmpty()) {
+            return otherwise;
+        }
+        try {
+            return parser.apply(value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("[" + name + "] " + key + " is not a number: " + value, e);
+        }
+    }
+}
