Check that no commit is told otherwise than it went

Cause: the fake and the stand-in decide whether fault tests mean anything. Change: a property over FakeTable with random faults and orders of delivery, and 100 commits through HttpTableService against a failing stand-in; a scan with a negative limit is refused before it is sent. Conclusion: Committed, Conflict and Unavailable hold under the drawn faults.

--- a/boragebarrow-core/src/test/java/org/boragebarrow/testing/FakeTableTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/testing/FakeTableTest.java
@@ -1,9 +1,12 @@
 package org.boragebarrow.testing;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.collect.ImmutableList;
 import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
 import org.boragebarrow.port.TableService.CommitResult;
 import org.boragebarrow.port.TableService.Committed;
 import org.boragebarrow.port.TableService.Condition;
@@ -17,6 +20,7 @@
 
 class FakeTableTest {
     private static final long SEED = 7;
+    private static final int INSERTS = 8;
 
     private final FakeTable table = FakeTable.immediate(SEED);
 
@@ -90,6 +94,35 @@
         assertThat(outcomes()).isEqualTo(outcomes());
     }
 
+    @Property(seed = "20261204", tries = 300)
+    void noCommitIsToldOtherwiseThanItWent(@ForAll long seed) {
+        FakeTable fake = FakeTable.stepped(seed);
+        fake.setFaultRates(new FaultRates(0.1, 0.1, 0.1, 0.1));
+        ImmutableList<CompletableFuture<CommitResult>> inserts = insertsOfOneKey(fake);
+        while (fake.deliverAny()) {
+            continue;
+        }
+        Optional<Integer> winner = fake.rows().get("a").map(row -> Integer.valueOf(row.value()));
+        for (int i = 0; i < INSERTS; i++) {
+            boolean won = winner.equals(Optional.of(i));
+            switch (inserts.get(i).join()) {
+                case Committed committed -> assertThat(won).isTrue();
+                case Conflict conflict -> assertThat(won).isFalse();
+                case Unavailable unavailable -> assertThat(won).isFalse();
+                case Unknown unknown -> assertThat(fake.rows().commits()).isAtMost(1);
+            }
+        }
+    }
+
+    private static ImmutableList<CompletableFuture<CommitResult>> insertsOfOneKey(FakeTable table) {
+        ImmutableList.Builder<CompletableFuture<CommitResult>> inserts = ImmutableList.builder();
+        for (int i = 0; i < INSERTS; i++) {
+            Write write = Write.put("a", Integer.toString(i));
+            inserts.add(table.commit(ImmutableList.of(Condition.absent("a")), ImmutableList.of(write)));
+        }
+        return inserts.build();
+    }
+
     private static ImmutableList<CommitResult> outcomes() {
         FakeTable table = FakeTable.stepped(SEED);
         table.setFaultRates(new FaultRates(0.2, 0.2, 0.2, 0.2));
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/platform/HttpTableService.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/platform/HttpTableService.java
@@ -17,6 +17,8 @@
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.port.TableService;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 /**
  * Reaches the table service over HTTP.
  *
@@ -39,6 +41,7 @@
 
     @Override
     public CompletableFuture<ImmutableList<Row>> scan(String prefix, int limit) {
+        checkArgument(limit >= 0, "limit must not be negative: %s", limit);
         return rows("/table/scan", new ScanRequest(prefix, limit));
     }
 
--- a/boragebarrow-standins/src/test/java/org/boragebarrow/standins/platform/PlatformStandinTest.java
+++ b/boragebarrow-standins/src/test/java/org/boragebarrow/standins/platform/PlatformStandinTest.java
@@ -136,6 +136,19 @@
         assertThat(failure(objects.put("a", new byte[0]))).isInstanceOf(HttpCallException.class);
     }
 
+    @Example
+    void noCommitIsToldOtherwiseThanItWent() {
+        setFaults(new PlatformFaults(false, 0.2, 0.2, 0.2, 0, 0, 0, 0));
+        for (int i = 0; i < 100; i++) {
+            String key = "n/" + i;
+            CommitResult result = insert(table, key);
+            boolean exists = table.get(key).join().isPresent();
+            assertThat(result).isNotEqualTo(new Conflict());
+            assertThat(result.equals(new Unknown()) || exists == result.equals(new Committed()))
+                    .isTrue();
+        }
+    }
+
     @Example
     void staleReadsLagOnlyByTheSetCommits() {
         insert(table);
@@ -215,7 +228,11 @@
     }
 
     private static CommitResult insert(HttpTableService table) {
-        return table.commit(ImmutableList.of(Condition.absent("k/1")), ImmutableList.of(Write.put("k/1", "v")))
+        return insert(table, "k/1");
+    }
+
+    private static CommitResult insert(HttpTableService table, String key) {
+        return table.commit(ImmutableList.of(Condition.absent(key)), ImmutableList.of(Write.put(key, "v")))
                 .join();
     }
 
