Add claims of calls that may not be repeated

Cause: a keyed call must be dispatched at most once, whatever the table loses, delays or answers late. Change: package decision.claim: ClaimKeeper (one host's attempts), ClaimWriter (groups a zone's swaps into transactions). A release leaves a tombstone, so that a delayed insert conflicts; all writes are conditional on an exact row version.

--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/claim/ClaimKeeper.java
@@ -0,0 +1,250 @@
+package org.boragebarrow.decision.claim;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.Machine;
+import org.boragebarrow.decision.claim.ClaimAttempt.Phase;
+import org.boragebarrow.decision.claim.ClaimKeeperEffect.Granted;
+import org.boragebarrow.decision.claim.ClaimKeeperEffect.Read;
+import org.boragebarrow.decision.claim.ClaimKeeperEffect.Refused;
+import org.boragebarrow.decision.claim.ClaimKeeperEffect.Replayed;
+import org.boragebarrow.decision.claim.ClaimKeeperEffect.Swap;
+import org.boragebarrow.decision.claim.ClaimKeeperEvent.Abandoned;
+import org.boragebarrow.decision.claim.ClaimKeeperEvent.Answered;
+import org.boragebarrow.decision.claim.ClaimKeeperEvent.Finished;
+import org.boragebarrow.decision.claim.ClaimKeeperEvent.HostsListed;
+import org.boragebarrow.decision.claim.ClaimKeeperEvent.Interrupted;
+import org.boragebarrow.decision.claim.ClaimKeeperEvent.Requested;
+import org.boragebarrow.decision.claim.ClaimKeeperEvent.Ticked;
+import org.boragebarrow.decision.table.TableAnswer;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.port.TableService;
+import org.boragebarrow.port.TableService.CommitResult;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkState;
+
+/**
+ * Follows the claims of one host's attempts from the first insert to the kept answer or the tombstone.
+ *
+ * <p>A claim never lapses: it is replaced only by the attempt that made it, so a paused host can't lose one unnoticed.
+ * When this host dies with a claim, its key stays taken until the retention window has passed.
+ */
+public final class ClaimKeeper implements Machine<ClaimKeeperEvent, ClaimKeeperEffect> {
+    /** The most attempts that are followed at once. */
+    public static final int MAX_ATTEMPTS = 10_000;
+
+    private final Map<AttemptId, ClaimAttempt> attempts = new LinkedHashMap<>();
+    private final Map<Long, ClaimAttempt> calls = new HashMap<>();
+    private final PeriodReader period = new PeriodReader();
+    private ImmutableSet<HostLife> live = ImmutableSet.of();
+    private long lastCall;
+
+    /** Returns how many attempts still need this host: those that hold a claim, release one or record an outcome. */
+    public int unsettled() {
+        return attempts.size();
+    }
+
+    @Override
+    public ImmutableList<ClaimKeeperEffect> apply(ClaimKeeperEvent event, long nowNanos) {
+        Step step = new Step(nowNanos);
+        step.readPeriod();
+        switch (event) {
+            case Requested requested -> step.request(requested);
+            case Abandoned abandoned -> step.abandon(abandoned.attempt());
+            case Finished finished -> step.finish(finished.attempt(), Optional.of(finished.answer()));
+            case Interrupted interrupted -> step.finish(interrupted.attempt(), Optional.empty());
+            case Answered answered -> step.answer(answered);
+            case HostsListed listed -> live = listed.live();
+            case Ticked ticked -> step.tick();
+        }
+        return step.effects.build();
+    }
+
+    private boolean isLost(HostLife life) {
+        return !live.isEmpty() && !live.contains(life);
+    }
+
+    /** The handling of one event. */
+    private final class Step {
+        private final long nowNanos;
+        private final ImmutableList.Builder<ClaimKeeperEffect> effects = ImmutableList.builder();
+
+        Step(long nowNanos) {
+            this.nowNanos = nowNanos;
+        }
+
+        void readPeriod() {
+            if (period.isDue(nowNanos)) {
+                lastCall++;
+                period.sent(lastCall, nowNanos);
+                effects.add(new Read(lastCall, ClaimRows.PERIOD));
+            }
+        }
+
+        void request(Requested requested) {
+            checkArgument(!attempts.containsKey(requested.attempt()), "%s was used before", requested.attempt());
+            if (attempts.size() >= MAX_ATTEMPTS) {
+                effects.add(new Refused(requested.attempt(), ErrorKind.OVERLOADED, "too many claims are in progress"));
+                return;
+            }
+            Claim claim =
+                    Claim.of(Claim.State.CLAIMED, requested.attempt(), requested.requestHash(), period.numberOrFirst());
+            ClaimGoal goal = new ClaimGoal.Acquire(claim, ClaimKeeper.this::isLost);
+            ClaimAttempt attempt = new ClaimAttempt(requested, goal);
+            attempts.put(attempt.id, attempt);
+            if (period.isKnown(nowNanos)) {
+                // Most keys are new: an insert without a read before it saves a round trip.
+                act(attempt, new ClaimAction.Swap(0, claim));
+            } else {
+                attempt.retryLater(nowNanos);
+            }
+        }
+
+        void abandon(AttemptId id) {
+            ClaimAttempt attempt = attempts.get(id);
+            if (attempt != null && attempt.phase != Phase.ENDING) {
+                release(attempt);
+            }
+        }
+
+        void finish(AttemptId id, Optional<ClaimAnswer> answer) {
+            ClaimAttempt attempt = attempts.get(id);
+            checkState(attempt != null && attempt.phase == Phase.HELD, "%s was not granted", id);
+            long number = period.numberOrFirst();
+            Claim ended = answer.isPresent()
+                    ? Claim.done(id, attempt.requestHash, number, answer.get())
+                    : Claim.of(Claim.State.LOST, id, attempt.requestHash, number);
+            end(attempt, new ClaimGoal.Record(ended));
+        }
+
+        void answer(Answered answered) {
+            if (period.answer(answered.call(), answered.answer(), nowNanos)) {
+                return;
+            }
+            ClaimAttempt attempt = calls.remove(answered.call());
+            if (attempt == null || attempt.call != answered.call()) {
+                return;
+            }
+            attempt.call = ClaimAttempt.NO_CALL;
+            switch (answered.answer()) {
+                case TableAnswer.Found found ->
+                    act(
+                            attempt,
+                            attempt.goal.seen(found.row()
+                                    .map(row -> new ClaimGoal.Seen(row.version(), ClaimRows.decode(row.value())))));
+                case TableAnswer.Finished finished -> swapped(attempt, finished.result());
+                case TableAnswer.ReadFailed failed -> act(attempt, new ClaimAction.ReadLater());
+                case TableAnswer.Scanned scanned -> throw new IllegalStateException("no scan was asked for");
+            }
+        }
+
+        void tick() {
+            for (ClaimAttempt attempt : ImmutableList.copyOf(attempts.values())) {
+                if (attempt.phase == Phase.WAITING && nowNanos - attempt.deadlineNanos >= 0) {
+                    refuseUnavailable(attempt);
+                } else if (attempt.phase != Phase.HELD
+                        && attempt.call == ClaimAttempt.NO_CALL
+                        && nowNanos - attempt.retryNanos >= 0) {
+                    retry(attempt);
+                }
+            }
+        }
+
+        private void retry(ClaimAttempt attempt) {
+            if (attempt.goal instanceof ClaimGoal.Acquire acquire) {
+                if (!period.isKnown(nowNanos)) {
+                    attempt.retryLater(nowNanos);
+                    return;
+                }
+                attempt.goal = acquire.stamped(period.numberOrFirst());
+            }
+            act(attempt, new ClaimAction.Read());
+        }
+
+        private void swapped(ClaimAttempt attempt, CommitResult result) {
+            switch (result) {
+                case TableService.Committed committed -> act(attempt, attempt.goal.committed());
+                case TableService.Conflict conflict -> act(attempt, new ClaimAction.Read());
+                case TableService.Unavailable unavailable -> act(attempt, new ClaimAction.ReadLater());
+                case TableService.Unknown unknown -> {
+                    attempt.swapLost();
+                    act(attempt, new ClaimAction.ReadLater());
+                }
+            }
+        }
+
+        private void act(ClaimAttempt attempt, ClaimAction action) {
+            switch (action) {
+                case ClaimAction.Read read -> effects.add(new Read(call(attempt), attempt.key.row()));
+                case ClaimAction.ReadLater later -> attempt.retryLater(nowNanos);
+                case ClaimAction.Swap swap -> {
+                    attempt.swapSent(swap.version());
+                    String value = ClaimRows.encode(swap.claim());
+                    effects.add(new Swap(call(attempt), new ClaimSwap(attempt.key.row(), swap.version(), value)));
+                }
+                case ClaimAction.Grant grant -> grant(attempt);
+                case ClaimAction.Refuse refuse -> refuse(attempt, refuse.kind(), refuse.message());
+                case ClaimAction.Replay replay -> {
+                    effects.add(new Replayed(attempt.id, replay.answer()));
+                    release(attempt);
+                }
+                case ClaimAction.Settle settle -> settle(attempt);
+            }
+        }
+
+        private long call(ClaimAttempt attempt) {
+            lastCall++;
+            attempt.call = lastCall;
+            calls.put(lastCall, attempt);
+            return lastCall;
+        }
+
+        private void grant(ClaimAttempt attempt) {
+            checkState(attempt.phase == Phase.WAITING, "%s was granted in %s", attempt.id, attempt.phase);
+            attempt.phase = Phase.HELD;
+            if (nowNanos - attempt.deadlineNanos >= 0) {
+                refuseUnavailable(attempt);
+            } else {
+                effects.add(new Granted(attempt.id));
+            }
+        }
+
+        private void refuseUnavailable(ClaimAttempt attempt) {
+            refuse(attempt, ErrorKind.STORE_UNAVAILABLE, "the table service did not answer in time");
+        }
+
+        private void refuse(ClaimAttempt attempt, ErrorKind kind, String message) {
+            effects.add(new Refused(attempt.id, kind, message));
+            release(attempt);
+        }
+
+        private void release(ClaimAttempt attempt) {
+            if (!attempt.mayHoldClaim()) {
+                settle(attempt);
+                return;
+            }
+            Claim tombstone = Claim.of(Claim.State.RELEASED, attempt.id, attempt.requestHash, period.numberOrFirst());
+            end(attempt, new ClaimGoal.Release(tombstone, attempt.highestAwaited()));
+        }
+
+        private void settle(ClaimAttempt attempt) {
+            attempts.remove(attempt.id);
+            // An answer that is still on its way must not bring the attempt back.
+            attempt.call = ClaimAttempt.NO_CALL;
+        }
+
+        private void end(ClaimAttempt attempt, ClaimGoal goal) {
+            attempt.phase = Phase.ENDING;
+            attempt.goal = goal;
+            act(attempt, new ClaimAction.Read());
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/claim/ClaimSwap.java
@@ -0,0 +1,34 @@
+package org.boragebarrow.decision.claim;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.table.TableCall;
+import org.boragebarrow.port.TableService.Condition;
+import org.boragebarrow.port.TableService.Write;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Replaces one row if it is at an exact version; 0 means absent.
+ *
+ * <p>The version makes it safe to apply a swap late, twice or by several writers: it takes effect at most once, and never
+ * after the row has moved on.
+ */
+public record ClaimSwap(String key, long version, String value) {
+    public ClaimSwap {
+        checkNotNull(key);
+        checkArgument(version >= 0, "version must not be negative: %s", version);
+        checkNotNull(value);
+    }
+
+    /** Returns the transaction that applies all the swaps or none; their keys must differ. */
+    public static TableCall.Commit commit(ImmutableList<ClaimSwap> swaps) {
+        ImmutableList.Builder<Condition> conditions = ImmutableList.builder();
+        ImmutableList.Builder<Write> writes = ImmutableList.builder();
+        for (ClaimSwap swap : swaps) {
+            conditions.add(new Condition(swap.key, swap.version));
+            writes.add(Write.put(swap.key, swap.value));
+        }
+        return new TableCall.Commit(conditions.build(), writes.build());
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/claim/ClaimWriter.java
@@ -0,0 +1,104 @@
+package org.boragebarrow.decision.claim;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.Machine;
+import org.boragebarrow.decision.claim.ClaimWriterEffect.Commit;
+import org.boragebarrow.decision.claim.ClaimWriterEffect.Finished;
+import org.boragebarrow.decision.claim.ClaimWriterEvent.Answered;
+import org.boragebarrow.decision.claim.ClaimWriterEvent.Requested;
+import org.boragebarrow.port.TableService;
+import org.boragebarrow.port.TableService.CommitResult;
+
+/**
+ * Groups swaps into transactions, so that a zone's hosts share the table's writes.
+ *
+ * <p>It decides nothing about claims: any number of writers may run at once. A transaction that meets a conflict is split
+ * in halves until the swap at fault stands alone.
+ */
+public final class ClaimWriter implements Machine<ClaimWriterEvent, ClaimWriterEffect> {
+    /** The most swaps that wait; beyond it a swap is refused without effect. */
+    public static final int MAX_QUEUED = 4_096;
+
+    /** The most swaps in one transaction. */
+    public static final int MAX_BATCH = 64;
+
+    private static final int MAX_BATCH_CHARS = 256 * 1024;
+    private static final int MAX_IN_FLIGHT = 2;
+
+    private final Deque<Requested> queue = new ArrayDeque<>();
+    private final Deque<ImmutableList<Requested>> halves = new ArrayDeque<>();
+    private final Map<Long, ImmutableList<Requested>> inFlight = new HashMap<>();
+    private long lastCall;
+
+    @Override
+    public ImmutableList<ClaimWriterEffect> apply(ClaimWriterEvent event, long nowNanos) {
+        ImmutableList.Builder<ClaimWriterEffect> effects = ImmutableList.builder();
+        switch (event) {
+            case Requested requested -> request(requested, effects);
+            case Answered answered -> answer(answered, effects);
+        }
+        send(effects);
+        return effects.build();
+    }
+
+    private void request(Requested requested, ImmutableList.Builder<ClaimWriterEffect> effects) {
+        if (queue.size() == MAX_QUEUED) {
+            effects.add(new Finished(requested.request(), new TableService.Unavailable()));
+            return;
+        }
+        queue.add(requested);
+    }
+
+    private void answer(Answered answered, ImmutableList.Builder<ClaimWriterEffect> effects) {
+        ImmutableList<Requested> batch = inFlight.remove(answered.call());
+        if (batch == null) {
+            return;
+        }
+        CommitResult result = answered.result();
+        if (result instanceof TableService.Conflict && batch.size() > 1) {
+            int middle = batch.size() / 2;
+            halves.add(batch.subList(0, middle));
+            halves.add(batch.subList(middle, batch.size()));
+            return;
+        }
+        for (Requested requested : batch) {
+            effects.add(new Finished(requested.request(), result));
+        }
+    }
+
+    private void send(ImmutableList.Builder<ClaimWriterEffect> effects) {
+        while (inFlight.size() < MAX_IN_FLIGHT && !(halves.isEmpty() && queue.isEmpty())) {
+            ImmutableList<Requested> batch = halves.isEmpty() ? nextBatch() : halves.remove();
+            lastCall++;
+            inFlight.put(lastCall, batch);
+            ImmutableList<ClaimSwap> swaps =
+                    batch.stream().map(Requested::swap).collect(ImmutableList.toImmutableList());
+            effects.add(new Commit(lastCall, ClaimSwap.commit(swaps)));
+        }
+    }
+
+    /** Takes the oldest swaps, one a key. */
+    private ImmutableList<Requested> nextBatch() {
+        ImmutableList.Builder<Requested> batch = ImmutableList.builder();
+        Set<String> keys = new HashSet<>();
+        int chars = 0;
+        Iterator<Requested> waiting = queue.iterator();
+        while (waiting.hasNext() && keys.size() < MAX_BATCH && chars < MAX_BATCH_CHARS) {
+            Requested requested = waiting.next();
+            if (keys.add(requested.swap().key())) {
+                batch.add(requested);
+                chars += requested.swap().value().length();
+                waiting.remove();
+            }
+        }
+        return batch.build();
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/claim/ClaimFuzzTest.java
@@ -0,0 +1,106 @@
+package org.boragebarrow.decision.claim;
+
+import java.time.Duration;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.Transformer;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.testing.CommitFault;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class ClaimFuzzTest {
+    private static final String SEED = "20261204";
+    private static final int TRIES = 2_000;
+    private static final int MAX_STEPS = 150;
+
+    /** Dispatches and "not run" answers are checked at each step by {@link ClaimHost}. */
+    @Property(seed = SEED, tries = TRIES)
+    void aKeyIsDispatchedAtMostOnceAndIsNeverBlockedWithoutCause(@ForAll("chains") ActionChain<ClaimWorld> chain) {
+        ClaimWorld world = chain.run();
+        world.quiesce();
+        for (int i = 0; i < ClaimWorld.KEYS; i++) {
+            checkEnd(world, ClaimWorld.key(i));
+        }
+    }
+
+    private static void checkEnd(ClaimWorld world, ClaimKey key) {
+        ClaimWorld.CallRecord call = world.recordOf(key);
+        if (call.dispatched.isEmpty()) {
+            if (!call.crashed) {
+                ClaimKeeperEffect outcome = world.probe(key, "hash-0");
+                assertWithMessage("%s never ran", key).that(outcome).isInstanceOf(ClaimKeeperEffect.Granted.class);
+            }
+            return;
+        }
+        ClaimKeeperEffect outcome = world.probe(key, call.requestHash);
+        if (!call.answers.isEmpty() && !call.crashed) {
+            assertThat(outcome).isInstanceOf(ClaimKeeperEffect.Replayed.class);
+        }
+        if (call.answers.isEmpty()) {
+            assertThat(outcome).isInstanceOf(ClaimKeeperEffect.Refused.class);
+            assertThat(((ClaimKeeperEffect.Refused) outcome).kind()).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+        }
+        assertThat(((ClaimKeeperEffect.Refused) world.probe(key, "other")).kind())
+                .isEqualTo(ErrorKind.KEY_REUSED);
+    }
+
+    @Provide
+    Arbitrary<ActionChain<ClaimWorld>> chains() {
+        return ActionChain.startWith(ClaimWorld::new)
+                .withAction(8, requests())
+                .withAction(40, on("deliver", Arbitraries.integers().between(0, 50), ClaimWorld::deliver))
+                .withAction(6, on("fail next commit", Arbitraries.of(CommitFault.class), ClaimWorld::failNext))
+                .withAction(
+                        6,
+                        on(
+                                "advance ms",
+                                Arbitraries.of(10, 100, 3_000),
+                                (world, millis) -> world.advance(Duration.ofMillis(millis))))
+                .withAction(6, onHost("dispatch", ClaimHost::dispatch))
+                .withAction(3, onHost("finish", ClaimHost::finish))
+                .withAction(2, onHost("interrupt", ClaimHost::interrupt))
+                .withAction(3, onHost("abandon granted", ClaimHost::abandonGranted))
+                .withAction(3, onHost("abandon waiting", ClaimHost::abandonWaiting))
+                .withAction(2, onHost("pause", ClaimHost::pause))
+                .withAction(3, onHost("resume", ClaimHost::resume))
+                .withAction(1, on("crash", hostIndexes(), ClaimWorld::crash))
+                .withAction(1, on("down", Arbitraries.of(true, false), (world, down) -> world.table.setDown(down)))
+                .withAction(2, on("double swaps", Arbitraries.of(true, false), (world, on) -> world.doubled = on))
+                .withMaxTransformations(MAX_STEPS);
+    }
+
+    private static Action.Independent<ClaimWorld> requests() {
+        Arbitrary<Integer> key = Arbitraries.integers().between(0, ClaimWorld.KEYS - 1);
+        Arbitrary<String> hash = Arbitraries.frequency(Tuple.of(9, "hash-0"), Tuple.of(1, "hash-1"));
+        Arbitrary<Duration> limit = Arbitraries.of(Duration.ofMillis(50), Duration.ofSeconds(10));
+        return () -> Combinators.combine(hostIndexes(), key, hash, limit)
+                .as((h, k, text, time) -> Transformer.mutate(
+                        "request key " + k + " with " + text + " at host " + h,
+                        world -> world.hosts.get(h).request(ClaimWorld.key(k), text, time)));
+    }
+
+    private static Arbitrary<Integer> hostIndexes() {
+        return Arbitraries.integers().between(0, ClaimWorld.HOSTS - 1);
+    }
+
+    private static Action.Independent<ClaimWorld> onHost(String name, Consumer<ClaimHost> step) {
+        return on(name, hostIndexes(), (world, host) -> step.accept(world.hosts.get(host)));
+    }
+
+    private static <T> Action.Independent<ClaimWorld> on(
+            String name, Arbitrary<T> values, BiConsumer<ClaimWorld, T> step) {
+        return () -> values.map(value -> Transformer.mutate(name + " " + value, world -> step.accept(world, value)));
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/claim/ClaimWorld.java
@@ -0,0 +1,179 @@
+package org.boragebarrow.decision.claim;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.table.TableAnswer;
+import org.boragebarrow.decision.table.TableCall;
+import org.boragebarrow.decision.table.TableDriver;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.port.TableService;
+import org.boragebarrow.testing.CommitFault;
+import org.boragebarrow.testing.FakeTable;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** Hosts and claim writers over one table, and an oracle that knows which attempts really ran. */
+final class ClaimWorld {
+    static final int HOSTS = 3;
+    static final int KEYS = 2;
+
+    private static final long SEED = 7;
+    private static final int STALE_COMMITS = 2;
+    private static final int PROBE_ROUNDS = 100;
+    private static final int MAX_ROUNDS = 2_000;
+    private static final OrganisationId ORGANISATION = OrganisationId.of("kalibrasi");
+
+    final FakeTable table = FakeTable.stepped(SEED);
+    private final TableDriver driver = new TableDriver(table);
+    final List<ClaimHost> hosts = new ArrayList<>();
+    final Map<ClaimKey, CallRecord> records = new HashMap<>();
+    long nowNanos = 1;
+    boolean doubled;
+    private final List<ClaimWriter> writers = List.of(new ClaimWriter(), new ClaimWriter());
+    private final Map<Long, SwapDone> requests = new HashMap<>();
+    private long lastRequest;
+    private long answers;
+
+    ClaimWorld() {
+        table.setStaleCommits(STALE_COMMITS);
+        for (int i = 0; i < HOSTS; i++) {
+            hosts.add(new ClaimHost(this, "host-" + i, 1));
+        }
+    }
+
+    static ClaimKey key(int index) {
+        return ClaimKey.of(ORGANISATION, "booking-" + index);
+    }
+
+    CallRecord recordOf(ClaimKey key) {
+        return records.computeIfAbsent(key, k -> new CallRecord());
+    }
+
+    void deliver(int index) {
+        driver.deliver(index);
+    }
+
+    void advance(Duration time) {
+        nowNanos += time.toNanos();
+        hosts.forEach(host -> host.receive(new ClaimKeeperEvent.Ticked()));
+    }
+
+    void failNext(CommitFault fault) {
+        table.failNextCommit(fault);
+    }
+
+    void crash(int index) {
+        ClaimHost old = hosts.get(index);
+        old.crash();
+        hosts.set(
+                index,
+                new ClaimHost(
+                        this, old.life.host().value(), old.life.incarnation().value() + 1));
+        ImmutableSet<HostLife> live = hosts.stream().map(host -> host.life).collect(ImmutableSet.toImmutableSet());
+        hosts.forEach(host -> host.receive(new ClaimKeeperEvent.HostsListed(live)));
+    }
+
+    void read(String row, ClaimHost host, long call) {
+        driver.call(new TableCall.Get(row), answer -> host.receive(new ClaimKeeperEvent.Answered(call, answer)));
+    }
+
+    /**
+     * Sends a swap through one writer or, when doubled, through both.
+     *
+     * <p>The first answer counts, except that a refusal counts only when the other copy is refused too.
+     */
+    void swap(ClaimSwap swap, ClaimHost host, long call) {
+        int first = (int) (call % writers.size());
+        int[] copies = {doubled ? 2 : 1};
+        SwapDone done = result -> {
+            copies[0]--;
+            if (!(result instanceof TableService.Unavailable) || copies[0] == 0) {
+                host.receive(new ClaimKeeperEvent.Answered(call, new TableAnswer.Finished(result)));
+            }
+        };
+        request(writers.get(first), swap, done);
+        if (doubled) {
+            request(writers.get(1 - first), swap, done);
+        }
+    }
+
+    private void request(ClaimWriter writer, ClaimSwap swap, SwapDone done) {
+        lastRequest++;
+        requests.put(lastRequest, done);
+        drive(writer, new ClaimWriterEvent.Requested(lastRequest, swap));
+    }
+
+    private void drive(ClaimWriter writer, ClaimWriterEvent event) {
+        for (ClaimWriterEffect effect : writer.apply(event, nowNanos)) {
+            switch (effect) {
+                case ClaimWriterEffect.Commit commit ->
+                    driver.call(
+                            commit.commit(),
+                            answer -> drive(
+                                    writer,
+                                    new ClaimWriterEvent.Answered(
+                                            commit.call(), ((TableAnswer.Finished) answer).result())));
+                case ClaimWriterEffect.Finished finished ->
+                    requests.remove(finished.request()).accept(finished.result());
+            }
+        }
+    }
+
+    ClaimAnswer newAnswer() {
+        answers++;
+        ImmutableListMultimap<String, String> headers = ImmutableListMultimap.of("Content-Type", "text/plain");
+        return new ClaimAnswer(200, headers, ClaimAnswer.Inline.of(("slot " + answers).getBytes(UTF_8)));
+    }
+
+    /** Ends all faults and lets every host finish what it has begun. */
+    void quiesce() {
+        table.setStaleCommits(0);
+        table.setDown(false);
+        doubled = false;
+        hosts.forEach(ClaimHost::resume);
+        for (int round = 0; round < MAX_ROUNDS; round++) {
+            driver.deliverAll();
+            hosts.forEach(ClaimHost::windUp);
+            if (table.pending() == 0 && hosts.stream().allMatch(host -> host.unsettled() == 0)) {
+                return;
+            }
+            advance(Duration.ofMillis(100));
+        }
+        throw new AssertionError("attempts never settle");
+    }
+
+    /** Sends one more attempt without any fault and returns what becomes of it. */
+    ClaimKeeperEffect probe(ClaimKey key, String requestHash) {
+        ClaimHost host = hosts.get(0);
+        AttemptId attempt = host.request(key, requestHash, Duration.ofMinutes(1));
+        for (int round = 0; round < PROBE_ROUNDS && !host.outcomes.containsKey(attempt); round++) {
+            driver.deliverAll();
+            advance(Duration.ofMillis(100));
+        }
+        ClaimKeeperEffect outcome = host.outcomes.get(attempt);
+        assertWithMessage("outcome of %s", attempt).that(outcome).isNotNull();
+        return outcome;
+    }
+
+    /** Receives the result of a swap. */
+    interface SwapDone {
+        void accept(TableService.CommitResult result);
+    }
+
+    /** What really happened with one key. */
+    static final class CallRecord {
+        final List<AttemptId> dispatched = new ArrayList<>();
+        final List<ClaimAnswer> answers = new ArrayList<>();
+        String requestHash = "";
+        boolean crashed;
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/table/TableDriver.java
@@ -0,0 +1,46 @@
+package org.boragebarrow.decision.table;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.boragebarrow.testing.FakeTable;
+
+/** Makes table calls for machines under test; a failure of a machine fails the step that delivered its event. */
+public final class TableDriver {
+    private final FakeTable table;
+    private Optional<Throwable> failure = Optional.empty();
+
+    /** Creates a driver of the table. */
+    public TableDriver(FakeTable table) {
+        this.table = table;
+    }
+
+    /** Makes a call and hands its answer to the receiver in a later step. */
+    public void call(TableCall call, Consumer<TableAnswer> receiver) {
+        TableCalls.make(call, table).thenAccept(receiver).whenComplete((done, e) -> {
+            if (e != null && failure.isEmpty()) {
+                failure = Optional.of(e);
+            }
+        });
+    }
+
+    /** Takes one of the steps that wait. */
+    public void deliver(int index) {
+        if (table.pending() > 0) {
+            table.deliver(index % table.pending());
+        }
+        check();
+    }
+
+    /** Takes all steps. */
+    public void deliverAll() {
+        table.deliverAll();
+        check();
+    }
+
+    private void check() {
+        if (failure.isPresent()) {
+            throw new AssertionError(failure.get());
+        }
+    }
+}
