Add authenticated links between hosts and their messages

Cause: hosts have to exchange grants, changes, reports and heartbeats. Change: protobuf envelope (generated code committed), one-way links with a mutual HMAC handshake, a bounded queue while a link opens, length-limited frames; a bad frame closes that link alone. Links are known by endpoint, since a probe does not know which host answers.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/model/RequestException.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/model/RequestException.java
@@ -32,9 +32,15 @@
         return new RequestException(checkNotNull(kind), kind.ran(), checkNotNull(message), retryAfter);
     }
 
-    /** Returns this failure with a weaker statement about execution. */
+    /** Returns this failure with another statement about execution, which must not be stronger than the kind's. */
+    public RequestException withRan(Ran statement) {
+        checkArgument(statement == Ran.UNKNOWN || statement == kind.ran(), "%s cannot say %s", kind, statement);
+        return new RequestException(kind, statement, getMessage(), retryAfter);
+    }
+
+    /** Returns this failure with the weakest statement about execution. */
     public RequestException withRanUnknown() {
-        return new RequestException(kind, Ran.UNKNOWN, getMessage(), retryAfter);
+        return withRan(Ran.UNKNOWN);
     }
 
     /** Returns the kind. */
--- /dev/null
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/AcceptHandler.java
@@ -0,0 +1,86 @@
+package org.boragebarrow.peer.link;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.peer.proto.Challenge;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.proto.Hello;
+import org.boragebarrow.peer.proto.Welcome;
+
+/** The accepting side of a link: challenges the connecting host, then delivers its messages. */
+final class AcceptHandler extends SimpleChannelInboundHandler<Envelope> {
+    static final String HELLO = "hello";
+    static final String WELCOME = "welcome";
+
+    private final PeerIdentity self;
+    private final PeerKey key;
+    private final PeerListener listener;
+    private final byte[] challenge = PeerKey.newNonce();
+
+    private HostLife peer;
+
+    AcceptHandler(PeerIdentity self, PeerKey key, PeerListener listener) {
+        this.self = self;
+        this.key = key;
+        this.listener = listener;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        Challenge message =
+                Challenge.newBuilder().setNonce(ByteString.copyFrom(challenge)).build();
+        context.writeAndFlush(Envelope.newBuilder().setChallenge(message).build());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope message) {
+        if (peer != null) {
+            listener.onMessage(peer, message);
+            return;
+        }
+        if (!message.hasHello()) {
+            reject(context, "the first message was not a hello");
+            return;
+        }
+        authenticate(context, message.getHello());
+    }
+
+    private void authenticate(ChannelHandlerContext context, Hello hello) {
+        PeerIdentity identity;
+        try {
+            HostLife life = HostLife.of(HostId.of(hello.getHost()), Incarnation.of(hello.getIncarnation()));
+            identity = new PeerIdentity(life, AvailabilityZoneId.of(hello.getZone()));
+        } catch (IllegalArgumentException e) {
+            reject(context, e.getMessage());
+            return;
+        }
+        byte[] nonce = hello.getNonce().toByteArray();
+        if (!key.verify(hello.getMac().toByteArray(), HELLO, challenge, nonce, identity.signedForm())) {
+            reject(context, "wrong peer key from " + context.channel().remoteAddress());
+            return;
+        }
+        context.pipeline().remove(PeerPipelines.HANDSHAKE_TIMEOUT);
+        peer = identity.life();
+        String host = self.life().host().value();
+        Welcome welcome = Welcome.newBuilder()
+                .setHost(host)
+                .setMac(ByteString.copyFrom(key.sign(WELCOME, challenge, nonce, host)))
+                .build();
+        context.writeAndFlush(Envelope.newBuilder().setWelcome(welcome).build());
+    }
+
+    private void reject(ChannelHandlerContext context, String reason) {
+        listener.onRejected(reason);
+        context.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        reject(context, String.valueOf(cause.getMessage()));
+    }
+}
--- /dev/null
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/ConnectHandler.java
@@ -0,0 +1,82 @@
+package org.boragebarrow.peer.link;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.proto.Hello;
+import org.boragebarrow.peer.proto.Welcome;
+
+/** The connecting side of a link: answers the challenge and checks the accepting host's proof. */
+final class ConnectHandler extends SimpleChannelInboundHandler<Envelope> {
+    private final PeerIdentity self;
+    private final PeerKey key;
+    private final Link link;
+    private final PeerListener listener;
+    private final byte[] nonce = PeerKey.newNonce();
+
+    private byte[] challenge;
+
+    ConnectHandler(PeerIdentity self, PeerKey key, Link link, PeerListener listener) {
+        this.self = self;
+        this.key = key;
+        this.link = link;
+        this.listener = listener;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope message) {
+        switch (message.getBodyCase()) {
+            case CHALLENGE -> answer(context, message.getChallenge().getNonce().toByteArray());
+            case WELCOME -> check(context, message.getWelcome());
+            default ->
+                reject(
+                        context,
+                        "unexpected " + message.getBodyCase() + " from "
+                                + context.channel().remoteAddress());
+        }
+    }
+
+    private void answer(ChannelHandlerContext context, byte[] received) {
+        if (challenge != null) {
+            reject(context, "second challenge from " + context.channel().remoteAddress());
+            return;
+        }
+        challenge = received;
+        Hello hello = Hello.newBuilder()
+                .setHost(self.life().host().value())
+                .setIncarnation(self.life().incarnation().value())
+                .setZone(self.zone().value())
+                .setNonce(ByteString.copyFrom(nonce))
+                .setMac(ByteString.copyFrom(key.sign(AcceptHandler.HELLO, challenge, nonce, self.signedForm())))
+                .build();
+        context.writeAndFlush(Envelope.newBuilder().setHello(hello).build());
+    }
+
+    private void check(ChannelHandlerContext context, Welcome welcome) {
+        byte[] mac = welcome.getMac().toByteArray();
+        boolean proven =
+                challenge != null && key.verify(mac, AcceptHandler.WELCOME, challenge, nonce, welcome.getHost());
+        if (!proven) {
+            reject(context, "no proof of the peer key from " + context.channel().remoteAddress());
+            return;
+        }
+        context.pipeline().remove(PeerPipelines.HANDSHAKE_TIMEOUT);
+        link.opened(context.channel());
+    }
+
+    private void reject(ChannelHandlerContext context, String reason) {
+        listener.onRejected(reason);
+        context.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        link.closed();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/Link.java
@@ -0,0 +1,123 @@
+package org.boragebarrow.peer.link;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.socket.SocketChannel;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.peer.proto.Envelope;
+
+/**
+ * The link to one peer: opened by the first message, opened again by the first message after it broke.
+ *
+ * <p>Thread-safe. Messages wait in a bounded queue until the handshake is done; a message that finds the queue full or
+ * the channel congested is dropped, which the sender learns at once.
+ */
+final class Link {
+    private static final int MAX_WAITING = 256;
+
+    private final Endpoint endpoint;
+    private final PeerIdentity self;
+    private final PeerKey key;
+    private final PeerListener listener;
+    private final Bootstrap bootstrap;
+
+    @GuardedBy("this") private final Deque<Envelope> waiting = new ArrayDeque<>();
+
+    @GuardedBy("this") private Channel channel;
+
+    @GuardedBy("this") private boolean opening;
+
+    @GuardedBy("this") private boolean shut;
+
+    Link(Endpoint endpoint, PeerIdentity self, PeerKey key, PeerListener listener, Bootstrap bootstrap) {
+        this.endpoint = endpoint;
+        this.self = self;
+        this.key = key;
+        this.listener = listener;
+        this.bootstrap = bootstrap;
+    }
+
+    boolean send(Envelope message) {
+        synchronized (this) {
+            if (shut) {
+                return false;
+            }
+            if (channel != null) {
+                boolean writable = channel.isWritable();
+                if (writable) {
+                    channel.writeAndFlush(message, channel.voidPromise());
+                }
+                return writable;
+            }
+            if (waiting.size() >= MAX_WAITING) {
+                return false;
+            }
+            waiting.add(message);
+            if (opening) {
+                return true;
+            }
+            opening = true;
+        }
+        open();
+        return true;
+    }
+
+    private void open() {
+        ChannelInitializer<SocketChannel> initializer = new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel created) {
+                PeerPipelines.install(created.pipeline());
+                created.pipeline().addLast(new ConnectHandler(self, key, Link.this, listener));
+            }
+        };
+        InetSocketAddress address = new InetSocketAddress(endpoint.address(), endpoint.port());
+        ChannelFuture connecting = bootstrap.clone().handler(initializer).connect(address);
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                closed();
+            }
+        });
+    }
+
+    void opened(Channel ready) {
+        synchronized (this) {
+            opening = false;
+            channel = ready;
+            if (shut) {
+                ready.close();
+                return;
+            }
+            while (!waiting.isEmpty()) {
+                ready.write(waiting.poll(), ready.voidPromise());
+            }
+            ready.flush();
+        }
+        listener.onLinkUp(endpoint);
+    }
+
+    void closed() {
+        synchronized (this) {
+            opening = false;
+            channel = null;
+            waiting.clear();
+        }
+        listener.onLinkDown(endpoint);
+    }
+
+    void shut() {
+        synchronized (this) {
+            shut = true;
+            waiting.clear();
+            if (channel != null) {
+                channel.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerIdentity.java
@@ -0,0 +1,18 @@
+package org.boragebarrow.peer.link;
+
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.HostLife;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Who a host says it is when it opens a link. */
+public record PeerIdentity(HostLife life, AvailabilityZoneId zone) {
+    public PeerIdentity {
+        checkNotNull(life);
+        checkNotNull(zone);
+    }
+
+    String signedForm() {
+        return life + "@" + zone;
+    }
+}
--- /dev/null
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerKey.java
@@ -0,0 +1,56 @@
+package org.boragebarrow.peer.link;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** The shared key by which hosts prove to each other that they belong to one deployment. */
+public final class PeerKey {
+    /** The shortest key, in bytes. */
+    public static final int MIN_BYTES = 16;
+
+    private static final int NONCE_BYTES = 32;
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    private final HashFunction mac;
+
+    private PeerKey(byte[] key) {
+        this.mac = Hashing.hmacSha256(key);
+    }
+
+    /** Returns a key of the given bytes. */
+    public static PeerKey of(byte[] key) {
+        checkArgument(key.length >= MIN_BYTES, "the peer key has %s bytes, fewer than %s", key.length, MIN_BYTES);
+        return new PeerKey(key.clone());
+    }
+
+    static byte[] newNonce() {
+        byte[] nonce = new byte[NONCE_BYTES];
+        RANDOM.nextBytes(nonce);
+        return nonce;
+    }
+
+    /** Returns the code over the purpose, both nonces and the identity; each part is preceded by its length. */
+    byte[] sign(String purpose, byte[] challenge, byte[] nonce, String identity) {
+        Hasher hasher = mac.newHasher();
+        putPart(hasher, purpose.getBytes(StandardCharsets.UTF_8));
+        putPart(hasher, challenge);
+        putPart(hasher, nonce);
+        putPart(hasher, identity.getBytes(StandardCharsets.UTF_8));
+        return hasher.hash().asBytes();
+    }
+
+    boolean verify(byte[] code, String purpose, byte[] challenge, byte[] nonce, String identity) {
+        return MessageDigest.isEqual(code, sign(purpose, challenge, nonce, identity));
+    }
+
+    private static void putPart(Hasher hasher, byte[] part) {
+        hasher.putInt(part.length).putBytes(part);
+    }
+}
--- /dev/null
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
@@ -0,0 +1,102 @@
+package org.boragebarrow.peer.link;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.peer.proto.Envelope;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** All links of one host: those it opens to send and those it accepts to receive. Thread-safe. */
+public final class PeerLinks implements PeerSender, AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final WriteBufferWaterMark BACKLOG_BYTES = new WriteBufferWaterMark(1 << 20, 4 << 20);
+
+    private final PeerIdentity self;
+    private final PeerKey key;
+    private final PeerListener listener;
+    private final Bootstrap bootstrap;
+    private final Channel server;
+    private final Map<Endpoint, Link> links = new ConcurrentHashMap<>();
+
+    private PeerLinks(PeerIdentity self, PeerKey key, PeerListener listener, EventLoopGroup group, Endpoint endpoint) {
+        this.self = self;
+        this.key = key;
+        this.listener = listener;
+        this.bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, BACKLOG_BYTES);
+        this.server = listen(group, endpoint);
+    }
+
+    /**
+     * Starts listening for peers.
+     *
+     * @throws RuntimeException if the endpoint cannot be bound
+     */
+    public static PeerLinks start(
+            PeerIdentity self, PeerKey key, PeerListener listener, EventLoopGroup group, Endpoint endpoint) {
+        return new PeerLinks(
+                checkNotNull(self), checkNotNull(key), checkNotNull(listener), group, checkNotNull(endpoint));
+    }
+
+    private Channel listen(EventLoopGroup group, Endpoint endpoint) {
+        ChannelInitializer<SocketChannel> initializer = new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel accepted) {
+                PeerPipelines.install(accepted.pipeline());
+                accepted.pipeline().addLast(new AcceptHandler(self, key, listener));
+            }
+        };
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer)
+                .bind(new InetSocketAddress(endpoint.address(), endpoint.port()))
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Returns where this host listens; tells the real port when port 0 was asked for. */
+    public Endpoint endpoint() {
+        InetSocketAddress address = (InetSocketAddress) server.localAddress();
+        return Endpoint.of(address.getAddress().getHostAddress(), address.getPort());
+    }
+
+    @Override
+    public boolean send(Endpoint peer, Envelope message) {
+        Link link = links.computeIfAbsent(checkNotNull(peer), at -> new Link(at, self, key, listener, bootstrap));
+        return link.send(checkNotNull(message));
+    }
+
+    /** Closes the link to a peer that is gone for good. */
+    public void forget(Endpoint peer) {
+        Link link = links.remove(checkNotNull(peer));
+        if (link != null) {
+            link.shut();
+        }
+    }
+
+    @Override
+    public void close() {
+        server.close().syncUninterruptibly();
+        links.values().forEach(Link::shut);
+    }
+}
--- /dev/null
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/GrantMessages.java
@@ -0,0 +1,216 @@
+package org.boragebarrow.peer.wire;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.ImmutableLongArray;
+import org.boragebarrow.decision.dispatch.DispatchEffect;
+import org.boragebarrow.decision.dispatch.DispatchEvent;
+import org.boragebarrow.decision.dispatch.DispatchEvent.HeldGrant;
+import org.boragebarrow.decision.dispatch.DispatchEvent.Outcome;
+import org.boragebarrow.decision.dispatch.GrantRequest;
+import org.boragebarrow.decision.dispatch.Work;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.peer.proto.Attempt;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.proto.FinishGrant;
+import org.boragebarrow.peer.proto.GrantGiven;
+import org.boragebarrow.peer.proto.GrantQueued;
+import org.boragebarrow.peer.proto.GrantRefused;
+import org.boragebarrow.peer.proto.PromptWork;
+import org.boragebarrow.peer.proto.RenewGrants;
+import org.boragebarrow.peer.proto.SubmitGrant;
+import org.boragebarrow.peer.proto.WithdrawGrant;
+
+/**
+ * Translates grants.
+ *
+ * <p>A deadline travels as the time that remains, since clocks of two hosts have nothing in common. Methods that read
+ * throw {@link IllegalArgumentException} on values that the types do not allow.
+ */
+public final class GrantMessages {
+    private static final Outcome[] OUTCOMES = Outcome.values();
+
+    private GrantMessages() {}
+
+    /** Returns the message form of an attempt id. */
+    public static Attempt toAttempt(AttemptId attempt) {
+        return Attempt.newBuilder()
+                .setHost(attempt.owner().host().value())
+                .setIncarnation(attempt.owner().incarnation().value())
+                .setCounter(attempt.counter())
+                .build();
+    }
+
+    /** Reads an attempt id. */
+    public static AttemptId fromAttempt(Attempt attempt) {
+        HostLife owner = HostLife.of(HostId.of(attempt.getHost()), Incarnation.of(attempt.getIncarnation()));
+        return AttemptId.of(owner, attempt.getCounter());
+    }
+
+    /** Returns the message that asks for a grant. */
+    public static Envelope submit(GrantRequest request, long nowNanos) {
+        return Envelope.newBuilder().setSubmitGrant(toSubmit(request, nowNanos)).build();
+    }
+
+    private static SubmitGrant toSubmit(GrantRequest request, long nowNanos) {
+        SubmitGrant.Builder message = SubmitGrant.newBuilder()
+                .setAttempt(toAttempt(request.attempt()))
+                .setOrganisation(request.organisation().value())
+                .setRemainingMillis(TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos))
+                .setSpilled(request.spilled());
+        request.excluded().forEach(target -> message.addExcluded(target.value()));
+        switch (request.work()) {
+            case Work.Prompt prompt -> message.setPrompt(toPrompt(prompt));
+            case Work.ServiceCall call -> message.setService(call.service().value());
+        }
+        return message.build();
+    }
+
+    private static PromptWork toPrompt(Work.Prompt prompt) {
+        return PromptWork.newBuilder()
+                .setModel(prompt.model().value())
+                .setPromptTokens(prompt.promptTokens())
+                .setMaxTokens(prompt.maxTokens())
+                .addAllPrefix(prompt.prefix().asList())
+                .build();
+    }
+
+    /** Reads the question for a grant. */
+    public static GrantRequest fromSubmit(SubmitGrant message, long nowNanos) {
+        ImmutableSet<TargetId> excluded =
+                message.getExcludedList().stream().map(TargetId::of).collect(ImmutableSet.toImmutableSet());
+        return new GrantRequest(
+                fromAttempt(message.getAttempt()),
+                OrganisationId.of(message.getOrganisation()),
+                fromWork(message),
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(message.getRemainingMillis()),
+                excluded,
+                message.getSpilled());
+    }
+
+    private static Work fromWork(SubmitGrant message) {
+        if (message.hasService()) {
+            return new Work.ServiceCall(ServiceName.of(message.getService()));
+        }
+        PromptWork prompt = message.getPrompt();
+        return new Work.Prompt(
+                ModelId.of(prompt.getModel()),
+                prompt.getPromptTokens(),
+                prompt.getMaxTokens(),
+                ImmutableLongArray.copyOf(prompt.getPrefixList()));
+    }
+
+    /** Returns the message that gives an attempt up. */
+    public static Envelope withdraw(AttemptId attempt) {
+        WithdrawGrant message =
+                WithdrawGrant.newBuilder().setAttempt(toAttempt(attempt)).build();
+        return Envelope.newBuilder().setWithdrawGrant(message).build();
+    }
+
+    /** Returns the message that renews grants. */
+    public static Envelope renew(ImmutableList<HeldGrant> grants, long nowNanos) {
+        RenewGrants.Builder message = RenewGrants.newBuilder();
+        for (HeldGrant grant : grants) {
+            org.boragebarrow.peer.proto.HeldGrant.Builder held = message.addGrantsBuilder();
+            held.setRequest(toSubmit(grant.request(), nowNanos));
+            grant.targets().forEach(target -> held.addTargets(target.value()));
+        }
+        return Envelope.newBuilder().setRenewGrants(message).build();
+    }
+
+    /** Reads a renewal. */
+    public static DispatchEvent.Renewed fromRenew(HostLife front, RenewGrants message, long nowNanos) {
+        ImmutableList.Builder<HeldGrant> grants = ImmutableList.builder();
+        message.getGrantsList()
+                .forEach(held -> grants.add(
+                        new HeldGrant(fromSubmit(held.getRequest(), nowNanos), targets(held.getTargetsList()))));
+        return new DispatchEvent.Renewed(front, grants.build());
+    }
+
+    private static ImmutableList<TargetId> targets(Iterable<String> names) {
+        ImmutableList.Builder<TargetId> targets = ImmutableList.builder();
+        names.forEach(name -> targets.add(TargetId.of(name)));
+        return targets.build();
+    }
+
+    /** Returns the message that a granted attempt ended. */
+    public static Envelope finish(AttemptId attempt, TargetId target, int answerTokens, Outcome outcome) {
+        FinishGrant message = FinishGrant.newBuilder()
+                .setAttempt(toAttempt(attempt))
+                .setTarget(target.value())
+                .setAnswerTokens(answerTokens)
+                .setOutcomeValue(outcome.ordinal())
+                .build();
+        return Envelope.newBuilder().setFinishGrant(message).build();
+    }
+
+    /** Reads the end of a granted attempt. */
+    public static DispatchEvent.Finished fromFinish(FinishGrant message) {
+        int outcome = message.getOutcomeValue();
+        if (outcome < 0 || outcome >= OUTCOMES.length) {
+            throw new IllegalArgumentException("unknown outcome " + outcome);
+        }
+        return new DispatchEvent.Finished(
+                fromAttempt(message.getAttempt()),
+                TargetId.of(message.getTarget()),
+                message.getAnswerTokens(),
+                OUTCOMES[outcome]);
+    }
+
+    /** Returns the message that an attempt waits in the dispatcher's queue. */
+    public static Envelope queued(AttemptId attempt) {
+        GrantQueued message =
+                GrantQueued.newBuilder().setAttempt(toAttempt(attempt)).build();
+        return Envelope.newBuilder().setGrantQueued(message).build();
+    }
+
+    /** Returns the message that lets an attempt run. */
+    public static Envelope given(DispatchEffect.Granted granted) {
+        GrantGiven.Builder message = GrantGiven.newBuilder()
+                .setAttempt(toAttempt(granted.attempt()))
+                .setPriority(granted.priority())
+                .setLeaseMillis(granted.lease().toMillis());
+        granted.targets().forEach(target -> message.addTargets(target.value()));
+        return Envelope.newBuilder().setGrantGiven(message).build();
+    }
+
+    /** Reads a grant. */
+    public static DispatchEffect.Granted fromGiven(GrantGiven message) {
+        return new DispatchEffect.Granted(
+                fromAttempt(message.getAttempt()),
+                targets(message.getTargetsList()),
+                message.getPriority(),
+                Duration.ofMillis(message.getLeaseMillis()));
+    }
+
+    /** Returns the message that refuses an attempt. */
+    public static Envelope refused(DispatchEffect.Refused refused) {
+        GrantRefused message = GrantRefused.newBuilder()
+                .setAttempt(toAttempt(refused.attempt()))
+                .setKind(refused.kind().name())
+                .setMessage(refused.message())
+                .setRetryAfterMillis(refused.retryAfter().toMillis())
+                .build();
+        return Envelope.newBuilder().setGrantRefused(message).build();
+    }
+
+    /** Reads a refusal. */
+    public static DispatchEffect.Refused fromRefused(GrantRefused message) {
+        return new DispatchEffect.Refused(
+                fromAttempt(message.getAttempt()),
+                ErrorKind.valueOf(message.getKind()),
+                message.getMessage(),
+                Duration.ofMillis(message.getRetryAfterMillis()));
+    }
+}
--- /dev/null
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/ReportMessages.java
@@ -0,0 +1,85 @@
+package org.boragebarrow.peer.wire;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.peer.proto.CacheEvents;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.proto.Load;
+import org.boragebarrow.peer.proto.TargetReport;
+import org.boragebarrow.port.EngineControl;
+
+/** Translates what observers report of targets. */
+public final class ReportMessages {
+    private ReportMessages() {}
+
+    /** Returns the message that a target is reachable or not, with an engine's load and cache events if there are any. */
+    public static Envelope report(
+            TargetId target,
+            boolean reachable,
+            Optional<EngineControl.LoadReport> load,
+            Optional<EngineControl.CacheEvents> cache) {
+        TargetReport.Builder message =
+                TargetReport.newBuilder().setTarget(target.value()).setReachable(reachable);
+        load.ifPresent(report -> message.setLoad(toLoad(report)));
+        cache.ifPresent(events -> message.setCache(toCache(events)));
+        return Envelope.newBuilder().setTargetReport(message).build();
+    }
+
+    private static Load toLoad(EngineControl.LoadReport report) {
+        Load.Builder load = Load.newBuilder()
+                .setAgeMillis(report.age().toMillis())
+                .setCapacityTokens(report.capacityTokens())
+                .setUsedTokens(report.usedTokens())
+                .setBatchSlots(report.batchSlots())
+                .setRunning(report.running())
+                .setQueued(report.queued())
+                .setPrefillTokensPerSecond(report.prefillTokensPerSecond())
+                .setDecodeTokensPerSecond(report.decodeTokensPerSecond())
+                .setRole(report.role())
+                .setAccepting(report.accepting());
+        report.models().forEach(model -> load.addModels(model.value()));
+        return load.build();
+    }
+
+    /** Reads an engine's load. */
+    public static EngineControl.LoadReport fromLoad(Load load) {
+        return new EngineControl.LoadReport(
+                Duration.ofMillis(load.getAgeMillis()),
+                load.getCapacityTokens(),
+                load.getUsedTokens(),
+                load.getBatchSlots(),
+                load.getRunning(),
+                load.getQueued(),
+                load.getPrefillTokensPerSecond(),
+                load.getDecodeTokensPerSecond(),
+                load.getModelsList().stream().map(ModelId::of).collect(ImmutableSet.toImmutableSet()),
+                load.getRole(),
+                load.getAccepting());
+    }
+
+    private static CacheEvents toCache(EngineControl.CacheEvents events) {
+        CacheEvents.Builder message =
+                CacheEvents.newBuilder().setFirst(events.first()).setNext(events.next());
+        for (EngineControl.CacheEvent event : events.events()) {
+            if (event.stored()) {
+                message.addStored(event.blockHash());
+            } else {
+                message.addEvicted(event.blockHash());
+            }
+        }
+        return message.build();
+    }
+
+    /** Reads an engine's cache events; evictions come first, so that a block stored again counts as cached. */
+    public static EngineControl.CacheEvents fromCache(CacheEvents message) {
+        ImmutableList.Builder<EngineControl.CacheEvent> events = ImmutableList.builder();
+        message.getEvictedList().forEach(hash -> events.add(new EngineControl.CacheEvent(hash, false)));
+        message.getStoredList().forEach(hash -> events.add(new EngineControl.CacheEvent(hash, true)));
+        return new EngineControl.CacheEvents(message.getFirst(), message.getNext(), events.build());
+    }
+}
