Add the HTTP server with bounded connections, headers and bodies

Cause: callers and operators need a port that bad input cannot exhaust. Change: Netty's codec with limits on connections, header and body bytes, all buffered bytes, pipelining and idle time; bodies stay unpooled views, so a retry needs no copy. Conclusion: the front can be built on it.

--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
@@ -0,0 +1,140 @@
+package org.boragebarrow.http.server;
+
+import java.nio.ByteBuffer;
+import java.util.Map;
+
+import com.google.common.collect.ImmutableListMultimap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** Writes one answer to a channel. */
+final class ChannelResponse implements ServerResponse {
+    private static final Runnable NOTHING = () -> {};
+
+    /** Receives whether the connection carries on after the answer. */
+    interface Completion {
+        void answered(boolean keepAlive);
+    }
+
+    private final Channel channel;
+    private final boolean keepAlive;
+    private final Completion completion;
+
+    private Runnable closeAction = NOTHING;
+    private Runnable writabilityAction = NOTHING;
+    private boolean finished;
+
+    ChannelResponse(Channel channel, boolean keepAlive, Completion completion) {
+        this.channel = channel;
+        this.keepAlive = keepAlive;
+        this.completion = completion;
+    }
+
+    @Override
+    public EventLoop eventLoop() {
+        return channel.eventLoop();
+    }
+
+    @Override
+    public boolean isOpen() {
+        return !finished && channel.isActive();
+    }
+
+    @Override
+    public boolean isWritable() {
+        return channel.isWritable();
+    }
+
+    @Override
+    public void send(int status, ImmutableListMultimap<String, String> headers, ByteBuffer body) {
+        if (!isOpen()) {
+            return;
+        }
+        DefaultFullHttpResponse message = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+        setHeaders(message.headers(), headers);
+        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.remaining());
+        channel.writeAndFlush(message, channel.voidPromise());
+        finish();
+    }
+
+    @Override
+    public void start(int status, ImmutableListMultimap<String, String> headers) {
+        if (!isOpen()) {
+            return;
+        }
+        DefaultHttpResponse message = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        setHeaders(message.headers(), headers);
+        message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        channel.writeAndFlush(message, channel.voidPromise());
+    }
+
+    private void setHeaders(HttpHeaders to, ImmutableListMultimap<String, String> from) {
+        for (Map.Entry<String, String> header : from.entries()) {
+            to.add(header.getKey(), header.getValue());
+        }
+        to.set(HttpHeaderNames.CONNECTION, keepAlive ? HttpHeaderValues.KEEP_ALIVE : HttpHeaderValues.CLOSE);
+    }
+
+    @Override
+    public void write(ByteBuffer part) {
+        if (isOpen() && part.hasRemaining()) {
+            channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)), channel.voidPromise());
+        }
+    }
+
+    @Override
+    public void end() {
+        if (!isOpen()) {
+            return;
+        }
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT, channel.voidPromise());
+        finish();
+    }
+
+    private void finish() {
+        finished = true;
+        completion.answered(keepAlive);
+    }
+
+    @Override
+    public void abort() {
+        if (isOpen()) {
+            finished = true;
+            channel.close();
+        }
+    }
+
+    @Override
+    public void onClose(Runnable action) {
+        closeAction = action;
+    }
+
+    @Override
+    public void onWritabilityChanged(Runnable action) {
+        writabilityAction = action;
+    }
+
+    void writabilityChanged() {
+        if (!finished) {
+            writabilityAction.run();
+        }
+    }
+
+    void connectionClosed() {
+        if (!finished) {
+            finished = true;
+            closeAction.run();
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -0,0 +1,228 @@
+package org.boragebarrow.http.server;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+import java.util.Map;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.RequestException;
+
+/**
+ * Collects one request at a time and hands it on; pipelined requests wait in a bounded queue until the answer before
+ * them ended.
+ */
+final class ConnectionHandler extends ChannelInboundHandlerAdapter {
+    /** Parts of pipelined requests that are held before the connection is no longer read. */
+    private static final int MAX_QUEUED_PARTS = 64;
+
+    private final ServerLimits limits;
+    private final ServerHandler handler;
+    private final BodyBudget budget;
+    private final Deque<HttpObject> queued = new ArrayDeque<>();
+
+    private ChannelHandlerContext context;
+    private HttpRequest head;
+    private ImmutableList.Builder<ByteBuffer> body;
+    private int bodyBytes;
+    private ChannelResponse response;
+    private boolean closing;
+
+    ConnectionHandler(ServerLimits limits, ServerHandler handler, BodyBudget budget) {
+        this.limits = limits;
+        this.handler = handler;
+        this.budget = budget;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ignored, Object message) {
+        HttpObject part = (HttpObject) message;
+        if (closing) {
+            ReferenceCountUtil.release(part);
+            return;
+        }
+        if (response != null) {
+            queued.add(part);
+            if (queued.size() >= MAX_QUEUED_PARTS) {
+                context.channel().config().setAutoRead(false);
+            }
+            return;
+        }
+        accept(part);
+    }
+
+    private void accept(HttpObject part) {
+        DecoderResult result = part.decoderResult();
+        if (result.isFailure()) {
+            refuse(malformed(result.cause()));
+            return;
+        }
+        if (part instanceof HttpRequest request) {
+            begin(request);
+        }
+        if (!closing && part instanceof HttpContent content) {
+            append(content);
+        }
+    }
+
+    private static RequestException malformed(Throwable cause) {
+        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        ErrorKind kind = tooLong ? ErrorKind.REQUEST_TOO_LARGE : ErrorKind.BAD_REQUEST;
+        return RequestException.of(kind, "malformed HTTP request: " + cause.getMessage());
+    }
+
+    private void begin(HttpRequest request) {
+        head = request;
+        body = ImmutableList.builder();
+        bodyBytes = 0;
+        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+            refuse(bodyTooLarge());
+            return;
+        }
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void append(HttpContent content) {
+        ByteBuf bytes = content.content();
+        int size = bytes.readableBytes();
+        if (bodyBytes + size > limits.maxBodyBytes()) {
+            refuse(bodyTooLarge());
+            return;
+        }
+        if (!budget.tryAcquire(size)) {
+            refuse(RequestException.of(ErrorKind.OVERLOADED, "the host holds too many request bodies"));
+            return;
+        }
+        bodyBytes += size;
+        if (size > 0) {
+            // Unpooled heap memory: the garbage collector frees it, however long a retry keeps the view.
+            body.add(bytes.nioBuffer().asReadOnlyBuffer());
+        }
+        if (content instanceof LastHttpContent) {
+            dispatch();
+        }
+    }
+
+    private RequestException bodyTooLarge() {
+        return RequestException.of(
+                ErrorKind.REQUEST_TOO_LARGE, "the body is longer than " + limits.maxBodyBytes() + " bytes");
+    }
+
+    private void dispatch() {
+        boolean keepAlive = HttpUtil.isKeepAlive(head);
+        ServerRequest request =
+                new ServerRequest(head.method().name(), head.uri(), headersOf(head), body.build(), bodyBytes);
+        head = null;
+        body = null;
+        response = new ChannelResponse(context.channel(), keepAlive, this::onAnswered);
+        try {
+            handler.onRequest(request, response);
+        } catch (RequestException e) {
+            handler.onRefused(e, response);
+        }
+    }
+
+    private static ImmutableListMultimap<String, String> headersOf(HttpRequest request) {
+        ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
+        for (Map.Entry<String, String> header : request.headers()) {
+            headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue());
+        }
+        return headers.build();
+    }
+
+    private void refuse(RequestException refusal) {
+        closing = true;
+        ChannelResponse answer = new ChannelResponse(context.channel(), false, this::onAnswered);
+        response = answer;
+        handler.onRefused(refusal, answer);
+    }
+
+    private void onAnswered(boolean keepAlive) {
+        budget.release(bodyBytes);
+        bodyBytes = 0;
+        response = null;
+        if (!keepAlive) {
+            closing = true;
+            context.channel().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        // Continues from the event loop, so that a long pipeline cannot overflow the stack.
+        context.executor().execute(this::drain);
+    }
+
+    private void drain() {
+        while (response == null && !closing && !queued.isEmpty()) {
+            accept(queued.poll());
+        }
+        if (queued.size() < MAX_QUEUED_PARTS) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ignored, Object event) {
+        boolean idle = event instanceof IdleStateEvent;
+        if (!idle || response != null) {
+            return;
+        }
+        if (head == null) {
+            context.close();
+            return;
+        }
+        refuse(RequestException.of(ErrorKind.BAD_REQUEST, "the request did not arrive whole in time"));
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ignored) {
+        if (response != null) {
+            response.writabilityChanged();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ignored) {
+        closing = true;
+        queued.forEach(ReferenceCountUtil::release);
+        queued.clear();
+        budget.release(bodyBytes);
+        bodyBytes = 0;
+        if (response != null) {
+            ChannelResponse broken = response;
+            response = null;
+            broken.connectionClosed();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ignored, Throwable cause) {
+        context.close();
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
@@ -0,0 +1,104 @@
+package org.boragebarrow.http.server;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import org.boragebarrow.model.Endpoint;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Listens on one port. Thread-safe. */
+public final class HttpServer implements AutoCloseable {
+    private static final int MAX_CHUNK_BYTES = 64 << 10;
+    private static final int BACKLOG = 1_024;
+    private static final WriteBufferWaterMark ANSWER_BUFFER_BYTES = new WriteBufferWaterMark(32 << 10, 128 << 10);
+
+    private final ServerLimits limits;
+    private final ServerHandler handler;
+    private final BodyBudget budget;
+    private final AtomicInteger connections = new AtomicInteger();
+    private final Channel channel;
+
+    private HttpServer(EventLoopGroup group, Endpoint endpoint, ServerLimits limits, ServerHandler handler) {
+        this.limits = limits;
+        this.handler = handler;
+        this.budget = new BodyBudget(limits.maxBufferedBytes());
+        this.channel = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, ANSWER_BUFFER_BYTES)
+                .childHandler(new Initializer())
+                .bind(new InetSocketAddress(endpoint.address(), endpoint.port()))
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /**
+     * Starts listening.
+     *
+     * @throws RuntimeException if the endpoint cannot be bound
+     */
+    public static HttpServer start(
+            EventLoopGroup group, Endpoint endpoint, ServerLimits limits, ServerHandler handler) {
+        return new HttpServer(checkNotNull(group), checkNotNull(endpoint), checkNotNull(limits), checkNotNull(handler));
+    }
+
+    /** Returns where the server listens; tells the real port when port 0 was asked for. */
+    public Endpoint endpoint() {
+        InetSocketAddress address = (InetSocketAddress) channel.localAddress();
+        return Endpoint.of(address.getAddress().getHostAddress(), address.getPort());
+    }
+
+    /** Returns the number of open connections. */
+    public int connections() {
+        return connections.get();
+    }
+
+    /** Returns the bytes of all request bodies that are held now. */
+    public long bufferedBytes() {
+        return budget.held();
+    }
+
+    /** Stops accepting connections; those that are open carry on. */
+    @Override
+    public void close() {
+        channel.close().syncUninterruptibly();
+    }
+
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel accepted) {
+            if (connections.incrementAndGet() > limits.maxConnections()) {
+                connections.decrementAndGet();
+                accepted.close();
+                return;
+            }
+            accepted.closeFuture().addListener(closed -> connections.decrementAndGet());
+            HttpDecoderConfig config = new HttpDecoderConfig()
+                    .setMaxInitialLineLength(limits.maxHeaderBytes())
+                    .setMaxHeaderSize(limits.maxHeaderBytes())
+                    .setMaxChunkSize(MAX_CHUNK_BYTES);
+            accepted.pipeline()
+                    .addLast(new IdleStateHandler(limits.idle().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
+                    .addLast(new HttpServerCodec(config))
+                    .addLast(new ConnectionHandler(limits, handler, budget));
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ServerRequest.java
@@ -0,0 +1,32 @@
+package org.boragebarrow.http.server;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+
+/**
+ * A whole request.
+ *
+ * @param target the path and query, as sent
+ * @param headers names in lower case
+ * @param body read-only views of the received bytes
+ */
+public record ServerRequest(
+        String method,
+        String target,
+        ImmutableListMultimap<String, String> headers,
+        ImmutableList<ByteBuffer> body,
+        int bodyBytes) {
+    /** Returns the path without the query. */
+    public String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+
+    /** Returns the only value of a header, or empty if it is missing; the first if it is repeated. */
+    public Optional<String> header(String name) {
+        return headers.get(name).stream().findFirst();
+    }
+}
