Add the host's settings, rings, log events and metrics

Cause: the duties need bounded rings, checked settings and numbered events. Conclusion: the duties can be wired.

--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/log/LogEvent.java
@@ -0,0 +1,76 @@
+package org.boragebarrow.node.log;
+
+import java.lang.System.Logger.Level;
+
+/** Every event that a host logs, with its number, level and message; numbers are never used again. */
+public enum LogEvent {
+    /** The host serves. */
+    HOST_STARTED(1001, Level.INFO, "host {0} serves callers on {1}, operators on {2}, peers on {3}"),
+    /** The host was told to stop. */
+    HOST_DRAINING(1002, Level.INFO, "host drains: {0} requests in progress"),
+    /** The host has ended. */
+    HOST_STOPPED(1003, Level.INFO, "host stopped, {0} requests cut off"),
+    /** A duty's thread met a fault. */
+    DUTY_FAILED(1004, Level.ERROR, "duty {0} failed on one event: {1}"),
+    /** The host is ready or no longer ready. */
+    READINESS_CHANGED(1005, Level.INFO, "ready: {0}"),
+    /** A peer connection was closed for breaking the protocol. */
+    PEER_REJECTED(2001, Level.WARNING, "peer connection rejected: {0}"),
+    /** The link to a peer broke or could not be opened. */
+    PEER_LINK_DOWN(2002, Level.DEBUG, "link to {0} is down"),
+    /** The zone's members changed. */
+    MEMBERS_CHANGED(2003, Level.INFO, "members of the zone: {0}"),
+    /** Another availability zone is heard from again or no longer. */
+    ZONE_HEARD_CHANGED(2004, Level.WARNING, "availability zone {0} heard: {1}"),
+    /** This host's view of who dispatches changed. */
+    DISPATCHER_CHANGED(2005, Level.INFO, "dispatcher of the zone: {0}"),
+    /** A configuration change is in force. */
+    CHANGE_APPLIED(3001, Level.INFO, "change {0} is in force"),
+    /** The change log could not be read. */
+    CHANGE_LOG_UNREACHABLE(3002, Level.WARNING, "change log unreachable: {0}"),
+    /** An operator's change was accepted. */
+    CHANGE_ACCEPTED(3003, Level.INFO, "change {0} accepted: {1}"),
+    /** The host list could not be read. */
+    HOST_LIST_UNREACHABLE(3004, Level.WARNING, "host list unreachable, the last one stays in use: {0}"),
+    /** The dispatcher did not answer in time. */
+    DISPATCHER_SILENT(4001, Level.WARNING, "dispatcher {0} did not answer for attempt {1}; choosing a target locally"),
+    /** A target failed an attempt. */
+    TARGET_FAILED(4002, Level.WARNING, "target {0} failed attempt {1}: {2}"),
+    /** A request was refused or failed. */
+    REQUEST_FAILED(4003, Level.DEBUG, "request {0} failed with {1}: {2}"),
+    /** A late or foreign message was dropped. */
+    STRAY_MESSAGE(4004, Level.DEBUG, "stray message for attempt {0} dropped"),
+    /** Something that holds memory at an engine without an owner was cancelled. */
+    ORPHAN_CANCELLED(4005, Level.INFO, "cancelled {0} at target {1}, whose owner is gone"),
+    /** A keyed call's outcome is in doubt. */
+    CLAIM_IN_DOUBT(5001, Level.WARNING, "claim of attempt {0} is in doubt; reading it back"),
+    /** The planner's lease was gained or lost. */
+    LEASE_CHANGED(6001, Level.INFO, "planner lease held: {0}, fencing number {1}"),
+    /** An order was sent to an engine. */
+    ORDER_SENT(6002, Level.INFO, "order {0} sent to {1} with fencing number {2}");
+
+    private final int number;
+    private final Level level;
+    private final String message;
+
+    LogEvent(int number, Level level, String message) {
+        this.number = number;
+        this.level = level;
+        this.message = message;
+    }
+
+    /** Returns the event's number. */
+    public int number() {
+        return number;
+    }
+
+    /** Returns the level that the event is logged at. */
+    public Level level() {
+        return level;
+    }
+
+    /** Returns the message's pattern, in the form of {@link java.text.MessageFormat}. */
+    public String message() {
+        return message;
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/log/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events; docs/EVENTS.md is their catalogue. */
+package org.boragebarrow.node.log;
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
@@ -0,0 +1,134 @@
+package org.boragebarrow.node.metrics;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.LengthClass;
+import org.boragebarrow.model.OrganisationId;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * The meters of one host. Thread-safe.
+ *
+ * <p>Series are bounded: organisations beyond the limit share the series {@code other}.
+ */
+public final class HostMetrics {
+    private static final String OTHER = "other";
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Set<OrganisationId> named = ConcurrentHashMap.newKeySet();
+    private final Map<SeriesKey, Timer> timers = new ConcurrentHashMap<>();
+    private final int maxOrganisations;
+    private final Counter retries = registry.counter("boragebarrow.retries");
+    private final Counter strays = registry.counter("boragebarrow.stray.messages");
+    private final Counter callersGone = registry.counter("boragebarrow.callers.gone");
+    private final Counter peersRejected = registry.counter("boragebarrow.peers.rejected");
+    private final Counter localChoices = registry.counter("boragebarrow.local.choices");
+
+    private record SeriesKey(String name, String organisation, LengthClass lengthClass) {}
+
+    /** Creates meters with own series for so many organisations. */
+    public HostMetrics(int maxOrganisations) {
+        checkArgument(maxOrganisations > 0, "organisations must be positive: %s", maxOrganisations);
+        this.maxOrganisations = maxOrganisations;
+    }
+
+    /** Records the time from arrival to the grant, in nanoseconds. */
+    public void queued(OrganisationId organisation, LengthClass lengthClass, long nanos) {
+        timer("boragebarrow.queued", organisation, lengthClass).record(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Records the time from arrival to the first token, in nanoseconds. */
+    public void firstToken(OrganisationId organisation, LengthClass lengthClass, long nanos) {
+        timer("boragebarrow.first.token", organisation, lengthClass).record(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Records the time between two tokens, in nanoseconds. */
+    public void betweenTokens(OrganisationId organisation, LengthClass lengthClass, long nanos) {
+        timer("boragebarrow.between.tokens", organisation, lengthClass).record(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Records the time from arrival to the end of a whole answer, in nanoseconds. */
+    public void completed(OrganisationId organisation, LengthClass lengthClass, long nanos) {
+        timer("boragebarrow.completed", organisation, lengthClass).record(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Counts a request that was refused or failed. */
+    public void failed(ErrorKind kind) {
+        registry.counter("boragebarrow.failed", "kind", kind.name()).increment();
+    }
+
+    /** Counts a repeated attempt. */
+    public void retried() {
+        retries.increment();
+    }
+
+    /** Counts a late or foreign message. */
+    public void strayMessage() {
+        strays.increment();
+    }
+
+    /** Counts a caller that closed its connection early. */
+    public void callerGone() {
+        callersGone.increment();
+    }
+
+    /** Counts a peer connection that was closed for breaking the protocol. */
+    public void peerRejected() {
+        peersRejected.increment();
+    }
+
+    /** Counts a target that was chosen without the dispatcher. */
+    public void choseLocally() {
+        localChoices.increment();
+    }
+
+    /** Publishes a value that is read when operators scrape. */
+    public void gauge(String name, Supplier<Number> value) {
+        Gauge.builder(checkNotNull(name), checkNotNull(value)).register(registry);
+    }
+
+    /** Returns all meters in the form that Prometheus reads. */
+    public String scrape() {
+        return registry.scrape();
+    }
+
+    private Timer timer(String name, OrganisationId organisation, LengthClass lengthClass) {
+        SeriesKey key = new SeriesKey(name, series(organisation), lengthClass);
+        return timers.computeIfAbsent(key, this::register);
+    }
+
+    private Timer register(SeriesKey key) {
+        return Timer.builder(key.name())
+                .tag("organisation", key.organisation())
+                .tag("length", key.lengthClass().name().toLowerCase(Locale.ROOT))
+                .publishPercentileHistogram()
+                .minimumExpectedValue(Duration.ofMillis(1))
+                .maximumExpectedValue(Duration.ofMinutes(10))
+                .register(registry);
+    }
+
+    private String series(OrganisationId organisation) {
+        if (named.contains(organisation)) {
+            return organisation.value();
+        }
+        if (named.size() >= maxOrganisations) {
+            return OTHER;
+        }
+        named.add(organisation);
+        return organisation.value();
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** What a host measures, in the form that operators scrape. */
+package org.boragebarrow.node.metrics;
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/ring/package-info.java
@@ -0,0 +1,2 @@
+/** Joins duties: each has one thread that consumes a bounded ring. */
+package org.boragebarrow.node.ring;
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettings.java
@@ -0,0 +1,61 @@
+package org.boragebarrow.node.settings;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.boragebarrow.http.server.ServerLimits;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.Target;
+
+/**
+ * The checked settings of one host.
+ *
+ * @param grantTimeout how long the dispatcher may stay silent before a target is chosen locally
+ * @param drainGrace how long a draining host keeps accepting, so that the balancer notices first
+ */
+public record HostSettings(
+        HostId id,
+        AvailabilityZoneId zone,
+        Endpoint callers,
+        ServerLimits callerLimits,
+        Endpoint admin,
+        Secret adminToken,
+        Endpoint peers,
+        Secret peerKey,
+        ImmutableList<Seed> seeds,
+        Platform platform,
+        int maxRequests,
+        int ringCapacity,
+        Duration grantTimeout,
+        Duration drainGrace,
+        int maxOrganisationSeries,
+        ImmutableMap<ServiceName, ServiceSettings> services,
+        ImmutableList<Target> targets) {
+    /** Where the platform's services listen. */
+    public record Platform(Endpoint table, Endpoint objects, Endpoint hostList, Endpoint weights, Duration timeout) {}
+
+    /**
+     * Reads and checks a settings file.
+     *
+     * @throws SettingsException with everything that is wrong
+     * @throws IOException if the file cannot be read
+     */
+    public static HostSettings read(Path path) throws IOException {
+        return HostSettingsReader.read(SettingsFile.read(path));
+    }
+
+    /**
+     * Checks the text of a settings file.
+     *
+     * @throws SettingsException with everything that is wrong
+     */
+    public static HostSettings parse(String text) {
+        return HostSettingsReader.read(SettingsFile.parse(text));
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
@@ -0,0 +1,117 @@
+package org.boragebarrow.node.settings;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+
+/** Every key that a settings file may hold. */
+public final class SettingKeys {
+    private static final String ENDPOINT = "IP number and port";
+    private static final String SECRET = "file:PATH or env:NAME";
+    private static final int GIBIBYTE = 1 << 30;
+    private static final int MINUTE_MILLIS = 60_000;
+
+    static final Setting<HostId> HOST_ID =
+            Setting.required("host", "id", "id", "The host's name, unique in the deployment.", HostId::of);
+    static final Setting<AvailabilityZoneId> HOST_ZONE =
+            Setting.required("host", "zone", "id", "The host's availability zone.", AvailabilityZoneId::of);
+    static final Setting<Endpoint> CALLERS_ENDPOINT =
+            Setting.required("callers", "endpoint", ENDPOINT, "Where callers connect.", Endpoint::parse);
+    static final Setting<Integer> MAX_CONNECTIONS = Setting.integer(
+            "callers", "max-connections", "connections", 10_000, 1, 1_000_000, "Connections beyond this are closed.");
+    static final Setting<Integer> MAX_HEADER_BYTES = Setting.integer(
+            "callers", "max-header-bytes", "bytes", 16_384, 1_024, 1_048_576, "The longest request head.");
+    static final Setting<Integer> MAX_BODY_BYTES = Setting.integer(
+            "callers", "max-body-bytes", "bytes", 16_777_216, 1_024, GIBIBYTE, "The longest request body.");
+    static final Setting<Integer> MAX_BUFFERED_BYTES = Setting.integer(
+            "callers", "max-buffered-bytes", "bytes", 268_435_456, 1_024, GIBIBYTE, "All bodies held at once.");
+    static final Setting<Duration> IDLE = Setting.millis(
+            "callers", "idle-ms", MINUTE_MILLIS, 100, 60 * MINUTE_MILLIS, "How long a connection may stay idle.");
+    static final Setting<Endpoint> ADMIN_ENDPOINT =
+            Setting.required("admin", "endpoint", ENDPOINT, "Where operators connect.", Endpoint::parse);
+    static final Setting<Secret> ADMIN_TOKEN =
+            Setting.required("admin", "token", SECRET, "The operators' token.", Secret::parse);
+    static final Setting<Endpoint> PEERS_ENDPOINT =
+            Setting.required("peers", "endpoint", ENDPOINT, "Where other hosts connect.", Endpoint::parse);
+    static final Setting<Secret> PEERS_KEY =
+            Setting.required("peers", "key", SECRET, "The key that all hosts share, 16 bytes or more.", Secret::parse);
+    static final Setting<ImmutableList<Seed>> PEERS_SEEDS =
+            Setting.list("peers", "seeds", "list of host@zone@address:port", "Hosts to find first.", Seed::parse);
+    static final Setting<Endpoint> TABLE =
+            Setting.required("platform", "table", ENDPOINT, "The table service.", Endpoint::parse);
+    static final Setting<Endpoint> OBJECTS =
+            Setting.required("platform", "objects", ENDPOINT, "The object store.", Endpoint::parse);
+    static final Setting<Endpoint> HOST_LIST =
+            Setting.required("platform", "host-list", ENDPOINT, "The list of live and leaving hosts.", Endpoint::parse);
+    static final Setting<Endpoint> WEIGHTS =
+            Setting.required("platform", "weights", ENDPOINT, "The weight store.", Endpoint::parse);
+    static final Setting<Duration> PLATFORM_TIMEOUT = Setting.millis(
+            "platform", "timeout-ms", 2_000, 10, MINUTE_MILLIS, "How long one call of the platform may take.");
+    static final Setting<Integer> MAX_REQUESTS = Setting.integer(
+            "requests", "max-in-progress", "requests", 4_096, 1, 1_000_000, "Requests beyond this are refused.");
+    static final Setting<Integer> RING_CAPACITY = Setting.integer(
+            "requests", "ring-capacity", "events, a power of two", 8_192, 64, 1 << 20, "Room of each ring.");
+    static final Setting<Duration> GRANT_TIMEOUT = Setting.millis(
+            "requests",
+            "grant-timeout-ms",
+            250,
+            10,
+            MINUTE_MILLIS,
+            "How long the dispatcher may stay silent before a target is chosen locally.");
+    static final Setting<Duration> DRAIN_GRACE = Setting.millis(
+            "requests", "drain-grace-ms", 5_000, 0, 10 * MINUTE_MILLIS, "How long a draining host keeps accepting.");
+    static final Setting<Integer> MAX_ORGANISATIONS = Setting.integer(
+            "metrics", "max-organisations", "organisations", 300, 1, 10_000, "Organisations with own series.");
+    static final Setting<ImmutableList<RepeatableCall>> REPEATABLE = Setting.list(
+            "service NAME",
+            "repeatable",
+            "list of METHOD /path",
+            "Calls that may be repeated; all others may not.",
+            RepeatableCall::parse);
+    static final Setting<Endpoint> TARGET_ENDPOINT =
+            Setting.required("target NAME", "endpoint", ENDPOINT, "Where the target listens.", Endpoint::parse);
+    static final Setting<AvailabilityZoneId> TARGET_ZONE =
+            Setting.required("target NAME", "zone", "id", "The target's availability zone.", AvailabilityZoneId::of);
+    static final Setting<String> TARGET_SERVICE = Setting.text(
+            "target NAME", "service", "id", Optional.of(""), "The plain service it offers; empty for an engine.");
+
+    private static final ImmutableList<Setting<?>> ALL = ImmutableList.of(
+            HOST_ID,
+            HOST_ZONE,
+            CALLERS_ENDPOINT,
+            MAX_CONNECTIONS,
+            MAX_HEADER_BYTES,
+            MAX_BODY_BYTES,
+            MAX_BUFFERED_BYTES,
+            IDLE,
+            ADMIN_ENDPOINT,
+            ADMIN_TOKEN,
+            PEERS_ENDPOINT,
+            PEERS_KEY,
+            PEERS_SEEDS,
+            TABLE,
+            OBJECTS,
+            HOST_LIST,
+            WEIGHTS,
+            PLATFORM_TIMEOUT,
+            MAX_REQUESTS,
+            RING_CAPACITY,
+            GRANT_TIMEOUT,
+            DRAIN_GRACE,
+            MAX_ORGANISATIONS,
+            REPEATABLE,
+            TARGET_ENDPOINT,
+            TARGET_ZONE,
+            TARGET_SERVICE);
+
+    private SettingKeys() {}
+
+    /** Returns all keys in the order in which they are printed. */
+    public static ImmutableList<Setting<?>> all() {
+        return ALL;
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingsFile.java
@@ -0,0 +1,124 @@
+package org.boragebarrow.node.settings;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+
+/** Reads values from an INI file and gathers all problems, so that one look tells them all. */
+final class SettingsFile {
+    private final INIConfiguration ini = new INIConfiguration();
+    private final Map<String, Integer> lines = new TreeMap<>();
+    private final Set<String> used = new HashSet<>();
+    private final List<SettingsProblem> problems = new ArrayList<>();
+
+    private SettingsFile() {}
+
+    static SettingsFile parse(String text) {
+        SettingsFile file = new SettingsFile();
+        try {
+            file.ini.read(new StringReader(text));
+        } catch (ConfigurationException | IOException e) {
+            file.problems.add(new SettingsProblem("", "", 0, "not an INI file: " + e.getMessage()));
+        }
+        file.indexLines(text);
+        return file;
+    }
+
+    static SettingsFile read(Path path) throws IOException {
+        return parse(Files.readString(path));
+    }
+
+    private void indexLines(String text) {
+        String section = "";
+        int number = 0;
+        for (String line : text.lines().toList()) {
+            number++;
+            String trimmed = line.trim();
+            if (trimmed.isEmpty() || trimmed.startsWith("#") || trimmed.startsWith(";")) {
+                continue;
+            }
+            if (trimmed.startsWith("[") && trimmed.endsWith("]")) {
+                section = trimmed.substring(1, trimmed.length() - 1).trim();
+                continue;
+            }
+            int equals = trimmed.indexOf('=');
+            String key = equals < 0 ? trimmed : trimmed.substring(0, equals).trim();
+            Integer earlier = lines.putIfAbsent(place(section, key), number);
+            if (earlier != null) {
+                problems.add(new SettingsProblem(section, key, number, "already set in line " + earlier));
+            }
+        }
+    }
+
+    private static String place(String section, String key) {
+        return section + "\n" + key;
+    }
+
+    /** Returns the sections whose names are the kind, a space and a name; only the names. */
+    ImmutableSet<String> named(String kind) {
+        return ini.getSections().stream()
+                .filter(section -> section != null && section.startsWith(kind + " "))
+                .map(section -> section.substring(kind.length() + 1).trim())
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    /** Returns the value, or {@code fallback} after noting a problem, so that reading goes on. */
+    <T> T get(Setting<T> setting, T fallback) {
+        return get(setting.section(), setting, fallback);
+    }
+
+    <T> T get(String section, Setting<T> setting, T fallback) {
+        String place = place(section, setting.key());
+        used.add(place);
+        SubnodeConfiguration values = ini.getSection(section);
+        String text = values.getString(escape(setting.key()), null);
+        int line = lines.getOrDefault(place, 0);
+        if (text == null && setting.defaultText().isEmpty()) {
+            problems.add(new SettingsProblem(section, setting.key(), 0, "missing"));
+            return fallback;
+        }
+        String value = text == null ? setting.defaultText().get() : text.trim();
+        try {
+            return setting.parser().apply(value);
+        } catch (IllegalArgumentException e) {
+            problems.add(new SettingsProblem(section, setting.key(), line, e.getMessage()));
+            return fallback;
+        }
+    }
+
+    private static String escape(String key) {
+        return key.replace(".", "..");
+    }
+
+    void report(String section, String key, String reason) {
+        problems.add(new SettingsProblem(section, key, lines.getOrDefault(place(section, key), 0), reason));
+    }
+
+    /** Throws if anything was wrong, counting keys that nobody asked for. */
+    void finish() {
+        for (Map.Entry<String, Integer> line : lines.entrySet()) {
+            if (used.contains(line.getKey())) {
+                continue;
+            }
+            Iterator<String> parts = line.getKey().lines().iterator();
+            problems.add(new SettingsProblem(parts.next(), parts.next(), line.getValue(), "unknown key"));
+        }
+        if (!problems.isEmpty()) {
+            throw new SettingsException(ImmutableList.copyOf(problems));
+        }
+    }
+}
