--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ErrorBodies.java
@@ -0,0 +1,55 @@
+package org.boragebarrow.node.front;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableListMultimap;
+import org.boragebarrow.http.server.ServerResponse;
+import org.boragebarrow.model.Ran;
+import org.boragebarrow.model.RequestException;
+import org.boragebarrow.model.RequestId;
+
+/** Writes failures in the one form that all answers of the system share. */
+public final class ErrorBodies {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private ErrorBodies() {}
+
+    /** Answers with the failure's status, headers and body. */
+    public static void send(ServerResponse response, RequestException failure, Optional<RequestId> request) {
+        ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
+        headers.put("content-type", "application/json");
+        request.ifPresent(id -> headers.put("request-id", id.value()));
+        failure.retryAfter().ifPresent(delay -> {
+            long seconds = (delay.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+            headers.put("retry-after", Long.toString(seconds));
+        });
+        response.send(failure.kind().status(), headers.build(), ByteBuffer.wrap(bytes(failure, false)));
+    }
+
+    /** Returns the event that ends a stream which had begun. */
+    static byte[] event(RequestException failure) {
+        String json = new String(bytes(failure, false), StandardCharsets.UTF_8);
+        return ("event: error\ndata: " + json + "\n\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Returns the body; {@code keyed} adds what is known of this attempt alone. */
+    static byte[] bytes(RequestException failure, boolean keyed) {
+        ObjectNode body = JSON.createObjectNode();
+        ObjectNode error = body.putObject("error");
+        error.put("kind", failure.kind().name());
+        error.put("message", failure.getMessage());
+        error.put("ran", failure.ran().name().toLowerCase(Locale.ROOT));
+        error.put("retryable", failure.kind().retryable());
+        if (keyed) {
+            error.put("this_attempt", Ran.NO.name().toLowerCase(Locale.ROOT));
+        }
+        failure.retryAfter().ifPresent(delay -> error.put("retry_after_ms", delay.toMillis()));
+        return body.toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/Front.java
@@ -0,0 +1,238 @@
+package org.boragebarrow.node.front;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.http.server.ServerHandler;
+import org.boragebarrow.http.server.ServerRequest;
+import org.boragebarrow.http.server.ServerResponse;
+import org.boragebarrow.model.Allowance;
+import org.boragebarrow.model.Configuration;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.LengthClass;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.RequestException;
+import org.boragebarrow.model.RequestId;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.node.log.EventLog;
+import org.boragebarrow.node.metrics.HostMetrics;
+import org.boragebarrow.node.settings.ServiceSettings;
+import org.boragebarrow.port.EngineClient;
+import org.boragebarrow.port.ServiceClient;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Answers callers. Thread-safe. */
+public final class Front implements ServerHandler {
+    private static final String SERVICES = "/services/";
+    private static final Duration FULL_RETRY = Duration.ofSeconds(1);
+    private static final ImmutableSet<String> CONNECTION_HEADERS = ImmutableSet.of(
+            "connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer", "upgrade");
+
+    private final FrontContext context;
+    private final ImmutableMap<ServiceName, ServiceSettings> services;
+    private final int maxRequests;
+    private final TokenEstimator estimator = new TokenEstimator();
+    private final AtomicInteger inProgress = new AtomicInteger();
+
+    private volatile Configuration configuration = Configuration.empty();
+    private volatile Authenticator authenticator = Authenticator.of(Configuration.empty());
+    private volatile boolean ready;
+    private volatile boolean refusing;
+
+    /** What the front uses. */
+    public record Collaborators(
+            Supplier<HostLife> self,
+            Grants grants,
+            EngineClient engines,
+            ServiceClient services,
+            EngineCancels cancels,
+            HostMetrics metrics,
+            Ticker ticker) {}
+
+    /** Creates a front that refuses everything until it is configured and ready. */
+    public Front(Collaborators collaborators, ImmutableMap<ServiceName, ServiceSettings> services, int maxRequests) {
+        this.context = new FrontContext(
+                collaborators.grants(),
+                collaborators.engines(),
+                collaborators.services(),
+                collaborators.cancels(),
+                new FrontContext.AttemptCounter(collaborators.self()),
+                collaborators.metrics(),
+                collaborators.ticker(),
+                EventLog.of(Front.class));
+        this.services = checkNotNull(services);
+        this.maxRequests = maxRequests;
+    }
+
+    /** Puts a configuration in force for all requests that arrive from now on. */
+    public void configure(Configuration later) {
+        authenticator = Authenticator.of(later);
+        configuration = later;
+    }
+
+    /** Returns the configuration in force. */
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    /** Sets whether the host is ready, as the balancer asks. */
+    public void setReady(boolean value) {
+        ready = value;
+    }
+
+    /** Returns whether the host is ready. */
+    public boolean isReady() {
+        return ready;
+    }
+
+    /** Refuses every new request from now on. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
+    /** Returns the number of requests in progress. */
+    public int inProgress() {
+        return inProgress.get();
+    }
+
+    @Override
+    public void onRequest(ServerRequest request, ServerResponse response) {
+        switch (request.path()) {
+            case "/livez" -> sendText(response, 200, "live\n");
+            case "/readyz" -> sendText(response, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+            default -> serve(request, response);
+        }
+    }
+
+    @Override
+    public void onRefused(RequestException refusal, ServerResponse response) {
+        context.metrics().failed(refusal.kind());
+        ErrorBodies.send(response, refusal, Optional.empty());
+    }
+
+    private static void sendText(ServerResponse response, int status, String text) {
+        ImmutableListMultimap<String, String> headers = ImmutableListMultimap.of("content-type", "text/plain");
+        response.send(status, headers, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void serve(ServerRequest request, ServerResponse response) {
+        if (refusing) {
+            throw RequestException.of(ErrorKind.SHUTTING_DOWN, "the host is shutting down", FULL_RETRY);
+        }
+        RequestHeaders.checkSingle(request);
+        OrganisationId organisation = authenticator
+                .authenticate(request.header(RequestHeaders.AUTHORIZATION))
+                .orElseThrow(
+                        () -> RequestException.of(ErrorKind.UNAUTHENTICATED, "no known key came with the request"));
+        Allowance allowance = configuration
+                .allowanceOf(organisation)
+                .orElseThrow(() -> RequestException.of(ErrorKind.NOT_ALLOWED, "the organisation has no allowance"));
+        Admitted admitted = admit(request, organisation, allowance);
+        switch (request.path()) {
+            case "/v1/completions" -> prompt(request, response, admitted, allowance, false);
+            case "/v1/chat/completions" -> prompt(request, response, admitted, allowance, true);
+            default -> call(request, response, admitted, allowance);
+        }
+    }
+
+    private Admitted admit(ServerRequest request, OrganisationId organisation, Allowance allowance) {
+        RequestId id = RequestHeaders.requestId(request)
+                .orElseGet(() -> RequestId.of(context.nextAttempt().toString()));
+        Duration timeout = RequestHeaders.timeout(request, allowance);
+        long now = context.ticker().read();
+        return new Admitted(id, organisation, now, now + timeout.toNanos());
+    }
+
+    private void prompt(
+            ServerRequest request, ServerResponse response, Admitted admitted, Allowance allowance, boolean chat) {
+        if (!request.method().equals("POST")) {
+            throw RequestException.of(ErrorKind.BAD_REQUEST, request.method() + " is not possible here");
+        }
+        ParsedPrompt prompt = PromptParser.parse(request.body(), chat);
+        if (!allowance.allows(prompt.model())) {
+            throw RequestException.of(ErrorKind.NOT_ALLOWED, "the plan does not allow model " + prompt.model());
+        }
+        int tokens = RequestHeaders.promptTokens(request)
+                .orElseGet(() -> estimator.estimate(admitted.organisation(), prompt.model(), prompt.textBytes()));
+        if (tokens > Math.min(allowance.maxPromptTokens(), LengthClass.HUGE.maxTokens())) {
+            throw RequestException.of(ErrorKind.PROMPT_TOO_LONG, "the prompt has about " + tokens + " tokens");
+        }
+        begin();
+        new PromptExchange(context, admitted, prompt, tokens, request.body(), response, inProgress::decrementAndGet)
+                .start();
+    }
+
+    private void begin() {
+        if (inProgress.incrementAndGet() > maxRequests) {
+            inProgress.decrementAndGet();
+            throw RequestException.of(ErrorKind.OVERLOADED, "the host has too many requests in progress", FULL_RETRY);
+        }
+    }
+
+    private void call(ServerRequest request, ServerResponse response, Admitted admitted, Allowance allowance) {
+        ServiceExchange.Request call = serviceRequest(request, allowance);
+        begin();
+        ServiceExchange exchange =
+                new ServiceExchange(context, admitted, call, response.eventLoop(), new ServiceExchange.Listener() {
+                    @Override
+                    public void onAnswer(ServiceAnswer answer) {
+                        inProgress.decrementAndGet();
+                        sendAnswer(response, answer, admitted.request());
+                    }
+
+                    @Override
+                    public void onFailure(RequestException failure, boolean sent) {
+                        inProgress.decrementAndGet();
+                        ErrorBodies.send(response, failure, Optional.of(admitted.request()));
+                    }
+                });
+        response.onClose(exchange::callerGone);
+        exchange.start();
+    }
+
+    private ServiceExchange.Request serviceRequest(ServerRequest request, Allowance allowance) {
+        String target = request.target();
+        if (!target.startsWith(SERVICES)) {
+            throw RequestException.of(ErrorKind.NOT_FOUND, "there is nothing at " + request.path());
+        }
+        String rest = target.substring(SERVICES.length());
+        int slash = rest.indexOf('/');
+        String name = slash < 0 ? rest : rest.substring(0, slash);
+        String path = slash < 0 ? "/" : rest.substring(slash);
+        ServiceName service;
+        try {
+            service = ServiceName.of(name);
+        } catch (IllegalArgumentException e) {
+            throw RequestException.of(ErrorKind.UNKNOWN_SERVICE, e.getMessage());
+        }
+        if (!allowance.allows(service)) {
+            throw RequestException.of(ErrorKind.NOT_ALLOWED, "the plan does not allow service " + service);
+        }
+        ServiceSettings settings = services.get(service);
+        boolean repeatable = settings != null && settings.isRepeatable(request.method(), path);
+        return new ServiceExchange.Request(service, path, request, repeatable);
+    }
+
+    private static void sendAnswer(ServerResponse response, ServiceAnswer answer, RequestId request) {
+        ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
+        for (Map.Entry<String, String> header : answer.headers().entries()) {
+            if (!CONNECTION_HEADERS.contains(header.getKey())
+                    && !header.getKey().equals(RequestHeaders.REQUEST_ID)) {
+                headers.put(header);
+            }
+        }
+        headers.put(RequestHeaders.REQUEST_ID, request.value());
+        response.send(answer.status(), headers.build(), ByteBuffer.wrap(answer.body()));
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/FrontContext.java
@@ -0,0 +1,41 @@
+package org.boragebarrow.node.front;
+
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+
+import com.google.common.base.Ticker;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.node.log.EventLog;
+import org.boragebarrow.node.metrics.HostMetrics;
+import org.boragebarrow.port.EngineClient;
+import org.boragebarrow.port.ServiceClient;
+
+/** What all requests of one host share. */
+record FrontContext(
+        Grants grants,
+        EngineClient engines,
+        ServiceClient services,
+        EngineCancels cancels,
+        AttemptCounter attempts,
+        HostMetrics metrics,
+        Ticker ticker,
+        EventLog log) {
+    AttemptId nextAttempt() {
+        return attempts.next();
+    }
+
+    /** Numbers the attempts of one process; each carries the host's present life. Thread-safe. */
+    static final class AttemptCounter {
+        private final Supplier<HostLife> self;
+        private final AtomicLong counter = new AtomicLong();
+
+        AttemptCounter(Supplier<HostLife> self) {
+            this.self = self;
+        }
+
+        AttemptId next() {
+            return AttemptId.of(self.get(), counter.incrementAndGet());
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ParsedPrompt.java
@@ -0,0 +1,14 @@
+package org.boragebarrow.node.front;
+
+import com.google.common.primitives.ImmutableLongArray;
+import org.boragebarrow.model.ModelId;
+
+/**
+ * What the front has to know of a completion request.
+ *
+ * @param textBytes UTF-8 bytes of the prompt or of all messages
+ * @param maxTokens the longest answer, in tokens
+ * @param prefix chained hashes of the leading blocks of the prompt
+ */
+record ParsedPrompt(
+        ModelId model, int textBytes, int maxTokens, boolean stream, boolean chat, ImmutableLongArray prefix) {}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptParser.java
@@ -0,0 +1,176 @@
+package org.boragebarrow.node.front;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.google.common.base.Utf8;
+import com.google.common.collect.ImmutableList;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.RequestException;
+
+/** Reads the fields of a completion request that the front needs; the engine reads the rest. */
+final class PromptParser {
+    private static final int DEFAULT_MAX_TOKENS = 256;
+    private static final int LARGEST_MAX_TOKENS = 1_048_576;
+    private static final int MAX_TEXT_CHARACTERS = 64 << 20;
+
+    private static final JsonFactory JSON = JsonFactory.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .streamReadConstraints(StreamReadConstraints.builder()
+                    .maxStringLength(MAX_TEXT_CHARACTERS)
+                    .build())
+            .build();
+
+    private final boolean chat;
+    private final PrefixHasher prefix = new PrefixHasher();
+
+    private String model = "";
+    private int maxTokens = DEFAULT_MAX_TOKENS;
+    private boolean stream;
+    private boolean textSeen;
+    private long textBytes;
+
+    private PromptParser(boolean chat) {
+        this.chat = chat;
+    }
+
+    /**
+     * Parses a body.
+     *
+     * @throws RequestException with {@link ErrorKind#BAD_REQUEST} and the reason
+     */
+    static ParsedPrompt parse(ImmutableList<ByteBuffer> body, boolean chat) {
+        PromptParser parser = new PromptParser(chat);
+        ByteBuffer[] parts = body.toArray(new ByteBuffer[0]);
+        try (InputStream input = new ByteBufInputStream(Unpooled.wrappedBuffer(Math.max(1, parts.length), parts));
+                JsonParser json = JSON.createParser(input)) {
+            parser.readObject(json);
+        } catch (IOException e) {
+            throw bad("the body is not valid JSON: " + firstLine(e.getMessage()));
+        }
+        return parser.result();
+    }
+
+    private ParsedPrompt result() {
+        if (model.isEmpty()) {
+            throw bad("model is missing");
+        }
+        if (!textSeen) {
+            throw bad((chat ? "messages" : "prompt") + " is missing");
+        }
+        try {
+            int bytes = Math.toIntExact(textBytes);
+            return new ParsedPrompt(ModelId.of(model), bytes, maxTokens, stream, chat, prefix.hashes());
+        } catch (IllegalArgumentException e) {
+            throw bad(e.getMessage());
+        }
+    }
+
+    private void readObject(JsonParser json) throws IOException {
+        if (json.nextToken() != JsonToken.START_OBJECT) {
+            throw bad("the body is not a JSON object");
+        }
+        while (json.nextToken() != JsonToken.END_OBJECT) {
+            String field = json.currentName();
+            json.nextToken();
+            readField(json, field);
+        }
+        if (json.nextToken() != null) {
+            throw bad("the body goes on after the JSON object");
+        }
+    }
+
+    private void readField(JsonParser json, String field) throws IOException {
+        switch (field) {
+            case "model" -> model = text(json, field);
+            case "prompt" -> readPrompt(json);
+            case "messages" -> readMessages(json);
+            case "max_tokens", "max_completion_tokens" -> maxTokens = maxTokens(json, field);
+            case "stream" -> stream = flag(json);
+            default -> json.skipChildren();
+        }
+    }
+
+    private void readPrompt(JsonParser json) throws IOException {
+        if (chat) {
+            json.skipChildren();
+            return;
+        }
+        addText(text(json, "prompt"));
+    }
+
+    private void readMessages(JsonParser json) throws IOException {
+        if (!chat) {
+            json.skipChildren();
+            return;
+        }
+        if (json.currentToken() != JsonToken.START_ARRAY) {
+            throw bad("messages is not an array");
+        }
+        while (json.nextToken() != JsonToken.END_ARRAY) {
+            if (json.currentToken() != JsonToken.START_OBJECT) {
+                throw bad("a message is not an object");
+            }
+            readMessage(json);
+        }
+    }
+
+    private void readMessage(JsonParser json) throws IOException {
+        while (json.nextToken() != JsonToken.END_OBJECT) {
+            String field = json.currentName();
+            json.nextToken();
+            switch (field) {
+                case "role", "content" -> addText(text(json, field));
+                default -> json.skipChildren();
+            }
+        }
+    }
+
+    private void addText(String text) {
+        textSeen = true;
+        textBytes += Utf8.encodedLength(text);
+        prefix.add(text);
+    }
+
+    private static String text(JsonParser json, String field) throws IOException {
+        if (json.currentToken() != JsonToken.VALUE_STRING) {
+            throw bad(field + " is not a string");
+        }
+        return json.getText();
+    }
+
+    private static int maxTokens(JsonParser json, String field) throws IOException {
+        boolean whole =
+                json.currentToken() == JsonToken.VALUE_NUMBER_INT && json.getNumberType() == JsonParser.NumberType.INT;
+        int value = whole ? json.getIntValue() : 0;
+        if (value < 1 || value > LARGEST_MAX_TOKENS) {
+            throw bad(field + " is not a whole number from 1 to " + LARGEST_MAX_TOKENS);
+        }
+        return value;
+    }
+
+    private static boolean flag(JsonParser json) throws IOException {
+        return switch (json.currentToken()) {
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE, VALUE_NULL -> false;
+            default -> throw bad("stream is not a boolean");
+        };
+    }
+
+    private static RequestException bad(String message) {
+        return RequestException.of(ErrorKind.BAD_REQUEST, message);
+    }
+
+    private static String firstLine(String message) {
+        return message == null ? "" : message.lines().findFirst().orElse("");
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/RequestHeaders.java
@@ -0,0 +1,75 @@
+package org.boragebarrow.node.front;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.Ints;
+import org.boragebarrow.http.server.ServerRequest;
+import org.boragebarrow.model.Allowance;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.Ids;
+import org.boragebarrow.model.RequestException;
+import org.boragebarrow.model.RequestId;
+
+/** Reads the headers that the system gives a meaning. */
+final class RequestHeaders {
+    static final String AUTHORIZATION = "authorization";
+    static final String REQUEST_ID = "request-id";
+    static final String IDEMPOTENCY_KEY = "idempotency-key";
+
+    private static final String TIMEOUT = "request-timeout-ms";
+    private static final String PROMPT_TOKENS = "prompt-tokens";
+    private static final ImmutableSet<String> SINGLE =
+            ImmutableSet.of(AUTHORIZATION, REQUEST_ID, IDEMPOTENCY_KEY, TIMEOUT, PROMPT_TOKENS, "content-type", "host");
+
+    private RequestHeaders() {}
+
+    /** Throws if a header that must stand alone is repeated. */
+    static void checkSingle(ServerRequest request) {
+        for (String name : SINGLE) {
+            if (request.headers().get(name).size() > 1) {
+                throw bad("the header " + name + " is repeated");
+            }
+        }
+    }
+
+    static Optional<RequestId> requestId(ServerRequest request) {
+        Optional<String> text = request.header(REQUEST_ID);
+        if (text.isPresent() && !Ids.isValid(text.get())) {
+            throw bad("request-id is not 1 to " + Ids.MAX_LENGTH + " printable ASCII characters");
+        }
+        return text.map(RequestId::of);
+    }
+
+    /** Returns the request's time limit: what it asks for, bounded by its plan, or the plan's default. */
+    static Duration timeout(ServerRequest request, Allowance allowance) {
+        Optional<Integer> millis = positive(request, TIMEOUT);
+        if (millis.isEmpty()) {
+            return allowance.defaultTimeout();
+        }
+        Duration asked = Duration.ofMillis(millis.get());
+        return asked.compareTo(allowance.maxTimeout()) > 0 ? allowance.maxTimeout() : asked;
+    }
+
+    static Optional<Integer> promptTokens(ServerRequest request) {
+        return positive(request, PROMPT_TOKENS);
+    }
+
+    private static Optional<Integer> positive(ServerRequest request, String name) {
+        ImmutableList<String> values = request.headers().get(name);
+        if (values.isEmpty()) {
+            return Optional.empty();
+        }
+        Integer value = Ints.tryParse(values.get(0).trim());
+        if (value == null || value <= 0) {
+            throw bad(name + " is not a positive whole number");
+        }
+        return Optional.of(value);
+    }
+
+    private static RequestException bad(String message) {
+        return RequestException.of(ErrorKind.BAD_REQUEST, message);
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ServiceExchange.java
@@ -0,0 +1,257 @@
+package org.boragebarrow.node.front;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSet;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import org.boragebarrow.decision.dispatch.DispatchEvent.Outcome;
+import org.boragebarrow.decision.dispatch.GrantRequest;
+import org.boragebarrow.decision.dispatch.Work;
+import org.boragebarrow.http.server.ServerRequest;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.Ran;
+import org.boragebarrow.model.RequestException;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.node.log.LogEvent;
+import org.boragebarrow.port.EngineClient;
+import org.boragebarrow.port.ServiceClient;
+import org.boragebarrow.port.TargetFailure;
+
+/**
+ * One call of a plain service from admission to its answer.
+ *
+ * <p>Confined to one event loop. A call that may not be repeated is never sent again once a byte of it may have left.
+ */
+final class ServiceExchange {
+    private static final int MAX_ATTEMPTS = 3;
+    private static final long RETRY_DELAY_MILLIS = 20;
+
+    /** A call as it goes to the service. */
+    record Request(ServiceName service, String path, ServerRequest received, boolean repeatable) {}
+
+    /** Receives the end of the exchange. */
+    interface Listener {
+        /** Receives a whole answer. */
+        void onAnswer(ServiceAnswer answer);
+
+        /** Receives a failure; {@code sent} tells whether a byte of the call may have left. */
+        void onFailure(RequestException failure, boolean sent);
+    }
+
+    private final FrontContext context;
+    private final Admitted admitted;
+    private final Request request;
+    private final EventLoop loop;
+    private final Listener listener;
+    private final Set<TargetId> failed = new LinkedHashSet<>();
+
+    private Future<?> deadline;
+    private AttemptId queued;
+    private AttemptId runningAttempt;
+    private Target runningTarget;
+    private EngineClient.Handle handle;
+    private ServiceAnswer.Builder answer;
+    private int attempts;
+    private boolean sent;
+    private boolean done;
+
+    ServiceExchange(FrontContext context, Admitted admitted, Request request, EventLoop loop, Listener listener) {
+        this.context = context;
+        this.admitted = admitted;
+        this.request = request;
+        this.loop = loop;
+        this.listener = listener;
+    }
+
+    void start() {
+        long remaining = admitted.remainingNanos(context.ticker().read());
+        deadline = loop.schedule(this::onDeadline, remaining, TimeUnit.NANOSECONDS);
+        acquire();
+    }
+
+    /** Gives up; a call that has left is not taken back. */
+    void callerGone() {
+        if (done) {
+            return;
+        }
+        context.metrics().callerGone();
+        boolean mustRunOn = runningAttempt != null && !request.repeatable();
+        if (mustRunOn) {
+            return;
+        }
+        stopWork();
+        close();
+    }
+
+    private void acquire() {
+        if (done) {
+            return;
+        }
+        attempts++;
+        AttemptId attempt = context.nextAttempt();
+        queued = attempt;
+        GrantRequest demand = new GrantRequest(
+                attempt,
+                admitted.organisation(),
+                new Work.ServiceCall(request.service()),
+                admitted.deadlineNanos(),
+                ImmutableSet.copyOf(failed),
+                false);
+        context.grants().acquire(demand, loop, new Grants.Listener() {
+            @Override
+            public void onGranted(ImmutableList<Target> targets, int priority) {
+                call(attempt, targets.get(0));
+            }
+
+            @Override
+            public void onRefused(RequestException refusal) {
+                if (!done && attempt.equals(queued)) {
+                    queued = null;
+                    fail(refusal);
+                }
+            }
+        });
+    }
+
+    private void call(AttemptId attempt, Target target) {
+        if (done || !attempt.equals(queued)) {
+            context.grants().withdraw(attempt);
+            return;
+        }
+        long remaining = admitted.remainingNanos(context.ticker().read());
+        if (remaining == 0) {
+            onDeadline();
+            return;
+        }
+        queued = null;
+        runningAttempt = attempt;
+        runningTarget = target;
+        answer = new ServiceAnswer.Builder();
+        ServerRequest received = request.received();
+        ServiceClient.Call call = new ServiceClient.Call(
+                admitted.request(),
+                attempt,
+                received.method(),
+                request.path(),
+                received.headers(),
+                received.body(),
+                Duration.ofNanos(remaining));
+        handle = context.services().call(target, call, new AnswerListener(attempt));
+    }
+
+    /** Brings the events of one attempt to the exchange's event loop. */
+    private final class AnswerListener implements ServiceClient.Listener {
+        private final AttemptId attempt;
+
+        AnswerListener(AttemptId attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void onHead(int status, ImmutableListMultimap<String, String> headers) {
+            run(() -> answer.head(status, headers));
+        }
+
+        @Override
+        public void onBody(ByteBuffer part) {
+            run(() -> {
+                if (!answer.add(part)) {
+                    handle.close();
+                    failed(TargetFailure.broken("the answer is longer than " + ServiceAnswer.MAX_BYTES + " bytes"));
+                }
+            });
+        }
+
+        @Override
+        public void onEnd() {
+            run(() -> {
+                context.grants().finish(attempt, runningTarget, 0, Outcome.COMPLETED);
+                runningAttempt = null;
+                close();
+                listener.onAnswer(answer.build());
+            });
+        }
+
+        @Override
+        public void onFailure(TargetFailure failure) {
+            run(() -> failed(failure));
+        }
+
+        private void run(Runnable action) {
+            if (!loop.inEventLoop()) {
+                loop.execute(() -> run(action));
+                return;
+            }
+            if (done || !attempt.equals(runningAttempt)) {
+                context.metrics().strayMessage();
+                return;
+            }
+            action.run();
+        }
+    }
+
+    private void failed(TargetFailure failure) {
+        context.log().write(LogEvent.TARGET_FAILED, runningTarget.id(), runningAttempt, failure.message());
+        context.grants().finish(runningAttempt, runningTarget, 0, Outcome.FAILED);
+        failed.add(runningTarget.id());
+        runningAttempt = null;
+        boolean mayRepeat = request.repeatable() || !failure.sent();
+        sent |= failure.sent();
+        if (!mayRepeat) {
+            fail(RequestException.of(ErrorKind.OUTCOME_UNKNOWN, "the answer was lost: " + failure.message()));
+            return;
+        }
+        if (attempts >= MAX_ATTEMPTS) {
+            ErrorKind kind = sent ? ErrorKind.TARGET_FAILED : ErrorKind.NO_TARGET;
+            fail(RequestException.of(kind, "the last attempt failed: " + failure.message()));
+            return;
+        }
+        context.metrics().retried();
+        loop.schedule(this::acquire, RETRY_DELAY_MILLIS * attempts, TimeUnit.MILLISECONDS);
+    }
+
+    private void onDeadline() {
+        if (done) {
+            return;
+        }
+        sent |= runningAttempt != null;
+        stopWork();
+        ErrorKind kind = sent ? ErrorKind.TIMED_OUT : ErrorKind.TIMED_OUT_NOT_RUN;
+        fail(RequestException.of(kind, "the request's time limit passed"));
+    }
+
+    private void stopWork() {
+        if (queued != null) {
+            context.grants().withdraw(queued);
+            queued = null;
+        }
+        if (runningAttempt != null) {
+            handle.close();
+            context.grants().finish(runningAttempt, runningTarget, 0, Outcome.CANCELLED);
+            runningAttempt = null;
+        }
+    }
+
+    private void fail(RequestException failure) {
+        RequestException told = sent && failure.ran() == Ran.NO ? failure.withRanUnknown() : failure;
+        context.log().write(LogEvent.REQUEST_FAILED, admitted.request(), told.kind(), told.getMessage());
+        context.metrics().failed(told.kind());
+        close();
+        listener.onFailure(told, sent);
+    }
+
+    private void close() {
+        done = true;
+        deadline.cancel(false);
+    }
+}
