Run membership, change log and dispatcher as duties of a host

Cause: the decision machines need threads, links and the table. Conclusion: the parts are joined by the host.

--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/admin/AdminApi.java
@@ -0,0 +1,276 @@
+package org.boragebarrow.node.admin;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.hash.Hashing;
+import com.google.common.primitives.Longs;
+import org.boragebarrow.decision.change.Change;
+import org.boragebarrow.decision.change.ChangeEntry;
+import org.boragebarrow.decision.change.ChangeState;
+import org.boragebarrow.decision.change.EntryKey;
+import org.boragebarrow.decision.change.JsonChangeCodec;
+import org.boragebarrow.http.server.ServerHandler;
+import org.boragebarrow.http.server.ServerRequest;
+import org.boragebarrow.http.server.ServerResponse;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.Ids;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.PlanId;
+import org.boragebarrow.model.RequestException;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.TargetSwitch;
+import org.boragebarrow.node.change.ChangeConflictException;
+import org.boragebarrow.node.change.ChangeDuty;
+import org.boragebarrow.node.front.ErrorBodies;
+import org.boragebarrow.node.settings.Secret;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Answers operators. Thread-safe. */
+public final class AdminApi implements ServerHandler {
+    private static final String SCHEME = "Bearer ";
+    private static final String CHANGE_ID = "change-id";
+    private static final String JSON = "application/json";
+    private static final Splitter PATH = Splitter.on('/').omitEmptyStrings();
+
+    /** What the API shows beside the changes. */
+    public interface Pages {
+        /** Returns the metrics in the form that Prometheus reads. */
+        String metrics();
+
+        /** Returns whether the host is ready. */
+        boolean isReady();
+
+        /** Returns the host's status as JSON. */
+        String status();
+
+        /** Returns as JSON which hosts have a change in force. */
+        String change(long number);
+
+        /** Returns an id for a change whose operator gave none. */
+        String newChangeId();
+    }
+
+    private final byte[] tokenHash;
+    private final ChangeDuty changes;
+    private final Pages pages;
+
+    /** Creates an API that accepts one token. */
+    public AdminApi(Secret token, ChangeDuty changes, Pages pages) {
+        this.tokenHash = Hashing.sha256().hashBytes(token.bytes()).asBytes();
+        this.changes = checkNotNull(changes);
+        this.pages = checkNotNull(pages);
+    }
+
+    @Override
+    public void onRefused(RequestException refusal, ServerResponse response) {
+        ErrorBodies.send(response, refusal, Optional.empty());
+    }
+
+    @Override
+    public void onRequest(ServerRequest request, ServerResponse response) {
+        switch (request.path()) {
+            case "/livez" -> send(response, 200, "text/plain", "live\n");
+            case "/readyz" -> send(response, pages.isReady() ? 200 : 503, "text/plain", pages.isReady() + "\n");
+            default -> {
+                authenticate(request);
+                route(request, response);
+            }
+        }
+    }
+
+    private void authenticate(ServerRequest request) {
+        String given = request.header("authorization")
+                .filter(text -> text.startsWith(SCHEME))
+                .map(text -> text.substring(SCHEME.length()))
+                .orElse("");
+        byte[] hash = Hashing.sha256().hashString(given, StandardCharsets.UTF_8).asBytes();
+        if (!MessageDigest.isEqual(hash, tokenHash)) {
+            throw RequestException.of(ErrorKind.UNAUTHENTICATED, "the operators' token is missing or wrong");
+        }
+    }
+
+    private void route(ServerRequest request, ServerResponse response) {
+        if (request.path().equals("/metrics")) {
+            send(response, 200, "text/plain; version=0.0.4", pages.metrics());
+            return;
+        }
+        List<String> path = PATH.splitToList(request.path());
+        boolean known =
+                path.size() >= 3 && path.get(0).equals("admin") && path.get(1).equals("v1");
+        if (!known) {
+            throw notFound(request);
+        }
+        String area = path.get(2);
+        int parts = path.size();
+        if (area.equals("status") && parts == 3) {
+            send(response, 200, JSON, pages.status());
+        } else if (area.equals("changes") && parts == 4) {
+            showChange(path.get(3), response);
+        } else if (area.equals("targets") && parts == 5) {
+            switchTarget(request, path.get(3), path.get(4), response);
+        } else if (parts == 3 || parts == 4) {
+            entry(request, path, response);
+        } else {
+            throw notFound(request);
+        }
+    }
+
+    private static RequestException notFound(ServerRequest request) {
+        return RequestException.of(ErrorKind.NOT_FOUND, "there is nothing at " + request.path());
+    }
+
+    private void showChange(String text, ServerResponse response) {
+        Long number = Longs.tryParse(text);
+        if (number == null || number < 0) {
+            throw RequestException.of(ErrorKind.BAD_REQUEST, "not a change number: \"" + text + "\"");
+        }
+        send(response, 200, JSON, pages.change(number));
+    }
+
+    private void switchTarget(ServerRequest request, String id, String verb, ServerResponse response) {
+        boolean known = request.method().equals("POST") && (verb.equals("start") || verb.equals("stop"));
+        if (!known) {
+            throw notFound(request);
+        }
+        TargetId target = checked(() -> TargetId.of(id));
+        append(request, ChangeEntry.SwitchEntry.set(new TargetSwitch(target, verb.equals("start"))), response);
+    }
+
+    private void entry(ServerRequest request, List<String> path, ServerResponse response) {
+        EntryKey.Kind kind = switch (path.get(2)) {
+            case "plans" -> EntryKey.Kind.PLAN;
+            case "allowances" -> EntryKey.Kind.ALLOWANCE;
+            case "targets" -> EntryKey.Kind.SWITCH;
+            default -> throw notFound(request);
+        };
+        if (path.size() == 3) {
+            send(response, 200, JSON, EntryPages.list(changes.state(), kind));
+            return;
+        }
+        EntryKey key = checked(() -> new EntryKey(kind, path.get(3)));
+        switch (request.method()) {
+            case "GET" -> show(key, response);
+            case "PUT" -> append(request, checked(() -> JsonChangeCodec.decodeValue(key, bodyOf(request))), response);
+            case "DELETE" -> append(request, deletion(key), response);
+            default -> throw RequestException.of(ErrorKind.BAD_REQUEST, request.method() + " is not possible here");
+        }
+    }
+
+    private static ChangeEntry deletion(EntryKey key) {
+        return switch (key.kind()) {
+            case PLAN -> ChangeEntry.PlanEntry.deleted(OrganisationId.of(key.id()));
+            case ALLOWANCE -> ChangeEntry.AllowanceEntry.deleted(PlanId.of(key.id()));
+            case SWITCH -> ChangeEntry.SwitchEntry.deleted(TargetId.of(key.id()));
+        };
+    }
+
+    private void show(EntryKey key, ServerResponse response) {
+        ChangeState state = changes.state();
+        long version = state.versionOf(key);
+        if (version == 0) {
+            throw RequestException.of(ErrorKind.NOT_FOUND, "there is no " + key);
+        }
+        sendEntry(response, 200, state.entryOf(key), version);
+    }
+
+    private void append(ServerRequest request, ChangeEntry entry, ServerResponse response) {
+        String changeId = request.header(CHANGE_ID).orElseGet(pages::newChangeId);
+        if (!Ids.isValid(changeId)) {
+            throw RequestException.of(ErrorKind.BAD_REQUEST, "change-id is not a valid id");
+        }
+        changes.append(changeId, entry, expectedVersion(request))
+                .whenComplete((change, failure) -> response.eventLoop().execute(() -> {
+                    if (failure == null) {
+                        accepted(response, change);
+                    } else {
+                        refused(response, entry.key(), failure);
+                    }
+                }));
+    }
+
+    private static void accepted(ServerResponse response, Change change) {
+        sendEntry(response, 200, change.entry(), change.number());
+    }
+
+    private static void refused(ServerResponse response, EntryKey key, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        switch (cause) {
+            case ChangeConflictException conflict -> conflict(response, key, conflict);
+            case RequestException refusal -> ErrorBodies.send(response, refusal, Optional.empty());
+            default ->
+                ErrorBodies.send(response, RequestException.of(ErrorKind.INTERNAL, cause.toString()), Optional.empty());
+        }
+    }
+
+    private static void conflict(ServerResponse response, EntryKey key, ChangeConflictException conflict) {
+        long version = conflict.present().map(Change::number).orElse(0L);
+        String body = EntryPages.conflict(key, conflict.getMessage(), conflict.present());
+        ImmutableListMultimap<String, String> headers =
+                ImmutableListMultimap.of("content-type", JSON, "etag", quoted(version));
+        response.send(ErrorKind.VERSION_CONFLICT.status(), headers, utf8(body));
+    }
+
+    private static OptionalLong expectedVersion(ServerRequest request) {
+        if (request.header("if-none-match").filter("*"::equals).isPresent()) {
+            return OptionalLong.of(0);
+        }
+        Optional<String> match = request.header("if-match").filter(text -> !text.equals("*"));
+        if (match.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        Long version = Longs.tryParse(match.get().replace("\"", ""));
+        if (version == null || version < 0) {
+            throw RequestException.of(ErrorKind.BAD_REQUEST, "if-match is not an ETag of this API: " + match.get());
+        }
+        return OptionalLong.of(version);
+    }
+
+    private static String quoted(long version) {
+        return "\"" + version + "\"";
+    }
+
+    private static String bodyOf(ServerRequest request) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(request.bodyBytes());
+        for (ByteBuffer part : request.body()) {
+            ByteBuffer view = part.duplicate();
+            byte[] copy = new byte[view.remaining()];
+            view.get(copy);
+            bytes.writeBytes(copy);
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Turns the complaint of a value type into an answer. */
+    private static <T> T checked(Supplier<T> value) {
+        try {
+            return value.get();
+        } catch (IllegalArgumentException e) {
+            throw RequestException.of(ErrorKind.BAD_REQUEST, String.valueOf(e.getMessage()));
+        }
+    }
+
+    private static void sendEntry(ServerResponse response, int status, ChangeEntry entry, long version) {
+        ImmutableListMultimap<String, String> headers = ImmutableListMultimap.of(
+                "content-type", JSON, "etag", quoted(version), "change-number", Long.toString(version));
+        response.send(status, headers, utf8(JsonChangeCodec.encodeValue(entry) + "\n"));
+    }
+
+    private static void send(ServerResponse response, int status, String type, String text) {
+        response.send(status, ImmutableListMultimap.of("content-type", type), utf8(text));
+    }
+
+    private static ByteBuffer utf8(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP API. */
+package org.boragebarrow.node.admin;
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/change/ChangeDuty.java
@@ -0,0 +1,200 @@
+package org.boragebarrow.node.change;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.common.base.Ticker;
+import org.boragebarrow.decision.change.Change;
+import org.boragebarrow.decision.change.ChangeBatch;
+import org.boragebarrow.decision.change.ChangeCodec;
+import org.boragebarrow.decision.change.ChangeEntry;
+import org.boragebarrow.decision.change.ChangeFollower;
+import org.boragebarrow.decision.change.ChangeFollowerEffect;
+import org.boragebarrow.decision.change.ChangeFollowerEvent;
+import org.boragebarrow.decision.change.ChangeState;
+import org.boragebarrow.decision.change.ChangeWriter;
+import org.boragebarrow.decision.change.ChangeWriterEffect;
+import org.boragebarrow.decision.change.ChangeWriterEvent;
+import org.boragebarrow.decision.table.TableCalls;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.RequestException;
+import org.boragebarrow.node.log.EventLog;
+import org.boragebarrow.node.log.LogEvent;
+import org.boragebarrow.node.ring.DutyRing;
+import org.boragebarrow.port.TableService;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** The thread that runs {@link ChangeFollower} and {@link ChangeWriter}. */
+public final class ChangeDuty implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(ChangeDuty.class);
+    private static final int MAX_BATCH = 256;
+    private static final long RETRY_MILLIS = 10;
+
+    /** Receives what the duty decides, on its thread. */
+    public interface Listener {
+        /** Receives a later state that is now in force. */
+        void onConfigured(ChangeState state);
+
+        /** Asks a peer for the changes after a number. */
+        void fetch(HostId peer, long after);
+
+        /** Hands changes to a peer that asked. */
+        void deliver(HostId peer, ChangeBatch batch);
+    }
+
+    /** What reaches the duty's thread. */
+    private sealed interface Input {}
+
+    private record Follow(ChangeFollowerEvent event) implements Input {}
+
+    private record Write(ChangeWriterEvent event) implements Input {}
+
+    private record Serve(HostId peer, long after, int limit) implements Input {}
+
+    private final ChangeFollower follower;
+    private final ChangeWriter writer;
+    private final TableService table;
+    private final Ticker ticker;
+    private final Listener listener;
+    private final DutyRing<Input> ring;
+    private final AtomicLong requests = new AtomicLong();
+    private final Map<Long, CompletableFuture<Change>> waiting = new ConcurrentHashMap<>();
+
+    private volatile ChangeState state = ChangeState.empty();
+    private volatile boolean ready;
+
+    /** Starts the duty. */
+    public ChangeDuty(ChangeCodec codec, TableService table, Ticker ticker, Listener listener, DutyRing.Factory rings) {
+        this.follower = new ChangeFollower(codec);
+        this.writer = new ChangeWriter(codec);
+        this.table = checkNotNull(table);
+        this.ticker = checkNotNull(ticker);
+        this.listener = checkNotNull(listener);
+        this.ring = rings.start("change", this::handle);
+    }
+
+    /** Returns the state in force. */
+    public ChangeState state() {
+        return state;
+    }
+
+    /** Returns whether the host may serve: every change accepted before it started is in force. */
+    public boolean isReady() {
+        return ready;
+    }
+
+    /** Hands an event to the follower; a lost one is made up for by the next poll. */
+    public void follow(ChangeFollowerEvent event) {
+        ring.offer(new Follow(event));
+    }
+
+    /** Answers a peer's fetch. */
+    public void serve(HostId peer, long after, int limit) {
+        ring.offer(new Serve(peer, after, Math.min(limit, MAX_BATCH)));
+    }
+
+    /** Lets time pass. */
+    public void tick() {
+        ring.offer(new Follow(new ChangeFollowerEvent.Ticked()));
+        ring.offer(new Write(new ChangeWriterEvent.Ticked()));
+    }
+
+    /**
+     * Appends a change; the future fails with a {@link RequestException}, or a {@link ChangeConflictException} with the
+     * present value.
+     */
+    public CompletableFuture<Change> append(String changeId, ChangeEntry entry, OptionalLong expectedVersion) {
+        long request = requests.incrementAndGet();
+        CompletableFuture<Change> outcome = new CompletableFuture<>();
+        waiting.put(request, outcome);
+        boolean taken =
+                ring.offer(new Write(new ChangeWriterEvent.Submitted(request, changeId, entry, expectedVersion)));
+        if (!taken) {
+            waiting.remove(request);
+            outcome.completeExceptionally(RequestException.of(ErrorKind.OVERLOADED, "too many changes wait"));
+        }
+        return outcome;
+    }
+
+    private void handle(Input input) {
+        switch (input) {
+            case Follow follow -> follower.apply(follow.event(), ticker.read()).forEach(this::handle);
+            case Write write -> writer.apply(write.event(), ticker.read()).forEach(this::handle);
+            case Serve serve -> listener.deliver(serve.peer(), follower.changesAfter(serve.after(), serve.limit()));
+        }
+    }
+
+    private void handle(ChangeFollowerEffect effect) {
+        switch (effect) {
+            case ChangeFollowerEffect.Call call ->
+                TableCalls.make(call.table(), table)
+                        .thenAccept(answer ->
+                                retryOffer(new Follow(new ChangeFollowerEvent.Answered(call.call(), answer))));
+            case ChangeFollowerEffect.Fetch fetch -> listener.fetch(fetch.peer(), fetch.after());
+            case ChangeFollowerEffect.Configured configured -> configure(configured.state());
+            case ChangeFollowerEffect.BecameReady becameReady -> ready = true;
+        }
+    }
+
+    private void configure(ChangeState later) {
+        state = later;
+        LOG.write(LogEvent.CHANGE_APPLIED, later.number());
+        listener.onConfigured(later);
+    }
+
+    private void handle(ChangeWriterEffect effect) {
+        switch (effect) {
+            case ChangeWriterEffect.Call call ->
+                TableCalls.make(call.table(), table)
+                        .thenAccept(
+                                answer -> retryOffer(new Write(new ChangeWriterEvent.Answered(call.call(), answer))));
+            case ChangeWriterEffect.Accepted accepted -> accept(accepted);
+            case ChangeWriterEffect.Rejected rejected -> reject(rejected);
+        }
+    }
+
+    private void accept(ChangeWriterEffect.Accepted accepted) {
+        LOG.write(
+                LogEvent.CHANGE_ACCEPTED,
+                accepted.change().number(),
+                accepted.change().entry().key());
+        follower.apply(new ChangeFollowerEvent.Committed(accepted.change()), ticker.read())
+                .forEach(this::handle);
+        CompletableFuture<Change> outcome = waiting.remove(accepted.request());
+        if (outcome != null) {
+            outcome.complete(accepted.change());
+        }
+    }
+
+    private void reject(ChangeWriterEffect.Rejected rejected) {
+        CompletableFuture<Change> outcome = waiting.remove(rejected.request());
+        if (outcome == null) {
+            return;
+        }
+        if (rejected.kind() == ErrorKind.VERSION_CONFLICT) {
+            outcome.completeExceptionally(new ChangeConflictException(rejected.message(), rejected.present()));
+            return;
+        }
+        RequestException failure = RequestException.of(rejected.kind(), rejected.message());
+        outcome.completeExceptionally(failure.withRan(rejected.ran()));
+    }
+
+    /** An answer must not be lost, as the machine waits for it; a full ring is tried again without blocking. */
+    private void retryOffer(Input answer) {
+        if (!ring.offer(answer)) {
+            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
+                    .execute(() -> retryOffer(answer));
+        }
+    }
+
+    @Override
+    public void close() {
+        ring.close();
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/DispatchContext.java
@@ -0,0 +1,41 @@
+package org.boragebarrow.node.dispatch;
+
+import java.time.Duration;
+import java.util.function.Supplier;
+
+import com.google.common.base.Ticker;
+import io.netty.channel.EventLoopGroup;
+import org.boragebarrow.model.Configuration;
+import org.boragebarrow.node.member.Members;
+import org.boragebarrow.node.metrics.HostMetrics;
+import org.boragebarrow.node.target.TargetDirectory;
+import org.boragebarrow.peer.link.PeerSender;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * What the dispatcher and the broker of one host share.
+ *
+ * @param timers runs what has to happen later
+ * @param grantTimeout how long a dispatcher may stay silent
+ */
+public record DispatchContext(
+        Members members,
+        PeerSender peers,
+        TargetDirectory directory,
+        Supplier<Configuration> configuration,
+        HostMetrics metrics,
+        Ticker ticker,
+        EventLoopGroup timers,
+        Duration grantTimeout) {
+    public DispatchContext {
+        checkNotNull(members);
+        checkNotNull(peers);
+        checkNotNull(directory);
+        checkNotNull(configuration);
+        checkNotNull(metrics);
+        checkNotNull(ticker);
+        checkNotNull(timers);
+        checkNotNull(grantTimeout);
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/Dispatching.java
@@ -0,0 +1,200 @@
+package org.boragebarrow.node.dispatch;
+
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.dispatch.DispatchEffect;
+import org.boragebarrow.decision.dispatch.DispatchEvent;
+import org.boragebarrow.decision.dispatch.Dispatcher;
+import org.boragebarrow.decision.dispatch.GrantRequest;
+import org.boragebarrow.decision.dispatch.ZoneSummary;
+import org.boragebarrow.decision.member.Member;
+import org.boragebarrow.decision.placement.Role;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.node.member.Members;
+import org.boragebarrow.node.ring.DutyRing;
+import org.boragebarrow.peer.link.PeerSender;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.proto.TargetReport;
+import org.boragebarrow.peer.wire.GrantMessages;
+import org.boragebarrow.peer.wire.ReportMessages;
+import org.boragebarrow.port.EngineControl.CacheEvents;
+import org.boragebarrow.port.EngineControl.LoadReport;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Joins this host's broker and dispatcher with those of its peers. */
+public final class Dispatching implements DispatchDuty.Outlet, AutoCloseable {
+    private final Members members;
+    private final PeerSender peers;
+    private final Ticker ticker;
+    private final Consumer<ZoneSummary> summaries;
+    private final DispatchDuty duty;
+    private final GrantBroker broker;
+
+    /** Starts the dispatcher and its broker. */
+    public Dispatching(
+            DispatchContext context, Dispatcher dispatcher, Consumer<ZoneSummary> summaries, DutyRing.Factory rings) {
+        this.members = context.members();
+        this.peers = context.peers();
+        this.ticker = context.ticker();
+        this.summaries = checkNotNull(summaries);
+        LocalChooser chooser = new LocalChooser(
+                members.zone(), context.directory(), context.configuration(), ThreadLocalRandom::current);
+        this.duty = new DispatchDuty(dispatcher, this, ticker, rings);
+        this.broker = new GrantBroker(context, duty, chooser);
+    }
+
+    /** Returns the broker that this host's requests ask. */
+    public GrantBroker broker() {
+        return broker;
+    }
+
+    /** Returns the duty that decides what this host is asked. */
+    public DispatchDuty duty() {
+        return duty;
+    }
+
+    /** Renews the grants in use and lets time pass for the dispatcher. */
+    public void tick() {
+        duty.offer(new DispatchEvent.Ticked());
+    }
+
+    /** Renews the grants in use. */
+    public void renew() {
+        broker.renew();
+    }
+
+    /** Takes the zone's targets, replacing the earlier list. */
+    public void targetsListed(ImmutableList<Target> targets) {
+        duty.offer(new DispatchEvent.TargetsListed(targets));
+    }
+
+    /** Tells the zone's dispatcher what this host saw of a target. */
+    public void report(TargetId target, boolean reachable, Optional<LoadReport> load, Optional<CacheEvents> cache) {
+        Optional<Member> dispatcher = members.holder(members.zone(), new Role.Dispatcher());
+        if (dispatcher.isEmpty()) {
+            return;
+        }
+        Envelope report = ReportMessages.report(target, reachable, load, cache);
+        if (dispatcher.get().host().equals(members.self().host())) {
+            onReport(report.getTargetReport());
+            return;
+        }
+        peers.send(dispatcher.get().endpoint(), report);
+    }
+
+    /**
+     * Takes a peer's message if it belongs here.
+     *
+     * @return whether it did
+     * @throws IllegalArgumentException if it is malformed
+     */
+    public boolean onMessage(HostLife from, Envelope message) {
+        long now = ticker.read();
+        switch (message.getBodyCase()) {
+            case SUBMIT_GRANT -> duty.submit(GrantMessages.fromSubmit(message.getSubmitGrant(), now));
+            case WITHDRAW_GRANT ->
+                duty.offer(new DispatchEvent.Withdrawn(
+                        GrantMessages.fromAttempt(message.getWithdrawGrant().getAttempt())));
+            case RENEW_GRANTS -> duty.offer(GrantMessages.fromRenew(from, message.getRenewGrants(), now));
+            case FINISH_GRANT -> duty.offer(GrantMessages.fromFinish(message.getFinishGrant()));
+            case TARGET_REPORT -> onReport(message.getTargetReport());
+            case GRANT_QUEUED ->
+                members.find(from.host())
+                        .ifPresent(dispatcher -> broker.onQueued(
+                                GrantMessages.fromAttempt(
+                                        message.getGrantQueued().getAttempt()),
+                                dispatcher.zone()));
+            case GRANT_GIVEN ->
+                members.find(from.host())
+                        .ifPresent(dispatcher ->
+                                broker.onGranted(GrantMessages.fromGiven(message.getGrantGiven()), dispatcher.zone()));
+            case GRANT_REFUSED -> broker.onRefused(GrantMessages.fromRefused(message.getGrantRefused()));
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void onReport(TargetReport report) {
+        TargetId target = TargetId.of(report.getTarget());
+        duty.offer(new DispatchEvent.ReachabilityChanged(target, report.getReachable()));
+        if (report.hasLoad()) {
+            duty.offer(new DispatchEvent.LoadReported(target, ReportMessages.fromLoad(report.getLoad())));
+        }
+        if (report.hasCache()) {
+            duty.offer(new DispatchEvent.CacheReported(target, ReportMessages.fromCache(report.getCache())));
+        }
+    }
+
+    @Override
+    public void granted(DispatchEffect.Granted granted) {
+        if (isOwn(granted.attempt())) {
+            broker.onGranted(granted, members.zone());
+            return;
+        }
+        sendToOwner(granted.attempt(), GrantMessages.given(granted));
+    }
+
+    @Override
+    public void refused(DispatchEffect.Refused refused) {
+        if (isOwn(refused.attempt())) {
+            broker.onRefused(refused);
+            return;
+        }
+        sendToOwner(refused.attempt(), GrantMessages.refused(refused));
+    }
+
+    @Override
+    public void queued(AttemptId attempt) {
+        if (isOwn(attempt)) {
+            broker.onQueued(attempt, members.zone());
+            return;
+        }
+        sendToOwner(attempt, GrantMessages.queued(attempt));
+    }
+
+    @Override
+    public void spilled(DispatchEffect.Spilled spilled, GrantRequest request) {
+        GrantRequest passedOn = new GrantRequest(
+                request.attempt(),
+                request.organisation(),
+                request.work(),
+                request.deadlineNanos(),
+                request.excluded(),
+                true);
+        members.holder(spilled.zone(), new Role.Dispatcher())
+                .ifPresent(
+                        dispatcher -> peers.send(dispatcher.endpoint(), GrantMessages.submit(passedOn, ticker.read())));
+    }
+
+    @Override
+    public void summarised(ZoneSummary summary) {
+        if (members.holds(new Role.Dispatcher())) {
+            summaries.accept(summary);
+        }
+    }
+
+    private boolean isOwn(AttemptId attempt) {
+        return attempt.owner().host().equals(members.self().host());
+    }
+
+    private void sendToOwner(AttemptId attempt, Envelope message) {
+        HostId owner = attempt.owner().host();
+        members.find(owner).ifPresent(front -> peers.send(front.endpoint(), message));
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/member/MemberDuty.java
@@ -0,0 +1,151 @@
+package org.boragebarrow.node.member;
+
+import java.util.Collection;
+import java.util.Optional;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import org.boragebarrow.decision.member.Member;
+import org.boragebarrow.decision.member.MemberEffect;
+import org.boragebarrow.decision.member.MemberEvent;
+import org.boragebarrow.decision.member.MemberView;
+import org.boragebarrow.decision.member.Membership;
+import org.boragebarrow.decision.member.Self;
+import org.boragebarrow.decision.member.ZonesView;
+import org.boragebarrow.decision.placement.Role;
+import org.boragebarrow.decision.placement.Roles;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.node.ring.DutyRing;
+import org.boragebarrow.peer.link.PeerSender;
+import org.boragebarrow.peer.wire.MemberMessages;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** The thread that runs {@link Membership}. */
+public final class MemberDuty implements Members, AutoCloseable {
+    /** Receives changes on the duty's thread. */
+    public interface Listener {
+        /** Receives another view of this zone. */
+        void onMembers(MemberView view);
+
+        /** Receives another view of the other zones. */
+        void onZones(ZonesView view);
+    }
+
+    private final Self self;
+    private final Membership membership;
+    private final PeerSender peers;
+    private final Ticker ticker;
+    private final Listener listener;
+    private final DutyRing<MemberEvent> ring;
+
+    private volatile HostLife life;
+    private volatile MemberView members;
+    private volatile ZonesView zones = new ZonesView(ImmutableMap.of(), 0);
+
+    /** Starts the duty. */
+    public MemberDuty(
+            Self self,
+            Membership membership,
+            PeerSender peers,
+            Ticker ticker,
+            Listener listener,
+            DutyRing.Factory rings) {
+        this.self = checkNotNull(self);
+        this.membership = checkNotNull(membership);
+        this.peers = checkNotNull(peers);
+        this.ticker = checkNotNull(ticker);
+        this.listener = checkNotNull(listener);
+        this.life = self.life();
+        Member own = new Member(self.life(), 0, self.zone(), self.endpoint(), false);
+        this.members = new MemberView(
+                ImmutableSortedMap.of(own.host(), own), ImmutableSet.of(), ImmutableMap.of(), ImmutableMap.of());
+        this.ring = rings.start("member", this::handle);
+    }
+
+    /** Hands an event to the duty; returns whether there was room. */
+    public boolean offer(MemberEvent event) {
+        return ring.offer(event);
+    }
+
+    private void handle(MemberEvent event) {
+        for (MemberEffect effect : membership.apply(event, ticker.read())) {
+            handle(effect);
+        }
+    }
+
+    private void handle(MemberEffect effect) {
+        switch (effect) {
+            case MemberEffect.Send send -> peers.send(send.endpoint(), MemberMessages.toEnvelope(send.message()));
+            case MemberEffect.MembersChanged changed -> {
+                members = changed.view();
+                listener.onMembers(changed.view());
+            }
+            case MemberEffect.ZonesChanged changed -> {
+                zones = changed.view();
+                listener.onZones(changed.view());
+            }
+            case MemberEffect.LifeReplaced replaced -> life = replaced.next();
+        }
+    }
+
+    @Override
+    public HostLife self() {
+        return life;
+    }
+
+    @Override
+    public AvailabilityZoneId zone() {
+        return self.zone();
+    }
+
+    @Override
+    public MemberView members() {
+        return members;
+    }
+
+    @Override
+    public ZonesView zones() {
+        return zones;
+    }
+
+    @Override
+    public Optional<Member> find(HostId host) {
+        Member near = members.live().get(checkNotNull(host));
+        if (near != null) {
+            return Optional.of(near);
+        }
+        return zones.zones().values().stream()
+                .flatMap(status -> status.members().stream())
+                .filter(member -> member.host().equals(host))
+                .findFirst();
+    }
+
+    @Override
+    public Optional<Member> holder(AvailabilityZoneId zone, Role role) {
+        if (zone.equals(self.zone())) {
+            MemberView view = members;
+            return Roles.holder(role, view.eligible()).map(view.live()::get);
+        }
+        ZonesView.ZoneStatus status = zones.zones().get(zone);
+        ImmutableList<Member> known = status == null ? ImmutableList.of() : status.members();
+        return Roles.holder(role, eligible(known)).flatMap(this::find);
+    }
+
+    private static Collection<HostId> eligible(Collection<Member> known) {
+        return known.stream()
+                .filter(member -> !member.leaving())
+                .map(Member::host)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    @Override
+    public void close() {
+        ring.close();
+    }
+}
