--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -0,0 +1,293 @@
+package org.boragebarrow.node;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.boragebarrow.decision.change.JsonChangeCodec;
+import org.boragebarrow.decision.dispatch.DispatchSettings;
+import org.boragebarrow.decision.dispatch.Dispatcher;
+import org.boragebarrow.decision.member.MemberEvent;
+import org.boragebarrow.decision.member.MemberSettings;
+import org.boragebarrow.decision.member.Membership;
+import org.boragebarrow.decision.member.Self;
+import org.boragebarrow.http.client.HttpClient;
+import org.boragebarrow.http.engine.HttpEngineClient;
+import org.boragebarrow.http.engine.HttpEngineControl;
+import org.boragebarrow.http.platform.HttpHostList;
+import org.boragebarrow.http.platform.HttpTableService;
+import org.boragebarrow.http.server.HttpServer;
+import org.boragebarrow.http.service.HttpServiceClient;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.node.admin.AdminApi;
+import org.boragebarrow.node.change.ChangeDuty;
+import org.boragebarrow.node.dispatch.DispatchContext;
+import org.boragebarrow.node.dispatch.Dispatching;
+import org.boragebarrow.node.front.EngineCancels;
+import org.boragebarrow.node.front.Front;
+import org.boragebarrow.node.log.EventLog;
+import org.boragebarrow.node.log.LogEvent;
+import org.boragebarrow.node.member.MemberDuty;
+import org.boragebarrow.node.metrics.HostMetrics;
+import org.boragebarrow.node.ring.DutyRing;
+import org.boragebarrow.node.settings.HostSettings;
+import org.boragebarrow.node.target.TargetDirectory;
+import org.boragebarrow.node.target.TargetWatch;
+import org.boragebarrow.peer.link.PeerIdentity;
+import org.boragebarrow.peer.link.PeerKey;
+import org.boragebarrow.peer.link.PeerLinks;
+import org.boragebarrow.peer.wire.SummaryMessages;
+import org.boragebarrow.port.EngineControl;
+import org.boragebarrow.port.HostList;
+
+/** One host of the system with all its duties. Thread-safe. */
+public final class Host implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(Host.class);
+    private static final long TICK_MILLIS = 100;
+    private static final long RENEW_MILLIS = 1_000;
+    private static final long TARGET_POLL_MILLIS = 500;
+    private static final long HOST_LIST_MILLIS = 1_000;
+    private static final long DRAIN_POLL_MILLIS = 50;
+
+    private final HostSettings settings;
+    private final EventLoopGroup loops;
+    private final HostMetrics metrics;
+    private final TargetDirectory directory;
+    private final HostList hostList;
+    private final PeerLinks links;
+    private final MemberDuty members;
+    private final ChangeDuty changes;
+    private final Dispatching dispatching;
+    private final TargetWatch watch;
+    private final Front front;
+    private final HttpServer callerServer;
+    private final HttpServer adminServer;
+    private final HttpClient client;
+
+    private volatile boolean draining;
+
+    private Host(HostSettings settings, Incarnation incarnation) {
+        this.settings = settings;
+        this.loops = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
+        this.metrics = new HostMetrics(settings.maxOrganisationSeries());
+        this.directory = new TargetDirectory(settings.targets());
+        this.client = new HttpClient(loops);
+        HostSettings.Platform platform = settings.platform();
+        this.hostList = new HttpHostList(client, platform.hostList(), platform.timeout());
+        EngineControl control = new HttpEngineControl(client, platform.timeout());
+        DutyRing.Factory rings = new DutyRing.Factory(
+                settings.ringCapacity(), (duty, failure) -> LOG.write(LogEvent.DUTY_FAILED, duty, failure));
+        Ticker ticker = Ticker.systemTicker();
+
+        PeerRouter router = new PeerRouter(metrics);
+        HostLife life = HostLife.of(settings.id(), incarnation);
+        PeerIdentity identity = new PeerIdentity(life, settings.zone());
+        this.links = PeerLinks.start(identity, PeerKey.of(settings.peerKey().bytes()), router, loops, settings.peers());
+        Self self = new Self(life, settings.zone(), links.endpoint());
+        Reactions reactions = new Reactions(links);
+        this.members = new MemberDuty(
+                self,
+                new Membership(self, MemberSettings.defaults(), incarnation.value()),
+                links,
+                ticker,
+                reactions,
+                rings);
+        JsonChangeCodec codec = new JsonChangeCodec();
+        this.changes = new ChangeDuty(
+                codec, new HttpTableService(client, platform.table(), platform.timeout()), ticker, reactions, rings);
+        DispatchContext context = new DispatchContext(
+                members,
+                links,
+                directory,
+                () -> changes.state().configuration(),
+                metrics,
+                ticker,
+                loops,
+                settings.grantTimeout());
+        this.dispatching = new Dispatching(
+                context,
+                new Dispatcher(settings.zone(), DispatchSettings.defaults()),
+                summary -> members.offer(new MemberEvent.SummaryChanged(SummaryMessages.toPayload(summary))),
+                rings);
+        this.watch = new TargetWatch(members, directory, control, new WatchReports(dispatching));
+        Front.Collaborators collaborators = new Front.Collaborators(
+                members::self,
+                dispatching.broker(),
+                new HttpEngineClient(client),
+                new HttpServiceClient(client),
+                new EngineCancels(control, loops),
+                metrics,
+                ticker);
+        this.front = new Front(collaborators, settings.services(), settings.maxRequests());
+        reactions.connect(members, changes, dispatching, front, codec);
+        router.connect(members, changes, dispatching, codec);
+        this.adminServer = HttpServer.start(
+                loops,
+                settings.admin(),
+                settings.callerLimits(),
+                new AdminApi(settings.adminToken(), changes, new HostPages(members, changes, front, metrics)));
+        this.callerServer = HttpServer.start(loops, settings.callers(), settings.callerLimits(), front);
+        publishGauges();
+        schedule();
+    }
+
+    /**
+     * Starts a host.
+     *
+     * @param incarnation higher than that of every earlier life of the same host
+     * @throws RuntimeException if an endpoint cannot be bound
+     */
+    public static Host start(HostSettings settings, Incarnation incarnation) {
+        Host host = new Host(settings, incarnation);
+        LOG.write(
+                LogEvent.HOST_STARTED,
+                settings.id(),
+                host.callerEndpoint(),
+                host.adminEndpoint(),
+                host.links.endpoint());
+        return host;
+    }
+
+    private void publishGauges() {
+        metrics.gauge("boragebarrow.requests.in.progress", front::inProgress);
+        metrics.gauge("boragebarrow.change", () -> changes.state().number());
+        metrics.gauge("boragebarrow.ring.dispatch", () -> dispatching.duty().waiting());
+        metrics.gauge("boragebarrow.grants.waiting", () -> dispatching.broker().waiting());
+        metrics.gauge("boragebarrow.grants.in.use", () -> dispatching.broker().inUse());
+        metrics.gauge("boragebarrow.connections", callerServer::connections);
+        metrics.gauge("boragebarrow.buffered.bytes", callerServer::bufferedBytes);
+        metrics.gauge("boragebarrow.members", () -> members.members().live().size());
+    }
+
+    private void schedule() {
+        members.offer(new MemberEvent.SeedsListed(MemberEvent.SeedSource.SETTINGS, seedsOfSettings()));
+        every(TICK_MILLIS, this::tick);
+        every(RENEW_MILLIS, dispatching::renew);
+        every(TARGET_POLL_MILLIS, watch::poll);
+        every(HOST_LIST_MILLIS, this::readHostList);
+    }
+
+    private void every(long millis, Runnable action) {
+        loops.next().scheduleAtFixedRate(() -> guarded(action), 0, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** A timer that throws would never run again. */
+    private static void guarded(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            LOG.write(LogEvent.DUTY_FAILED, "timer", e);
+        }
+    }
+
+    private ImmutableList<MemberEvent.Seed> seedsOfSettings() {
+        return settings.seeds().stream()
+                .map(seed -> new MemberEvent.Seed(seed.endpoint(), Optional.of(seed.zone())))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private void tick() {
+        members.offer(new MemberEvent.Ticked());
+        changes.tick();
+        dispatching.tick();
+        boolean ready = changes.isReady() && !draining;
+        if (ready != front.isReady()) {
+            front.setReady(ready);
+            LOG.write(LogEvent.READINESS_CHANGED, ready);
+        }
+    }
+
+    private void readHostList() {
+        hostList.list().whenComplete((listing, failure) -> {
+            if (failure != null) {
+                LOG.write(LogEvent.HOST_LIST_UNREACHABLE, failure.getMessage());
+                return;
+            }
+            directory.replace(listing.targets());
+            dispatching.targetsListed(directory.inZone(settings.zone()));
+            members.offer(new MemberEvent.SeedsListed(MemberEvent.SeedSource.HOST_LIST, seedsOf(listing)));
+        });
+    }
+
+    private static ImmutableList<MemberEvent.Seed> seedsOf(HostList.Listing listing) {
+        return listing.entryHosts().stream()
+                .map(host -> new MemberEvent.Seed(host.endpoint(), Optional.of(host.zone())))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns where callers connect. */
+    public Endpoint callerEndpoint() {
+        return callerServer.endpoint();
+    }
+
+    /** Returns where operators connect. */
+    public Endpoint adminEndpoint() {
+        return adminServer.endpoint();
+    }
+
+    /** Returns whether the host is ready. */
+    public boolean isReady() {
+        return front.isReady();
+    }
+
+    /**
+     * Drains and closes the host; blocks until every request in progress has ended.
+     *
+     * <p>The balancer sees the host as not ready first; requests that still arrive are served until the grace is over and
+     * refused as not run after it. Each request ends within its own time limit, so the wait is bounded.
+     */
+    public void drain() throws InterruptedException {
+        draining = true;
+        front.setReady(false);
+        members.offer(new MemberEvent.Draining());
+        LOG.write(LogEvent.HOST_DRAINING, front.inProgress());
+        sleep(settings.drainGrace());
+        front.refuseNew();
+        while (front.inProgress() > 0) {
+            TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
+        }
+        members.offer(new MemberEvent.Leaving());
+        TimeUnit.MILLISECONDS.sleep(2 * DRAIN_POLL_MILLIS);
+        close();
+    }
+
+    private static void sleep(Duration time) throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(time.toMillis());
+    }
+
+    /** Closes the host at once; requests in progress are cut off. */
+    @Override
+    public void close() {
+        LOG.write(LogEvent.HOST_STOPPED, front.inProgress());
+        callerServer.close();
+        adminServer.close();
+        links.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        members.close();
+        changes.close();
+        dispatching.close();
+        client.close();
+    }
+
+    /** Brings the observer's reports to the zone's dispatcher. */
+    private record WatchReports(Dispatching dispatching) implements TargetWatch.Listener {
+        @Override
+        public void onReport(
+                TargetId engine, EngineControl.LoadReport load, Optional<EngineControl.CacheEvents> cache) {
+            dispatching.report(engine, true, Optional.of(load), cache);
+        }
+
+        @Override
+        public void onUnreachable(TargetId engine) {
+            dispatching.report(engine, false, Optional.empty(), Optional.empty());
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/PeerRouter.java
@@ -0,0 +1,92 @@
+package org.boragebarrow.node;
+
+import java.util.Optional;
+
+import org.boragebarrow.decision.change.ChangeCodec;
+import org.boragebarrow.decision.change.ChangeFollowerEvent;
+import org.boragebarrow.decision.member.MemberEvent;
+import org.boragebarrow.decision.member.MemberMessage;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.node.change.ChangeDuty;
+import org.boragebarrow.node.dispatch.Dispatching;
+import org.boragebarrow.node.log.EventLog;
+import org.boragebarrow.node.log.LogEvent;
+import org.boragebarrow.node.member.MemberDuty;
+import org.boragebarrow.node.metrics.HostMetrics;
+import org.boragebarrow.peer.link.PeerListener;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.wire.ChangeMessages;
+import org.boragebarrow.peer.wire.MemberMessages;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Hands each peer message to the duty that it is for. */
+final class PeerRouter implements PeerListener {
+    private static final EventLog LOG = EventLog.of(PeerRouter.class);
+
+    private final HostMetrics metrics;
+
+    private volatile Optional<Duties> duties = Optional.empty();
+
+    private record Duties(
+            MemberDuty members, ChangeDuty changes, Dispatching dispatching, ChangeMessages changeMessages) {}
+
+    PeerRouter(HostMetrics metrics) {
+        this.metrics = checkNotNull(metrics);
+    }
+
+    /** Sets where messages go; those that came earlier were dropped, as if the link had lost them. */
+    void connect(MemberDuty members, ChangeDuty changes, Dispatching dispatching, ChangeCodec codec) {
+        duties = Optional.of(new Duties(members, changes, dispatching, new ChangeMessages(codec)));
+    }
+
+    @Override
+    public void onMessage(HostLife from, Envelope message) {
+        duties.ifPresent(connected -> {
+            try {
+                route(connected, from, message);
+            } catch (IllegalArgumentException e) {
+                onRejected("malformed " + message.getBodyCase() + " from " + from + ": " + e.getMessage());
+            }
+        });
+    }
+
+    private static void route(Duties duties, HostLife from, Envelope message) {
+        Optional<MemberMessage> member = MemberMessages.fromEnvelope(message);
+        if (member.isPresent()) {
+            duties.members().offer(new MemberEvent.MessageReceived(from, member.get()));
+            return;
+        }
+        switch (message.getBodyCase()) {
+            case FETCH_CHANGES ->
+                duties.changes()
+                        .serve(
+                                from.host(),
+                                message.getFetchChanges().getAfter(),
+                                message.getFetchChanges().getLimit());
+            case CHANGE_BATCH ->
+                duties.changes()
+                        .follow(new ChangeFollowerEvent.Received(
+                                from.host(), duties.changeMessages().fromBatch(message.getChangeBatch())));
+            default -> duties.dispatching().onMessage(from, message);
+        }
+    }
+
+    @Override
+    public void onLinkUp(Endpoint peer) {
+        duties.ifPresent(connected -> connected.members().offer(new MemberEvent.LinkUp(peer)));
+    }
+
+    @Override
+    public void onLinkDown(Endpoint peer) {
+        LOG.write(LogEvent.PEER_LINK_DOWN, peer);
+        duties.ifPresent(connected -> connected.members().offer(new MemberEvent.LinkDown(peer)));
+    }
+
+    @Override
+    public void onRejected(String reason) {
+        metrics.peerRejected();
+        LOG.write(LogEvent.PEER_REJECTED, reason);
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
@@ -0,0 +1,148 @@
+package org.boragebarrow.node;
+
+import java.util.Optional;
+import java.util.Set;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Sets;
+import org.boragebarrow.decision.change.ChangeBatch;
+import org.boragebarrow.decision.change.ChangeCodec;
+import org.boragebarrow.decision.change.ChangeFollowerEvent;
+import org.boragebarrow.decision.change.ChangeState;
+import org.boragebarrow.decision.dispatch.DispatchEvent;
+import org.boragebarrow.decision.dispatch.ZoneSummary;
+import org.boragebarrow.decision.member.Member;
+import org.boragebarrow.decision.member.MemberEvent;
+import org.boragebarrow.decision.member.MemberView;
+import org.boragebarrow.decision.member.ZonesView;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.node.change.ChangeDuty;
+import org.boragebarrow.node.dispatch.Dispatching;
+import org.boragebarrow.node.front.Front;
+import org.boragebarrow.node.log.EventLog;
+import org.boragebarrow.node.log.LogEvent;
+import org.boragebarrow.node.member.MemberDuty;
+import org.boragebarrow.peer.link.PeerSender;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.wire.ChangeMessages;
+import org.boragebarrow.peer.wire.SummaryMessages;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** What one duty's news means to the others. */
+final class Reactions implements MemberDuty.Listener, ChangeDuty.Listener {
+    private static final EventLog LOG = EventLog.of(Reactions.class);
+    private static final int FETCH_LIMIT = 256;
+
+    private final PeerSender peers;
+
+    private volatile Optional<Duties> duties = Optional.empty();
+    private MemberView lastMembers;
+    private ZonesView lastZones = new ZonesView(ImmutableMap.of(), 0);
+
+    private record Duties(
+            MemberDuty members,
+            ChangeDuty changes,
+            Dispatching dispatching,
+            Front front,
+            ChangeMessages changeMessages) {}
+
+    Reactions(PeerSender peers) {
+        this.peers = checkNotNull(peers);
+    }
+
+    void connect(MemberDuty members, ChangeDuty changes, Dispatching dispatching, Front front, ChangeCodec codec) {
+        duties = Optional.of(new Duties(members, changes, dispatching, front, new ChangeMessages(codec)));
+    }
+
+    @Override
+    public void onMembers(MemberView view) {
+        duties.ifPresent(connected -> {
+            logMembers(view);
+            reportLost(connected, view);
+            view.applied()
+                    .forEach((host, applied) ->
+                            connected.changes().follow(new ChangeFollowerEvent.Learnt(host, applied, true)));
+            lastMembers = view;
+        });
+    }
+
+    private void logMembers(MemberView view) {
+        if (lastMembers == null
+                || !lastMembers.live().keySet().equals(view.live().keySet())) {
+            LOG.write(LogEvent.MEMBERS_CHANGED, view.live().keySet());
+        }
+    }
+
+    /** Frees what hosts held that are gone or were replaced by a later life. */
+    private void reportLost(Duties connected, MemberView view) {
+        if (lastMembers == null) {
+            return;
+        }
+        Set<HostId> gone =
+                Sets.difference(lastMembers.live().keySet(), view.live().keySet());
+        gone.forEach(host -> connected.changes().follow(new ChangeFollowerEvent.PeerLost(host)));
+        for (Member before : lastMembers.live().values()) {
+            HostLife life = before.life();
+            if (view.isEnded(life)) {
+                connected.dispatching().duty().offer(new DispatchEvent.FrontLost(life));
+            }
+        }
+    }
+
+    @Override
+    public void onZones(ZonesView view) {
+        duties.ifPresent(connected -> {
+            logZones(view);
+            ImmutableMap.Builder<AvailabilityZoneId, ZoneSummary> summaries = ImmutableMap.builder();
+            view.zones().forEach((zone, status) -> {
+                status.summary()
+                        .ifPresent(
+                                payload -> summaries.put(zone, SummaryMessages.fromPayload(payload, status.heard())));
+                status.members().stream()
+                        .findFirst()
+                        .filter(member -> status.heard())
+                        .ifPresent(member -> connected
+                                .changes()
+                                .follow(new ChangeFollowerEvent.Learnt(member.host(), status.lowestApplied(), true)));
+            });
+            connected.dispatching().duty().offer(new DispatchEvent.ZonesSummarised(summaries.buildOrThrow()));
+        });
+    }
+
+    private void logZones(ZonesView view) {
+        view.zones().forEach((zone, status) -> {
+            ZonesView.ZoneStatus before = lastZones.zones().get(zone);
+            if (before == null || before.heard() != status.heard()) {
+                LOG.write(LogEvent.ZONE_HEARD_CHANGED, zone, status.heard());
+            }
+        });
+        lastZones = view;
+    }
+
+    @Override
+    public void onConfigured(ChangeState state) {
+        duties.ifPresent(connected -> {
+            connected.front().configure(state.configuration());
+            connected.dispatching().duty().offer(new DispatchEvent.Configured(state.configuration()));
+            connected.members().offer(new MemberEvent.AppliedChange(state.number()));
+        });
+    }
+
+    @Override
+    public void fetch(HostId peer, long after) {
+        send(peer, ChangeMessages.fetch(after, FETCH_LIMIT));
+    }
+
+    @Override
+    public void deliver(HostId peer, ChangeBatch batch) {
+        duties.ifPresent(connected -> send(peer, connected.changeMessages().batch(batch)));
+    }
+
+    private void send(HostId peer, Envelope message) {
+        duties.flatMap(connected -> connected.members().find(peer))
+                .ifPresent(member -> peers.send(member.endpoint(), message));
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/RunCommand.java
@@ -0,0 +1,41 @@
+package org.boragebarrow.node;
+
+import java.util.concurrent.CountDownLatch;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.node.settings.HostSettings;
+
+/** Runs a host until it is told to stop. */
+@Command(name = "run", description = "Runs a host until SIGTERM or SIGINT, then drains")
+public final class RunCommand implements Runnable {
+    @Required
+    @Arguments(title = "FILE", description = "The settings file")
+    private String file;
+
+    @Override
+    public void run() {
+        HostSettings settings = SettingsFiles.read(file);
+        // A later life of the host starts later; membership raises the number if a clock was set back.
+        Host host = Host.start(settings, Incarnation.of(System.currentTimeMillis()));
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(host, stopped), "drain"));
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void drain(Host host, CountDownLatch stopped) {
+        try {
+            host.drain();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            stopped.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/package-info.java
@@ -0,0 +1,2 @@
+/** The host process: wires all duties together. */
+package org.boragebarrow.node;
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/target/TargetDirectory.java
@@ -0,0 +1,40 @@
+package org.boragebarrow.node.target;
+
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** The targets that the platform or the settings name. Thread-safe; each answer is one moment's view. */
+public final class TargetDirectory {
+    private volatile ImmutableMap<TargetId, Target> targets;
+
+    /** Creates a directory that knows the targets of the settings until the host list has been read. */
+    public TargetDirectory(ImmutableList<Target> configured) {
+        this.targets = Maps.uniqueIndex(configured, Target::id);
+    }
+
+    /** Replaces all targets. */
+    public void replace(ImmutableList<Target> listed) {
+        targets = Maps.uniqueIndex(checkNotNull(listed), Target::id);
+    }
+
+    /** Returns a target of any zone. */
+    public Optional<Target> find(TargetId id) {
+        return Optional.ofNullable(targets.get(checkNotNull(id)));
+    }
+
+    /** Returns the targets of one zone. */
+    public ImmutableList<Target> inZone(AvailabilityZoneId zone) {
+        checkNotNull(zone);
+        return targets.values().stream()
+                .filter(target -> target.zone().equals(zone))
+                .collect(ImmutableList.toImmutableList());
+    }
+}
