Fuzz the dispatcher beside a list-based oracle

Cause: one answer per attempt, bounded memory and bounded overtaking must hold under any order of events. Change: a jqwik action chain with fixed seed 42 (150 chains of up to 250 events), and a property of the fair queue's pass limit.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/DispatchSettings.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/DispatchSettings.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import org.boragebarrow.model.PrefixBlocks;
+
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
@@ -24,7 +26,7 @@
     private static final DispatchSettings DEFAULTS = new DispatchSettings(
             new Bounds(4_096, 1_024, 64),
             new Order(0.25, 0.1, 64, 4),
-            new Cache(256, 200_000),
+            new Cache(PrefixBlocks.BLOCK_TOKENS, 200_000),
             new Shares(Duration.ofSeconds(3), 0.25),
             Duration.ofSeconds(5),
             Duration.ofMillis(100),
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/dispatch/DispatcherFuzzTest.java
@@ -0,0 +1,303 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.ImmutableLongArray;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.Transformer;
+import org.boragebarrow.model.Allowance;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Configuration;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.Plan;
+import org.boragebarrow.model.PlanId;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.TargetKind;
+import org.boragebarrow.model.TargetSwitch;
+import org.boragebarrow.port.EngineControl;
+
+/** Runs a dispatcher through random events beside a list-based oracle. */
+final class DispatcherFuzzTest {
+    private static final int ENGINES = 5;
+    private static final int[] LENGTHS = {10, 500, 4_000, 20_000, 60_000, 120_000, 170_000, 300_000, 500_000};
+
+    @Property(seed = "42", tries = 150)
+    void everyAttemptGetsOneAnswerAndNoEngineIsOversubscribed(@ForAll("chains") ActionChain<World> chain) {
+        World world = chain.run();
+        world.drain();
+    }
+
+    @Provide
+    Arbitrary<ActionChain<World>> chains() {
+        return ActionChain.startWith(World::new)
+                .withAction(8, step("submit", World::submit))
+                .withAction(4, step("finish", World::finish))
+                .withAction(2, step("tick", World::tick))
+                .withAction(2, step("report", World::report))
+                .withAction(1, step("renew", World::renew))
+                .withAction(1, step("withdraw", World::withdraw))
+                .withAction(1, step("resubmit", World::resubmit))
+                .withAction(1, step("change an engine", World::changeEngine))
+                .withAction(1, step("list", World::list))
+                .withAction(1, step("configure", World::configure))
+                .withAction(1, step("lose a front", World::loseFront))
+                .withAction(1, step("summarise", World::summarise))
+                .withAction(1, step("cache events", World::cacheEvents))
+                .withMaxTransformations(250);
+    }
+
+    private static Action.Independent<World> step(String name, Step step) {
+        return () ->
+                Arbitraries.longs().map(seed -> Transformer.mutate(name, w -> step.run(w, new SplittableRandom(seed))));
+    }
+
+    /** One kind of event. */
+    private interface Step {
+        void run(World world, SplittableRandom random);
+    }
+
+    /** The dispatcher, the oracle and what both are told. */
+    static final class World {
+        private final DispatchSettings settings = DispatchSettings.defaults()
+                .withBounds(new DispatchSettings.Bounds(30, 20, 4))
+                .withOrder(new DispatchSettings.Order(0.25, 0.1, 4, 2));
+        private final Dispatcher dispatcher = new Dispatcher(Scene.ZONE, settings);
+        private final Oracle oracle = new Oracle(settings.lease());
+        private long now = 5_000_000_000L;
+        private long attempts;
+        private long change;
+        private long cacheEvents;
+
+        World() {
+            for (int i = 0; i < ENGINES; i++) {
+                oracle.engines.put(TargetId.of("e" + i), new Oracle.EngineState());
+            }
+            configure(true);
+            oracle.listed.addAll(oracle.engines.keySet());
+            relist();
+            oracle.engines.keySet().forEach(e -> report(e, 0));
+        }
+
+        private void apply(DispatchEvent event, Optional<AttemptId> repeated) {
+            oracle.advance(now);
+            ImmutableList<DispatchEffect> effects = dispatcher.apply(event, now);
+            oracle.check(effects, repeated, now, dispatcher);
+        }
+
+        private void apply(DispatchEvent event) {
+            apply(event, Optional.empty());
+        }
+
+        void submit(SplittableRandom random) {
+            int length = LENGTHS[random.nextInt(LENGTHS.length)];
+            long limit = Duration.ofMillis(100 + random.nextInt(60_000)).toNanos();
+            ImmutableSet<TargetId> excluded = random.nextInt(5) == 0
+                    ? ImmutableSet.of(TargetId.of("e" + random.nextInt(ENGINES)))
+                    : ImmutableSet.of();
+            GrantRequest r = new GrantRequest(
+                    AttemptId.of(front(random), attempts++),
+                    OrganisationId.of("org" + random.nextInt(3)),
+                    new Work.Prompt(
+                            Scene.MODEL, length, 1 + random.nextInt(2_000), ImmutableLongArray.of(random.nextInt(5))),
+                    now + limit,
+                    excluded,
+                    random.nextBoolean());
+            oracle.queued.put(r.attempt(), r);
+            apply(new DispatchEvent.Submitted(r));
+        }
+
+        void resubmit(SplittableRandom random) {
+            Optional<GrantRequest> r = random.nextBoolean()
+                    ? oracle.someQueued(random.nextInt(100))
+                    : oracle.someHeld(random.nextInt(100)).map(h -> h.request);
+            r.filter(g -> !oracle.held.containsKey(g.attempt()) || oracle.held.get(g.attempt()).leaseUntil > now)
+                    .ifPresent(g -> apply(new DispatchEvent.Submitted(g), Optional.of(g.attempt())));
+        }
+
+        void withdraw(SplittableRandom random) {
+            Optional<GrantRequest> r = random.nextBoolean()
+                    ? oracle.someQueued(random.nextInt(100))
+                    : oracle.someHeld(random.nextInt(100)).map(h -> h.request);
+            r.ifPresent(g -> {
+                oracle.queued.remove(g.attempt());
+                oracle.held.remove(g.attempt());
+                apply(new DispatchEvent.Withdrawn(g.attempt()));
+            });
+        }
+
+        void finish(SplittableRandom random) {
+            Optional<Oracle.Held> held = oracle.someHeld(random.nextInt(100));
+            DispatchEvent.Outcome[] outcomes = DispatchEvent.Outcome.values();
+            held.ifPresent(h -> {
+                oracle.held.remove(h.request.attempt());
+                apply(new DispatchEvent.Finished(
+                        h.request.attempt(), h.targets.get(0), 5, outcomes[random.nextInt(outcomes.length)]));
+            });
+        }
+
+        void tick(SplittableRandom random) {
+            now += Duration.ofMillis(random.nextInt(1_500)).toNanos();
+            apply(new DispatchEvent.Ticked());
+        }
+
+        void renew(SplittableRandom random) {
+            HostLife front = front(random);
+            List<DispatchEvent.HeldGrant> grants = new ArrayList<>();
+            for (Oracle.Held h : ImmutableList.copyOf(oracle.held.values())) {
+                if (h.request.attempt().owner().equals(front)) {
+                    grants.add(new DispatchEvent.HeldGrant(h.request, h.targets));
+                    oracle.renew(h.request, h.targets, now);
+                }
+            }
+            if (random.nextInt(4) == 0) {
+                GrantRequest r = oracle.someQueued(random.nextInt(100)).orElse(null);
+                if (r != null) {
+                    ImmutableList<TargetId> other = ImmutableList.of(TargetId.of("e" + random.nextInt(ENGINES)));
+                    grants.add(new DispatchEvent.HeldGrant(r, other));
+                    oracle.renew(r, other, now);
+                }
+            }
+            apply(new DispatchEvent.Renewed(front, ImmutableList.copyOf(grants)));
+        }
+
+        void loseFront(SplittableRandom random) {
+            HostLife front = front(random);
+            oracle.queued.keySet().removeIf(a -> a.owner().equals(front));
+            oracle.held.keySet().removeIf(a -> a.owner().equals(front));
+            apply(new DispatchEvent.FrontLost(front));
+        }
+
+        void report(SplittableRandom random) {
+            TargetId engine = TargetId.of("e" + random.nextInt(ENGINES));
+            report(engine, random.nextInt(500));
+        }
+
+        private void report(TargetId engine, int ageMillis) {
+            Oracle.EngineState state = oracle.engines.get(engine);
+            apply(new DispatchEvent.LoadReported(
+                    engine,
+                    new EngineControl.LoadReport(
+                            Duration.ofMillis(ageMillis),
+                            Oracle.CAPACITY,
+                            oracle.usedTokens(engine),
+                            Oracle.SLOTS,
+                            0,
+                            0,
+                            20_000,
+                            50,
+                            ImmutableSet.of(Scene.MODEL),
+                            "both",
+                            !state.refusing)));
+        }
+
+        void changeEngine(SplittableRandom random) {
+            TargetId id = TargetId.of("e" + random.nextInt(ENGINES));
+            Oracle.EngineState state = oracle.engines.get(id);
+            if (random.nextBoolean()) {
+                state.unreachable = !state.unreachable;
+                apply(new DispatchEvent.ReachabilityChanged(id, !state.unreachable));
+                state.unreachable &= oracle.listed.contains(id);
+            } else if (oracle.listed.contains(id)) {
+                state.refusing = !state.refusing;
+                report(id, 0);
+            }
+        }
+
+        void list(SplittableRandom random) {
+            TargetId id = TargetId.of("e" + random.nextInt(ENGINES));
+            Oracle.EngineState state = oracle.engines.get(id);
+            if (random.nextBoolean()) {
+                state.leaving = !state.leaving;
+            } else if (!oracle.listed.remove(id)) {
+                oracle.listed.add(id);
+                state.unreachable = false;
+                state.refusing = false;
+            }
+            relist();
+        }
+
+        private void relist() {
+            ImmutableList.Builder<Target> targets = ImmutableList.builder();
+            for (TargetId id : oracle.listed) {
+                targets.add(new Target(
+                        id,
+                        TargetKind.ENGINE,
+                        Scene.ZONE,
+                        new Endpoint("127.0.0.1", 1),
+                        Optional.empty(),
+                        oracle.engines.get(id).leaving));
+            }
+            apply(new DispatchEvent.TargetsListed(targets.build()));
+        }
+
+        void configure(SplittableRandom random) {
+            Oracle.EngineState state = oracle.engines.get(TargetId.of("e" + random.nextInt(ENGINES)));
+            state.stopped = !state.stopped;
+            configure(random.nextInt(10) != 0);
+        }
+
+        private void configure(boolean planned) {
+            ImmutableMap.Builder<OrganisationId, Plan> plans = ImmutableMap.builder();
+            ImmutableMap.Builder<PlanId, Allowance> allowances = ImmutableMap.builder();
+            for (int i = 0; planned && i < 3; i++) {
+                Allowance a = Scene.allowance("org" + i, 1_000_000_000, 100, 1 + i);
+                OrganisationId o = OrganisationId.of("org" + i);
+                plans.put(o, new Plan(o, a.plan(), ImmutableSet.of()));
+                allowances.put(a.plan(), a);
+            }
+            ImmutableMap.Builder<TargetId, TargetSwitch> switches = ImmutableMap.builder();
+            oracle.engines.forEach((id, e) -> switches.put(id, new TargetSwitch(id, !e.stopped)));
+            oracle.planned = planned;
+            apply(new DispatchEvent.Configured(new Configuration(
+                    ++change, plans.buildOrThrow(), allowances.buildOrThrow(), switches.buildOrThrow())));
+        }
+
+        void summarise(SplittableRandom random) {
+            ZoneSummary other = new ZoneSummary(
+                    ImmutableMap.of(OrganisationId.of("org0"), random.nextLong(1_000_000)),
+                    1_000_000,
+                    1_000_000,
+                    random.nextDouble() * 10,
+                    ImmutableSet.of(Scene.MODEL),
+                    random.nextBoolean());
+            apply(new DispatchEvent.ZonesSummarised(ImmutableMap.of(AvailabilityZoneId.of("b"), other)));
+        }
+
+        void cacheEvents(SplittableRandom random) {
+            long first = cacheEvents + random.nextInt(3);
+            cacheEvents = first + 1;
+            EngineControl.CacheEvent event = new EngineControl.CacheEvent(random.nextInt(5), random.nextBoolean());
+            apply(new DispatchEvent.CacheReported(
+                    TargetId.of("e0"), new EngineControl.CacheEvents(first, first + 1, ImmutableList.of(event))));
+        }
+
+        /** Lets all time limits pass: nothing may be left waiting. */
+        void drain() {
+            now += Duration.ofHours(1).toNanos();
+            apply(new DispatchEvent.Ticked());
+        }
+
+        private static HostLife front(SplittableRandom random) {
+            return HostLife.of(HostId.of("front" + random.nextInt(2)), Incarnation.of(1));
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/dispatch/FairQueueTest.java
@@ -0,0 +1,98 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.boragebarrow.model.OrganisationId;
+
+import static com.google.common.truth.Truth.assertThat;
+
+final class FairQueueTest {
+    private static final int PASS_LIMIT = 8;
+
+    private final Scene scene = new Scene();
+    private long sequence;
+
+    private Queued queued(String organisation, int promptTokens) {
+        GrantRequest r = scene.prompt(OrganisationId.of(organisation), promptTokens, 4, Duration.ofHours(1));
+        return new Queued(r, sequence++, 1);
+    }
+
+    private static Queued grantFirst(FairQueue queue) {
+        Queued q = queue.first().orElseThrow();
+        queue.grant(q);
+        return q;
+    }
+
+    @Example
+    void anOrganisationThatFloodsTheQueueDoesNotDelayAnother() {
+        FairQueue queue = new FairQueue(1_000);
+        for (int i = 0; i < 100; i++) {
+            queue.add(queued("large", 1_000), 1);
+        }
+        Queued other = queued("small", 1_000);
+        queue.add(other, 1);
+        grantFirst(queue);
+        grantFirst(queue);
+        assertThat(queue.first().orElseThrow() == other
+                        || !queue.candidates(200).contains(other))
+                .isTrue();
+    }
+
+    @Example
+    void organisationsAreServedByTheirWeights() {
+        FairQueue queue = new FairQueue(1_000);
+        for (int i = 0; i < 60; i++) {
+            queue.add(queued("heavy", 1_000), 3);
+            queue.add(queued("light", 1_000), 1);
+        }
+        int heavy = 0;
+        for (int i = 0; i < 40; i++) {
+            heavy += grantFirst(queue).request.organisation().value().equals("heavy") ? 1 : 0;
+        }
+        assertThat(heavy).isAtLeast(29);
+        assertThat(heavy).isAtMost(31);
+    }
+
+    @Example
+    void aLightOrganisationIsPredictedToWaitOnlyForItsShare() {
+        FairQueue queue = new FairQueue(1_000);
+        for (int i = 0; i < 100; i++) {
+            queue.add(queued("large", 1_000), 1);
+        }
+        assertThat(queue.shareAhead(OrganisationId.of("small"), 1_000, 1)).isLessThan(0.05);
+        assertThat(queue.shareAhead(OrganisationId.of("large"), 1_000, 1)).isEqualTo(1.0);
+    }
+
+    @Property(seed = "17", tries = 200)
+    void noRequestIsPassedOverMoreOftenThanTheLimit(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        FairQueue queue = new FairQueue(PASS_LIMIT);
+        List<Queued> waiting = new ArrayList<>();
+        Map<Queued, Integer> passedOver = new HashMap<>();
+        for (int i = 0; i < 300; i++) {
+            if (random.nextInt(3) > 0 || waiting.isEmpty()) {
+                Queued q = queued("org" + random.nextInt(4), 1 + random.nextInt(100_000));
+                queue.add(q, 1 + random.nextInt(5));
+                waiting.add(q);
+                continue;
+            }
+            List<Queued> candidates = queue.candidates(3);
+            Queued granted = candidates.get(random.nextInt(candidates.size()));
+            queue.grant(granted);
+            waiting.remove(granted);
+            for (Queued q : waiting) {
+                if (q.sequence < granted.sequence) {
+                    assertThat(passedOver.merge(q, 1, Integer::sum)).isAtMost(PASS_LIMIT);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/dispatch/Oracle.java
@@ -0,0 +1,178 @@
+package org.boragebarrow.decision.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.LengthClass;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** Checks a dispatcher's effects against plain lists of what was submitted and granted. */
+final class Oracle {
+    static final long CAPACITY = 200_000;
+    static final int SLOTS = 4;
+
+    final Map<AttemptId, GrantRequest> queued = new LinkedHashMap<>();
+    final Map<AttemptId, Held> held = new LinkedHashMap<>();
+    final Map<TargetId, EngineState> engines = new TreeMap<>();
+    final TreeSet<TargetId> listed = new TreeSet<>();
+    boolean planned = true;
+    private final Duration lease;
+
+    Oracle(Duration lease) {
+        this.lease = lease;
+    }
+
+    /** Lets time pass: leases lapse, and time limits pass of requests that must be refused by the same event. */
+    void advance(long now) {
+        held.values().removeIf(h -> h.leaseUntil <= now);
+    }
+
+    void renew(GrantRequest request, ImmutableList<TargetId> targets, long now) {
+        queued.remove(request.attempt());
+        Held h = held.computeIfAbsent(request.attempt(), a -> new Held(request, targets));
+        h.leaseUntil = now + lease.toNanos();
+    }
+
+    /** Checks the effects of one event. */
+    void check(List<DispatchEffect> effects, Optional<AttemptId> repeated, long now, Dispatcher dispatcher) {
+        for (DispatchEffect effect : effects) {
+            switch (effect) {
+                case DispatchEffect.Granted g -> checkGrant(g, repeated, now);
+                case DispatchEffect.Refused r -> answer(r.attempt());
+                case DispatchEffect.Spilled s ->
+                    assertWithMessage("spilled twice")
+                            .that(answer(s.attempt()).spilled())
+                            .isFalse();
+            }
+        }
+        for (GrantRequest r : queued.values()) {
+            assertWithMessage("%s waits past its limit", r.attempt())
+                    .that(r.deadlineNanos())
+                    .isGreaterThan(now);
+        }
+        assertThat(dispatcher.queued()).isEqualTo(queued.size());
+        assertThat(dispatcher.granted()).isEqualTo(held.size());
+    }
+
+    private GrantRequest answer(AttemptId attempt) {
+        GrantRequest request = queued.remove(attempt);
+        assertWithMessage("%s is answered though it does not wait", attempt)
+                .that(request)
+                .isNotNull();
+        return request;
+    }
+
+    private void checkGrant(DispatchEffect.Granted grant, Optional<AttemptId> repeated, long now) {
+        Held earlier = held.get(grant.attempt());
+        if (earlier != null) {
+            assertThat(repeated).hasValue(grant.attempt());
+            assertThat(grant.targets()).isEqualTo(earlier.targets);
+            return;
+        }
+        GrantRequest request = answer(grant.attempt());
+        assertThat(planned).isTrue();
+        assertThat(request.deadlineNanos()).isGreaterThan(now);
+        assertThat(grant.targets()).isInStrictOrder();
+        Held h = new Held(request, grant.targets());
+        h.leaseUntil = now + lease.toNanos();
+        held.put(grant.attempt(), h);
+        for (TargetId t : grant.targets()) {
+            assertThat(request.excluded()).doesNotContain(t);
+            checkEngine(t, h);
+        }
+    }
+
+    private void checkEngine(TargetId target, Held granted) {
+        EngineState e = engines.get(target);
+        assertThat(listed).contains(target);
+        assertWithMessage("%s takes no new work", target).that(e.isAvailable()).isTrue();
+        long all = 0;
+        long longer = 0;
+        int sequences = 0;
+        for (Held h : held.values()) {
+            if (!h.targets.contains(target)) {
+                continue;
+            }
+            sequences++;
+            all += h.tokensEach();
+            longer += h.isShort() ? 0 : h.tokensEach();
+        }
+        assertWithMessage("memory of %s", target).that(all).isAtMost(CAPACITY);
+        assertWithMessage("slots of %s", target).that(sequences).isAtMost(SLOTS);
+        if (!granted.isShort()) {
+            assertWithMessage("share of long prompts on %s", target)
+                    .that(longer)
+                    .isAtMost(CAPACITY * 9 / 10);
+        }
+    }
+
+    /** Returns the n-th grant, counted round. */
+    Optional<Held> someHeld(int n) {
+        return nth(held.values().iterator(), held.size(), n);
+    }
+
+    /** Returns the n-th waiting request, counted round. */
+    Optional<GrantRequest> someQueued(int n) {
+        return nth(queued.values().iterator(), queued.size(), n);
+    }
+
+    long usedTokens(TargetId engine) {
+        long sum = 0;
+        for (Held h : held.values()) {
+            sum += h.targets.contains(engine) ? h.tokensEach() : 0;
+        }
+        return sum;
+    }
+
+    private static <T> Optional<T> nth(Iterator<T> all, int size, int n) {
+        List<T> list = new ArrayList<>();
+        all.forEachRemaining(list::add);
+        return size == 0 ? Optional.empty() : Optional.of(list.get(n % size));
+    }
+
+    /** A grant in use. */
+    static final class Held {
+        final GrantRequest request;
+        final ImmutableList<TargetId> targets;
+        long leaseUntil;
+
+        Held(GrantRequest request, ImmutableList<TargetId> targets) {
+            this.request = request;
+            this.targets = targets;
+        }
+
+        long tokensEach() {
+            Work.Prompt p = (Work.Prompt) request.work();
+            long tokens = (long) p.promptTokens() + p.maxTokens();
+            return (tokens + targets.size() - 1) / targets.size();
+        }
+
+        boolean isShort() {
+            return ((Work.Prompt) request.work()).lengthClass() == LengthClass.SHORT;
+        }
+    }
+
+    /** What an engine was last told to be. */
+    static final class EngineState {
+        boolean leaving;
+        boolean stopped;
+        boolean unreachable;
+        boolean refusing;
+
+        boolean isAvailable() {
+            return !leaving && !stopped && !unreachable && !refusing;
+        }
+    }
+}
