Find by fuzzing that ended lives must hear of it across zones

Cause: the stateful property found a host that stayed alive in its own zone while another zone kept it as ended, because the host that had ended it died before it could tell its own zone (minimal run: six to eight faults). Change: a host that reads a digest which lists a life it knows as ended tells that host, which then takes a higher incarnation. A host that answers a seed of another zone also tells what it knows of the asker's zone.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Digests.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Digests.java
@@ -145,7 +145,7 @@
             boolean tells = zone.self.host().equals(bridges.get(other.id))
                     && other.isHeard(settings.zoneTimeout().toNanos(), now);
             if (tells) {
-                other.full(ImmutableList.of()).ifPresent(digest -> out.send(joined, digest));
+                other.full().ifPresent(digest -> out.send(joined, digest));
             }
         }
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Membership.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Membership.java
@@ -122,8 +122,12 @@
             return;
         }
         if (!member.zone().equals(self.zone())) {
-            zones.get(member.zone()).meet(member);
+            Zone zone = zones.get(member.zone());
+            zone.meet(member);
             answer(heartbeat, out, now);
+            if (heartbeat.answerWanted()) {
+                zone.full().ifPresent(known -> out.send(member, known.relay(false)));
+            }
             return;
         }
         hear(member, out, now);
@@ -256,11 +260,23 @@
         Zone zone = zones.get(digest.zone());
         zone.supersededBy(digest.members()).forEach(life -> ended.add(life, digest.zone(), now));
         boolean news = zone.accept(digest, ended, now);
+        if (news) {
+            tellEnded(digest.members(), out);
+        }
         if (news && !digest.relayed()) {
             digests.relay(digest, situation(now), out);
         }
     }
 
+    /** Tells members of another zone that their life was ended by a host that did not live to tell its own zone. */
+    private void tellEnded(ImmutableList<Member> members, Outbox out) {
+        for (Member member : members) {
+            if (ended.contains(member.life())) {
+                out.send(member, new Ended(ended.latest(member.life())));
+            }
+        }
+    }
+
     private void learn(long number, long now) {
         if (number > highestKnown) {
             highestKnown = number;
@@ -381,6 +397,7 @@
 
     private void report(Outbox out, long now) {
         MemberView members = view();
+        assert members.live().values().stream().noneMatch(member -> members.isEnded(member.life())) : members;
         if (!lastMembers.equals(Optional.of(members))) {
             lastMembers = Optional.of(members);
             out.add(new MembersChanged(members));
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Zone.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Zone.java
@@ -125,7 +125,7 @@
     }
 
     /** Returns the last digest with all that is known of the zone, for a host that knows nothing yet. */
-    Optional<ZoneDigest> full(ImmutableList<HostLife> ended) {
+    Optional<ZoneDigest> full() {
         return last.map(digest -> new ZoneDigest(
                 id,
                 digest.origin(),
@@ -134,7 +134,7 @@
                 digest.highestKnown(),
                 digest.memberCount(),
                 members,
-                ended,
+                ImmutableList.of(),
                 summary,
                 true));
     }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/MembershipTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/MembershipTest.java
@@ -10,6 +10,7 @@
 import org.boragebarrow.decision.member.MemberEvent.SeedsListed;
 import org.boragebarrow.decision.member.MemberMessage.Ended;
 import org.boragebarrow.decision.member.MemberMessage.Suspect;
+import org.boragebarrow.decision.member.MemberMessage.ZoneDigest;
 import org.boragebarrow.decision.placement.Role;
 import org.boragebarrow.decision.placement.Roles;
 import org.boragebarrow.model.AvailabilityZoneId;
@@ -191,6 +192,19 @@
         assertThat(fleet.host("a0").members.isEnded(alive)).isFalse();
     }
 
+    @Example
+    void aHostThatOnlyAnotherZoneKnowsAsEndedTakesAnotherLife() {
+        HostLife judge = HostLife.of(HostId.of("b8"), Incarnation.of(1));
+        HostLife victim = fleet.host("b1").life();
+        ZoneDigest verdict = new ZoneDigest(
+                ZONE_B, judge, 1, 0, 0, 1, ImmutableList.of(), ImmutableList.of(victim), Optional.empty(), true);
+        fleet.tell(fleet.host("a1"), new MemberEvent.MessageReceived(judge, verdict));
+        assertThat(fleet.host("a1").members.isEnded(victim)).isTrue();
+        fleet.runSeconds(35);
+        assertThat(fleet.host("b1").lives).hasSize(2);
+        assertThat(fleet.agrees()).isTrue();
+    }
+
     @Example
     void aZoneThatIsCutOffIsNotHeardButItsHostsAreNotEnded() {
         fleet.cutBetween(fleet.endpointsOf("b"), union("a", "c"));
@@ -245,6 +259,15 @@
         assertThat(late.zones.zones().get(ZONE_B).heard()).isTrue();
     }
 
+    @Example
+    void aHostFindsItsZoneThroughTheSeedOfAnother() {
+        fleet.kill("a0");
+        fleet.runSeconds(5);
+        fleet.add("a7", 1, "a", SimulatedFleet.address(0, 7));
+        fleet.runSeconds(5);
+        assertThat(fleet.agrees()).isTrue();
+    }
+
     @Example
     void aChangeNumberReachesEveryHostWithinTwoSeconds() {
         fleet.tell(fleet.host("a0"), new MemberEvent.AppliedChange(42));
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/SimulatedFleet.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/SimulatedFleet.java
@@ -21,16 +21,18 @@
     final SimulatedNetwork network;
     final List<SimulatedHost> hosts = new ArrayList<>();
     private final MemberSettings settings = MemberSettings.defaults();
+    private final int zones;
     private final long seed;
 
-    SimulatedFleet(long seed) {
+    SimulatedFleet(int zones, long seed) {
+        this.zones = zones;
         this.seed = seed;
         this.network = new SimulatedNetwork(seed, MessageSizes::sizeOf);
     }
 
     /** Starts hosts {@code a0, a1, ..., b0, ...} that all know the first host of each zone as a seed. */
     static SimulatedFleet start(int zones, int hostsPerZone, long seed) {
-        SimulatedFleet fleet = new SimulatedFleet(seed);
+        SimulatedFleet fleet = new SimulatedFleet(zones, seed);
         for (int z = 0; z < zones; z++) {
             for (int h = 0; h < hostsPerZone; h++) {
                 fleet.add(zoneName(z) + h, 1, zoneName(z), address(z, h));
@@ -52,17 +54,13 @@
         hosts.add(host);
         network.start(at, host);
         ImmutableList.Builder<Seed> seeds = ImmutableList.builder();
-        for (int z = 0; z < 'z' - 'a' && z < zoneCount(); z++) {
+        for (int z = 0; z < zones; z++) {
             seeds.add(new Seed(address(z, 0), Optional.of(AvailabilityZoneId.of(zoneName(z)))));
         }
         tell(host, new SeedsListed(SeedSource.SETTINGS, seeds.build()));
         return host;
     }
 
-    private int zoneCount() {
-        return (int) hosts.stream().map(host -> host.zone).distinct().count();
-    }
-
     SimulatedHost host(String id) {
         List<SimulatedHost> found =
                 hosts.stream().filter(host -> host.id().value().equals(id)).toList();
@@ -131,10 +129,10 @@
 
     /** Returns whether every host sees exactly the present lives of every zone. */
     boolean agrees() {
-        ImmutableSet<AvailabilityZoneId> zones =
+        ImmutableSet<AvailabilityZoneId> present =
                 hosts.stream().map(host -> host.zone).collect(ImmutableSet.toImmutableSet());
         return hosts.stream()
-                .allMatch(host ->
-                        zones.stream().allMatch(zone -> livesSeenBy(host, zone).equals(livesOf(zone))));
+                .allMatch(host -> present.stream()
+                        .allMatch(zone -> livesSeenBy(host, zone).equals(livesOf(zone))));
     }
 }
