Apply the retry policy in the front and try whole deployments in one process

Cause: the front had retry rules of its own beside the decision package, and no test ran a whole path. Change: fronts share the budgeted retry policy and the token sequencer; module boragebarrow-trials starts hosts and stand-ins in one process, with cuts between zones and from the platform.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.base.Ticker;
@@ -44,6 +45,7 @@
 import org.boragebarrow.peer.link.PeerIdentity;
 import org.boragebarrow.peer.link.PeerKey;
 import org.boragebarrow.peer.link.PeerLinks;
+import org.boragebarrow.peer.link.PeerSender;
 import org.boragebarrow.peer.wire.SummaryMessages;
 import org.boragebarrow.port.EngineControl;
 import org.boragebarrow.port.HostList;
@@ -74,14 +76,14 @@
 
     private volatile boolean draining;
 
-    private Host(HostSettings settings, Incarnation incarnation) {
+    private Host(HostSettings settings, Incarnation incarnation, Surroundings surroundings) {
         this.settings = settings;
         this.loops = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
         this.metrics = new HostMetrics(settings.maxOrganisationSeries());
         this.directory = new TargetDirectory(settings.targets());
         this.client = new HttpClient(loops);
         HostSettings.Platform platform = settings.platform();
-        this.hostList = new HttpHostList(client, platform.hostList(), platform.timeout());
+        this.hostList = surroundings.hostList(new HttpHostList(client, platform.hostList(), platform.timeout()));
         EngineControl control = new HttpEngineControl(client, platform.timeout());
         DutyRing.Factory rings = new DutyRing.Factory(
                 settings.ringCapacity(), (duty, failure) -> LOG.write(LogEvent.DUTY_FAILED, duty, failure));
@@ -91,12 +93,13 @@
         HostLife life = HostLife.of(settings.id(), incarnation);
         PeerIdentity identity = new PeerIdentity(life, settings.zone());
         this.links = PeerLinks.start(identity, PeerKey.of(settings.peerKey().bytes()), router, loops, settings.peers());
+        PeerSender peers = surroundings.peers(links);
         Self self = new Self(life, settings.zone(), links.endpoint());
-        Reactions reactions = new Reactions(links);
+        Reactions reactions = new Reactions(peers);
         this.members = new MemberDuty(
                 self,
                 new Membership(self, MemberSettings.defaults(), incarnation.value()),
-                links,
+                peers,
                 ticker,
                 reactions,
                 rings);
@@ -105,7 +108,7 @@
                 codec, new HttpTableService(client, platform.table(), platform.timeout()), ticker, reactions, rings);
         DispatchContext context = new DispatchContext(
                 members,
-                links,
+                peers,
                 directory,
                 () -> changes.state().configuration(),
                 metrics,
@@ -125,7 +128,8 @@
                 new HttpServiceClient(client),
                 new EngineCancels(control, loops),
                 metrics,
-                ticker);
+                ticker,
+                new SplittableRandom(incarnation.value()));
         this.front = new Front(collaborators, settings.services(), settings.maxRequests());
         reactions.connect(members, changes, dispatching, front, codec);
         router.connect(members, changes, dispatching, codec);
@@ -146,7 +150,12 @@
      * @throws RuntimeException if an endpoint cannot be bound
      */
     public static Host start(HostSettings settings, Incarnation incarnation) {
-        Host host = new Host(settings, incarnation);
+        return start(settings, incarnation, Surroundings.DIRECT);
+    }
+
+    /** Starts a host in the given surroundings; otherwise like {@link #start(HostSettings, Incarnation)}. */
+    public static Host start(HostSettings settings, Incarnation incarnation, Surroundings surroundings) {
+        Host host = new Host(settings, incarnation, surroundings);
         LOG.write(
                 LogEvent.HOST_STARTED,
                 settings.id(),
@@ -233,6 +242,21 @@
         return adminServer.endpoint();
     }
 
+    /** Returns where other hosts connect. */
+    public Endpoint peerEndpoint() {
+        return links.endpoint();
+    }
+
+    /** Returns the number of requests in progress. */
+    public int requestsInProgress() {
+        return front.inProgress();
+    }
+
+    /** Returns the number of the last change in force. */
+    public long changeInForce() {
+        return changes.state().number();
+    }
+
     /** Returns whether the host is ready. */
     public boolean isReady() {
         return front.isReady();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/Front.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/Front.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableListMultimap;
@@ -58,7 +59,8 @@
             ServiceClient services,
             EngineCancels cancels,
             HostMetrics metrics,
-            Ticker ticker) {}
+            Ticker ticker,
+            RandomGenerator random) {}
 
     /** Creates a front that refuses everything until it is configured and ready. */
     public Front(Collaborators collaborators, ImmutableMap<ServiceName, ServiceSettings> services, int maxRequests) {
@@ -68,6 +70,7 @@
                 collaborators.services(),
                 collaborators.cancels(),
                 new FrontContext.AttemptCounter(collaborators.self()),
+                new Retries(collaborators.random()),
                 collaborators.metrics(),
                 collaborators.ticker(),
                 EventLog.of(Front.class));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/FrontContext.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/FrontContext.java
@@ -18,6 +18,7 @@
         ServiceClient services,
         EngineCancels cancels,
         AttemptCounter attempts,
+        Retries retries,
         HostMetrics metrics,
         Ticker ticker,
         EventLog log) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptExchange.java
@@ -14,6 +14,9 @@
 import org.boragebarrow.decision.dispatch.DispatchEvent.Outcome;
 import org.boragebarrow.decision.dispatch.GrantRequest;
 import org.boragebarrow.decision.dispatch.Work;
+import org.boragebarrow.decision.retry.FailedAttempt;
+import org.boragebarrow.decision.retry.RetryDecision;
+import org.boragebarrow.decision.retry.TokenSequencer;
 import org.boragebarrow.http.server.ServerResponse;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.ErrorKind;
@@ -33,9 +36,6 @@
  * attempts; the answer ends only when the engine's count agrees.
  */
 final class PromptExchange {
-    private static final int MAX_ATTEMPTS = 4;
-    private static final long RETRY_DELAY_MILLIS = 20;
-
     private final FrontContext context;
     private final Admitted admitted;
     private final ParsedPrompt prompt;
@@ -43,15 +43,15 @@
     private final ImmutableList<ByteBuffer> body;
     private final ServerResponse response;
     private final CompletionWriter writer;
-    private final StringBuilder delivered = new StringBuilder();
+    private final TokenSequencer tokens;
     private final Set<TargetId> failed = new LinkedHashSet<>();
     private final Runnable onDone;
 
     private Future<?> deadline;
     private Running running;
     private AttemptId queued;
-    private int nextIndex;
     private int attempts;
+    private long lastTokenNanos;
     private boolean everSent;
     private boolean done;
 
@@ -74,6 +74,7 @@
         this.promptTokens = promptTokens;
         this.body = body;
         this.response = response;
+        this.tokens = new TokenSequencer(prompt.maxTokens());
         this.writer = new CompletionWriter(response, admitted.request(), prompt);
         this.onDone = onDone;
     }
@@ -130,6 +131,9 @@
         }
         queued = null;
         Target engine = targets.get(0);
+        if (attempts == 1) {
+            context.retries().onFirstAttempt(admitted.organisation(), engine.id());
+        }
         running = new Running(attempt, engine, now);
         context.metrics().queued(admitted.organisation(), lengthClass(), now - admitted.arrivedNanos());
         Optional<String> gang = targets.size() > 1 ? Optional.of(attempt.toString()) : Optional.empty();
@@ -138,10 +142,10 @@
                 attempt,
                 prompt.model(),
                 body,
-                ByteBuffer.wrap(delivered.toString().getBytes(StandardCharsets.UTF_8)),
+                ByteBuffer.wrap(tokens.delivered().getBytes(StandardCharsets.UTF_8)),
                 promptTokens,
                 prompt.maxTokens(),
-                nextIndex,
+                tokens.next(),
                 false,
                 priority,
                 Duration.ofNanos(remaining),
@@ -167,8 +171,8 @@
         }
 
         @Override
-        public void onEnd(int count, int tokens, String finishReason) {
-            run(() -> PromptExchange.this.onEnd(attempt, count, tokens, finishReason));
+        public void onEnd(int count, int promptCount, String finishReason) {
+            run(() -> PromptExchange.this.onEnd(attempt, count, promptCount, finishReason));
         }
 
         @Override
@@ -195,37 +199,42 @@
     }
 
     private void onToken(AttemptId attempt, int index, String text) {
-        if (isStray(attempt) || index < nextIndex) {
+        if (isStray(attempt)) {
             return;
         }
-        if (index > nextIndex) {
-            breakOff(TargetFailure.broken("token " + nextIndex + " is missing before " + index));
-            return;
+        switch (tokens.onToken(index, text)) {
+            case DELIVER -> deliver(text);
+            case DROP -> context.metrics().strayMessage();
+            default -> breakOff(TargetFailure.broken("token " + index + " came instead of " + tokens.next()));
         }
+    }
+
+    private void deliver(String text) {
         long now = context.ticker().read();
-        if (nextIndex == 0) {
+        if (tokens.next() == 1) {
             context.metrics().firstToken(admitted.organisation(), lengthClass(), now - admitted.arrivedNanos());
+        } else {
+            context.metrics().betweenTokens(admitted.organisation(), lengthClass(), now - lastTokenNanos);
         }
-        nextIndex++;
-        delivered.append(text);
+        lastTokenNanos = now;
         writer.token(text);
         if (!response.isWritable()) {
             handle.setReading(false);
         }
     }
 
-    private void onEnd(AttemptId attempt, int count, int tokens, String finishReason) {
+    private void onEnd(AttemptId attempt, int count, int promptCount, String finishReason) {
         if (isStray(attempt)) {
             return;
         }
-        if (count != nextIndex) {
-            breakOff(TargetFailure.broken("the engine counted " + count + " tokens, " + nextIndex + " arrived"));
+        if (!tokens.onEnd(count)) {
+            breakOff(TargetFailure.broken("the engine counted " + count + " tokens, " + tokens.next() + " arrived"));
             return;
         }
         finishRunning(Outcome.COMPLETED);
         long elapsed = context.ticker().read() - admitted.arrivedNanos();
         context.metrics().completed(admitted.organisation(), lengthClass(), elapsed);
-        writer.end(count, tokens, finishReason);
+        writer.end(count, promptCount, finishReason);
         close();
     }
 
@@ -242,23 +251,33 @@
         }
         Running broken = running;
         context.log().write(LogEvent.TARGET_FAILED, broken.engine().id(), attempt, failure.message());
-        everSent |= failure.sent();
         finishRunning(Outcome.FAILED);
         if (failure.sent() && !failure.refused()) {
             context.cancels().cancel(broken.engine(), attempt);
         }
         failed.add(broken.engine().id());
-        if (attempts >= MAX_ATTEMPTS) {
-            ErrorKind kind = everSent ? ErrorKind.TARGET_FAILED : ErrorKind.NO_TARGET;
-            fail(RequestException.of(kind, "the last attempt failed: " + failure.message()));
-            return;
+        retry(broken.engine().id(), failure);
+    }
+
+    private void retry(TargetId engine, TargetFailure failure) {
+        Duration remaining =
+                Duration.ofNanos(admitted.remainingNanos(context.ticker().read()));
+        FailedAttempt attempt =
+                new FailedAttempt(admitted.organisation(), engine, failure, true, everSent, attempts, remaining);
+        everSent = attempt.anythingSent();
+        switch (context.retries().decide(attempt)) {
+            case RetryDecision.Retry again -> {
+                context.metrics().retried();
+                response.eventLoop().schedule(this::acquire, again.delay().toMillis(), TimeUnit.MILLISECONDS);
+            }
+            case RetryDecision.GiveUp end ->
+                fail(RequestException.of(end.kind(), "the last attempt failed: " + failure.message())
+                        .withRan(end.ran()));
         }
-        context.metrics().retried();
-        response.eventLoop().schedule(this::acquire, RETRY_DELAY_MILLIS * attempts, TimeUnit.MILLISECONDS);
     }
 
     private void finishRunning(Outcome outcome) {
-        context.grants().finish(running.attempt(), running.engine(), nextIndex, outcome);
+        context.grants().finish(running.attempt(), running.engine(), tokens.next(), outcome);
         running = null;
     }
 
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/Retries.java
@@ -0,0 +1,40 @@
+package org.boragebarrow.node.front;
+
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import org.boragebarrow.decision.retry.Backoff;
+import org.boragebarrow.decision.retry.FailedAttempt;
+import org.boragebarrow.decision.retry.RetryBudget;
+import org.boragebarrow.decision.retry.RetryDecision;
+import org.boragebarrow.decision.retry.RetryPolicy;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.TargetId;
+
+/** The retry policy that all requests of a host share. Thread-safe. */
+final class Retries {
+    private static final int MAX_ATTEMPTS = 4;
+    private static final Duration FIRST_DELAY = Duration.ofMillis(20);
+    private static final Duration LONGEST_DELAY = Duration.ofMillis(500);
+    private static final Duration LEAST_REMAINING = Duration.ofMillis(50);
+
+    @GuardedBy("this") private final RetryBudget budget = RetryBudget.tenth();
+
+    @GuardedBy("this") private final RetryPolicy policy;
+
+    Retries(RandomGenerator random) {
+        Backoff backoff = new Backoff(FIRST_DELAY, LONGEST_DELAY, random);
+        this.policy = new RetryPolicy(budget, backoff, MAX_ATTEMPTS, LEAST_REMAINING);
+    }
+
+    /** Counts a first attempt, of which the budget for retries is a part. */
+    synchronized void onFirstAttempt(OrganisationId organisation, TargetId target) {
+        budget.onFirstAttempt(organisation, target);
+    }
+
+    /** Decides what follows a failure. */
+    synchronized RetryDecision decide(FailedAttempt failed) {
+        return policy.decide(failed);
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ServiceExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ServiceExchange.java
@@ -14,6 +14,8 @@
 import org.boragebarrow.decision.dispatch.DispatchEvent.Outcome;
 import org.boragebarrow.decision.dispatch.GrantRequest;
 import org.boragebarrow.decision.dispatch.Work;
+import org.boragebarrow.decision.retry.FailedAttempt;
+import org.boragebarrow.decision.retry.RetryDecision;
 import org.boragebarrow.http.server.ServerRequest;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.ErrorKind;
@@ -33,9 +35,6 @@
  * <p>Confined to one event loop. A call that may not be repeated is never sent again once a byte of it may have left.
  */
 final class ServiceExchange {
-    private static final int MAX_ATTEMPTS = 3;
-    private static final long RETRY_DELAY_MILLIS = 20;
-
     /** A call as it goes to the service. */
     record Request(ServiceName service, String path, ServerRequest received, boolean repeatable) {}
 
@@ -136,6 +135,9 @@
         queued = null;
         runningAttempt = attempt;
         runningTarget = target;
+        if (attempts == 1) {
+            context.retries().onFirstAttempt(admitted.organisation(), target.id());
+        }
         answer = new ServiceAnswer.Builder();
         ServerRequest received = request.received();
         ServiceClient.Call call = new ServiceClient.Call(
@@ -201,23 +203,25 @@
     }
 
     private void failed(TargetFailure failure) {
-        context.log().write(LogEvent.TARGET_FAILED, runningTarget.id(), runningAttempt, failure.message());
-        context.grants().finish(runningAttempt, runningTarget, 0, Outcome.FAILED);
-        failed.add(runningTarget.id());
+        Target target = runningTarget;
+        context.log().write(LogEvent.TARGET_FAILED, target.id(), runningAttempt, failure.message());
+        context.grants().finish(runningAttempt, target, 0, Outcome.FAILED);
+        failed.add(target.id());
         runningAttempt = null;
-        boolean mayRepeat = request.repeatable() || !failure.sent();
-        sent |= failure.sent();
-        if (!mayRepeat) {
-            fail(RequestException.of(ErrorKind.OUTCOME_UNKNOWN, "the answer was lost: " + failure.message()));
-            return;
-        }
-        if (attempts >= MAX_ATTEMPTS) {
-            ErrorKind kind = sent ? ErrorKind.TARGET_FAILED : ErrorKind.NO_TARGET;
-            fail(RequestException.of(kind, "the last attempt failed: " + failure.message()));
-            return;
+        Duration remaining =
+                Duration.ofNanos(admitted.remainingNanos(context.ticker().read()));
+        FailedAttempt attempt = new FailedAttempt(
+                admitted.organisation(), target.id(), failure, request.repeatable(), sent, attempts, remaining);
+        sent = attempt.anythingSent();
+        switch (context.retries().decide(attempt)) {
+            case RetryDecision.Retry again -> {
+                context.metrics().retried();
+                loop.schedule(this::acquire, again.delay().toMillis(), TimeUnit.MILLISECONDS);
+            }
+            case RetryDecision.GiveUp end ->
+                fail(RequestException.of(end.kind(), "the last attempt failed: " + failure.message())
+                        .withRan(end.ran()));
         }
-        context.metrics().retried();
-        loop.schedule(this::acquire, RETRY_DELAY_MILLIS * attempts, TimeUnit.MILLISECONDS);
     }
 
     private void onDeadline() {
--- /dev/null
+++ b/boragebarrow-trials/src/main/java/org/boragebarrow/trials/Shape.java
@@ -0,0 +1,31 @@
+package org.boragebarrow.trials;
+
+import java.util.stream.IntStream;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.standins.engine.EngineSettings;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * How large a deployment is.
+ *
+ * @param seed the seed of all stand-ins
+ */
+public record Shape(int zones, int hostsPerZone, int enginesPerZone, EngineSettings engine, long seed) {
+    private static final int MAX_ZONES = 26;
+
+    public Shape {
+        checkArgument(zones > 0 && zones <= MAX_ZONES, "zones must be 1 to %s: %s", MAX_ZONES, zones);
+        checkArgument(hostsPerZone > 0, "hosts must be positive: %s", hostsPerZone);
+        checkArgument(enginesPerZone > 0, "engines must be positive: %s", enginesPerZone);
+    }
+
+    /** Returns the ids of the zones: {@code a}, {@code b} and so on. */
+    public ImmutableList<AvailabilityZoneId> zoneIds() {
+        return IntStream.range(0, zones)
+                .mapToObj(zone -> AvailabilityZoneId.of(String.valueOf((char) ('a' + zone))))
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/boragebarrow-trials/src/test/java/org/boragebarrow/trials/WholePathTest.java
@@ -0,0 +1,91 @@
+package org.boragebarrow.trials;
+
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.boragebarrow.node.Host;
+import org.boragebarrow.standins.engine.EngineSettings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class WholePathTest {
+    private static Deployment deployment;
+    private static Caller caller;
+
+    @BeforeContainer
+    static void start() {
+        deployment = Deployment.start(new Shape(2, 2, 1, EngineSettings.defaults(), 7));
+        Host host = deployment.hosts().get(0);
+        Operators.setAllowance(host, "standard", 50_000_000, 100);
+        long change = Operators.setPlan(host, "workshop", "standard", "workshop-key");
+        Operators.awaitInForce(deployment, change);
+        caller = Caller.of("workshop-key");
+    }
+
+    @AfterContainer
+    static void stop() {
+        deployment.close();
+    }
+
+    @Example
+    void everyHostStreamsACompletionToItsEnd() {
+        for (Host host : deployment.hosts()) {
+            HttpResponse<String> answer = caller.complete(host, "hello", 4, true);
+            assertThat(answer.statusCode()).isEqualTo(200);
+            assertThat(answer.body()).endsWith("data: [DONE]\n\n");
+        }
+    }
+
+    @Example
+    void aWholeCompletionHasTheSameTextAsAStreamedOne() {
+        Host host = deployment.hosts().get(0);
+        String streamed = caller.complete(host, "same prompt", 3, true).body();
+        String whole = caller.complete(host, "same prompt", 3, false).body();
+        assertThat(whole).contains("\"completion_tokens\":3");
+        assertThat(streamed).contains("\"completion_tokens\":3");
+    }
+
+    @Example
+    void aBookingWithoutAKeyRunsOnce() {
+        Host host = deployment.hosts().get(3);
+        HttpResponse<String> answer = Caller.send(caller.request(host, "/services/desk/furnace/bookings")
+                .POST(BodyPublishers.ofString("{\"slot\":\"monday\",\"order\":\"roll-1\"}"))
+                .build());
+        assertThat(answer.statusCode()).isEqualTo(200);
+        assertThat(answer.body()).contains("monday");
+    }
+
+    @Example
+    void anUnknownKeyIsRefusedAsNotRun() {
+        HttpResponse<String> answer =
+                Caller.of("stranger").complete(deployment.hosts().get(0), "hello", 4, false);
+        assertThat(answer.statusCode()).isEqualTo(401);
+        assertThat(answer.body()).contains("\"ran\":\"no\"");
+    }
+
+    @Example
+    void anUnknownModelIsRefusedAsNotRun() {
+        Host host = deployment.hosts().get(1);
+        HttpResponse<String> answer = Caller.send(caller.request(host, "/v1/completions")
+                .POST(BodyPublishers.ofString("{\"model\":\"nobody\",\"prompt\":\"x\"}"))
+                .build());
+        assertThat(answer.statusCode()).isEqualTo(404);
+        assertThat(answer.body()).contains("UNKNOWN_MODEL");
+    }
+
+    @Example
+    void aStaleEditIsRefusedWithThePresentValue() {
+        Host host = deployment.hosts().get(0);
+        HttpResponse<String> answer = Caller.send(Caller.of(Deployment.ADMIN_TOKEN)
+                .request(host, "/")
+                .uri(java.net.URI.create("http://" + host.adminEndpoint() + "/admin/v1/plans/workshop"))
+                .header("If-Match", "\"1\"")
+                .PUT(BodyPublishers.ofString("{\"plan\":\"other\",\"keyHashes\":[]}"))
+                .build());
+        assertThat(answer.statusCode()).isEqualTo(412);
+        assertThat(answer.body()).contains("\"present\":{\"id\":\"workshop\"");
+    }
+}
