Add the operators' command line

Cause: operators had no way to edit plans and allowances, switch targets or try a host but raw HTTP. Change: boragebarrowctl with plan, allowance, target, change, status and send. Exit codes: 0 ok, 1 failed, 2 usage, 3 conflict, 4 unreachable, 5 wait timed out. Seams: SseParser of the engine adapter is public now, for the callers' event stream; WebResponse of the stand-ins can send headers. Figures: 16 tests against a fake admin API pass; not run against a host yet. Conclusion: usable once the admin API lands.

--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/ChangeReports.java
@@ -0,0 +1,77 @@
+package org.boragebarrow.ctl;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
+import com.google.common.base.Joiner;
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.ctl.admin.Accepted;
+import org.boragebarrow.ctl.admin.Rollout;
+
+/** Static functions that tell an operator what became of a change. */
+final class ChangeReports {
+    private static final Joiner LIST = Joiner.on(' ');
+
+    private ChangeReports() {}
+
+    static void print(Accepted accepted, Optional<Rollout> rollout, boolean json, Console console) {
+        if (json) {
+            ObjectNode page = JsonNodeFactory.instance.objectNode();
+            page.put("change", accepted.number());
+            page.put("change_id", accepted.changeId());
+            page.putRawValue("value", new RawValue(accepted.value()));
+            rollout.ifPresent(where -> put(page, where));
+            console.out().println(page);
+            return;
+        }
+        console.out().println("accepted as change " + accepted.number() + ": " + accepted.value());
+        rollout.ifPresent(where -> print(where, console));
+    }
+
+    static void print(Rollout rollout, boolean json, Console console) {
+        if (json) {
+            ObjectNode page = JsonNodeFactory.instance.objectNode();
+            page.put("change", rollout.number());
+            put(page, rollout);
+            console.out().println(page);
+            return;
+        }
+        print(rollout, console);
+    }
+
+    private static void print(Rollout rollout, Console console) {
+        console.out().println("in force on: " + LIST.join(rollout.inForce()));
+        printUnlessEmpty("not yet in force on: ", rollout.pending(), console);
+        printUnlessEmpty("unreachable: ", rollout.unreachable(), console);
+    }
+
+    private static void printUnlessEmpty(String title, ImmutableList<String> hosts, Console console) {
+        if (!hosts.isEmpty()) {
+            console.out().println(title + LIST.join(hosts));
+        }
+    }
+
+    private static void put(ObjectNode page, Rollout rollout) {
+        page.put("reachable", rollout.isInForce());
+        put(page.putArray("in_force"), rollout.inForce());
+        put(page.putArray("pending"), rollout.pending());
+        put(page.putArray("unreachable"), rollout.unreachable());
+    }
+
+    private static void put(ArrayNode array, ImmutableList<String> hosts) {
+        hosts.forEach(array::add);
+    }
+
+    static void checkInForce(Rollout rollout, Duration timeout) {
+        if (!rollout.isInForce()) {
+            throw new CommandException(
+                    ExitCode.WAIT_TIMED_OUT,
+                    "change " + rollout.number() + " is not in force after " + timeout.toSeconds() + " s on: "
+                            + LIST.join(rollout.pending()));
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/EditEntry.java
@@ -0,0 +1,27 @@
+package org.boragebarrow.ctl;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import org.boragebarrow.decision.change.ChangeEntry;
+
+/** Edits one entry. */
+abstract class EditEntry implements CtlCommand {
+    @AirlineModule
+    private AdminOptions admin = new AdminOptions();
+
+    @AirlineModule
+    private ChangeOptions change = new ChangeOptions();
+
+    @Required
+    @Arguments(title = "ID", description = "The entry's id")
+    private String id;
+
+    /** Returns the entry as the operator wants it; throws {@link IllegalArgumentException} if it can't be. */
+    abstract ChangeEntry entry(String named);
+
+    @Override
+    public void run(Console console) {
+        change.change(Usage.checked("entry", () -> entry(id)), admin, console);
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/ListEntries.java
@@ -0,0 +1,32 @@
+package org.boragebarrow.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import org.boragebarrow.ctl.admin.AdminClient;
+import org.boragebarrow.ctl.admin.AdminJson;
+import org.boragebarrow.ctl.admin.Edit;
+import org.boragebarrow.decision.change.EntryKey;
+
+/** Lists the entries of one kind. */
+abstract class ListEntries implements CtlCommand {
+    @AirlineModule
+    private AdminOptions admin = new AdminOptions();
+
+    abstract EntryKey.Kind kind();
+
+    @Override
+    public void run(Console console) {
+        try (AdminClient client = admin.connect()) {
+            JsonNode page = AdminJson.parse(client.get(Edit.path(kind(), "")).text());
+            if (admin.json()) {
+                console.out().println(page);
+                return;
+            }
+            console.out().println("change " + page.path("change").asLong());
+            for (JsonNode entry : page.path("entries")) {
+                String id = entry.path("id").asText();
+                console.out().println(id + " version " + entry.path("version") + ": " + entry.path("value"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/ShowChangeCommand.java
@@ -0,0 +1,41 @@
+package org.boragebarrow.ctl;
+
+import java.time.Duration;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import com.google.common.base.Ticker;
+import org.boragebarrow.ctl.admin.AdminClient;
+import org.boragebarrow.ctl.admin.Rollout;
+
+/** Shows where a change is in force. */
+@Command(name = "show", description = "Shows which hosts have a change in force")
+public final class ShowChangeCommand implements CtlCommand {
+    @AirlineModule
+    private AdminOptions admin = new AdminOptions();
+
+    @Option(
+            name = "--wait",
+            title = "SECONDS",
+            description = "Waits so long at most until the change is in force on every reachable host")
+    private int waitSeconds;
+
+    @Required
+    @Arguments(title = "N", description = "The change's number")
+    private long number;
+
+    @Override
+    public void run(Console console) {
+        Duration timeout = Duration.ofSeconds(Math.max(0, waitSeconds));
+        try (AdminClient client = admin.connect()) {
+            Rollout rollout = Rollout.await(client, number, timeout, Ticker.systemTicker());
+            ChangeReports.print(rollout, admin.json(), console);
+            if (waitSeconds > 0) {
+                ChangeReports.checkInForce(rollout, timeout);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/StatusCommand.java
@@ -0,0 +1,22 @@
+package org.boragebarrow.ctl;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Command;
+import org.boragebarrow.ctl.admin.AdminClient;
+import org.boragebarrow.ctl.admin.AdminJson;
+
+/** Shows what a host knows of the deployment. */
+@Command(name = "status", description = "Shows what a host knows of the deployment")
+public final class StatusCommand implements CtlCommand {
+    @AirlineModule
+    private AdminOptions admin = new AdminOptions();
+
+    @Override
+    public void run(Console console) {
+        try (AdminClient client = admin.connect()) {
+            JsonNode page = AdminJson.parse(client.get("/admin/v1/status").text());
+            console.out().println(admin.json() ? page.toString() : AdminJson.pretty(page));
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/admin/AdminClient.java
@@ -0,0 +1,108 @@
+package org.boragebarrow.ctl.admin;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.util.concurrent.Uninterruptibles;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.boragebarrow.ctl.CommandException;
+import org.boragebarrow.ctl.ExitCode;
+import org.boragebarrow.http.client.HttpAnswer;
+import org.boragebarrow.http.client.HttpCall;
+import org.boragebarrow.http.client.HttpCallException;
+import org.boragebarrow.http.client.HttpClient;
+import org.boragebarrow.model.Endpoint;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Calls the admin API of the first host that answers; blocking.
+ *
+ * <p>A call whose answer is lost is repeated, also at another host, so each call must be idempotent.
+ */
+public final class AdminClient implements AutoCloseable {
+    private static final int TRIES_PER_HOST = 3;
+    private static final Duration RETRY_DELAY = Duration.ofMillis(200);
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    private final ImmutableList<Endpoint> hosts;
+    private final String token;
+    private final Duration timeout;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpClient client = new HttpClient(group);
+
+    /** Creates a client of the given hosts; each call waits so long at most. */
+    public AdminClient(ImmutableList<Endpoint> hosts, String token, Duration timeout) {
+        checkArgument(!hosts.isEmpty(), "no host");
+        this.hosts = hosts;
+        this.token = checkNotNull(token);
+        this.timeout = checkNotNull(timeout);
+    }
+
+    /** Gets what is at the path; throws {@link CommandException} unless a host answers with success. */
+    public HttpAnswer get(String path) {
+        return AdminErrors.checked(call(HttpCall.of("GET", path).withHeaders(headers(ImmutableListMultimap.of()))));
+    }
+
+    /** Sends an edit; throws {@link CommandException} unless a host accepts it. */
+    public HttpAnswer edit(String method, String path, ImmutableListMultimap<String, String> headers, String body) {
+        ByteBuffer bytes = ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8));
+        HttpCall call = HttpCall.of(method, path).withHeaders(headers(headers));
+        return AdminErrors.checked(call(body.isEmpty() ? call : call.withBody(bytes)));
+    }
+
+    private ImmutableListMultimap<String, String> headers(ImmutableListMultimap<String, String> more) {
+        return ImmutableListMultimap.<String, String>builder()
+                .put("authorization", "Bearer " + token)
+                .put("content-type", "application/json")
+                .putAll(more)
+                .build();
+    }
+
+    private HttpAnswer call(HttpCall call) {
+        Optional<HttpAnswer> refusal = Optional.empty();
+        String failure = "";
+        int tries = TRIES_PER_HOST * hosts.size();
+        for (int i = 0; i < tries; i++) {
+            if (i >= hosts.size()) {
+                Uninterruptibles.sleepUninterruptibly(RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+            }
+            try {
+                HttpAnswer answer = client.exchange(hosts.get(i % hosts.size()), call, timeout)
+                        .join();
+                if (answer.status() != SERVICE_UNAVAILABLE) {
+                    return answer;
+                }
+                refusal = Optional.of(answer);
+            } catch (CompletionException e) {
+                failure = reason(e);
+            }
+        }
+        if (refusal.isPresent()) {
+            return refusal.get();
+        }
+        throw new CommandException(ExitCode.UNREACHABLE, "no host answers: " + failure);
+    }
+
+    private static String reason(CompletionException failure) {
+        if (failure.getCause() instanceof HttpCallException lost) {
+            return lost.getMessage();
+        }
+        throw failure;
+    }
+
+    @Override
+    public void close() {
+        client.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/admin/AdminJson.java
@@ -0,0 +1,38 @@
+package org.boragebarrow.ctl.admin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import org.boragebarrow.ctl.CommandException;
+import org.boragebarrow.ctl.ExitCode;
+
+/** Static functions that read the admin API's JSON. */
+public final class AdminJson {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private AdminJson() {}
+
+    /** Parses an answer; throws {@link CommandException} if it is no JSON. */
+    public static JsonNode parse(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException e) {
+            throw new CommandException(ExitCode.FAILED, "the host's answer is no JSON: " + e.getOriginalMessage());
+        }
+    }
+
+    /** Parses an answer; returns a missing node if it is no JSON. */
+    static JsonNode lenient(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (JsonProcessingException e) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    /** Returns the JSON over several lines. */
+    public static String pretty(JsonNode node) {
+        return node.toPrettyString();
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/admin/Edit.java
@@ -0,0 +1,73 @@
+package org.boragebarrow.ctl.admin;
+
+import java.util.OptionalLong;
+
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.net.UrlEscapers;
+import org.boragebarrow.decision.change.ChangeEntry;
+import org.boragebarrow.decision.change.EntryKey;
+import org.boragebarrow.decision.change.JsonChangeCodec;
+import org.boragebarrow.http.client.HttpAnswer;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * An edit of one entry.
+ *
+ * @param changeId makes repeats of the edit idempotent
+ * @param ifMatch the version that the entry must have; 0 for an entry that must not exist yet
+ */
+public record Edit(ChangeEntry entry, String changeId, OptionalLong ifMatch) {
+    public Edit {
+        checkNotNull(entry);
+        checkNotNull(changeId);
+        checkArgument(ifMatch.orElse(0) >= 0, "negative version: %s", ifMatch);
+    }
+
+    /** Returns the path of an entry, or of all entries of a kind for an empty id. */
+    public static String path(EntryKey.Kind kind, String id) {
+        String area = switch (kind) {
+            case PLAN -> "plans";
+            case ALLOWANCE -> "allowances";
+            case SWITCH -> "targets";
+        };
+        String all = "/admin/v1/" + area;
+        return id.isEmpty()
+                ? all
+                : all + "/" + UrlEscapers.urlPathSegmentEscaper().escape(id);
+    }
+
+    /** Sends the edit. */
+    public Accepted send(AdminClient client) {
+        String path = path(entry.key().kind(), entry.key().id());
+        HttpAnswer answer = switch (entry) {
+            case ChangeEntry.SwitchEntry order
+            when order.value().isPresent() ->
+                client.edit("POST", path + verb(order.value().get().started()), headers(), "");
+            default ->
+                entry.isDeletion()
+                        ? client.edit("DELETE", path, headers(), "")
+                        : client.edit("PUT", path, headers(), JsonChangeCodec.encodeValue(entry));
+        };
+        return new Accepted(EntityTags.version(answer), changeId, answer.text().strip());
+    }
+
+    private static String verb(boolean started) {
+        return started ? "/start" : "/stop";
+    }
+
+    private ImmutableListMultimap<String, String> headers() {
+        ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
+        headers.put("change-id", changeId);
+        if (ifMatch.isEmpty()) {
+            return headers.build();
+        }
+        if (ifMatch.getAsLong() == 0) {
+            headers.put("if-none-match", "*");
+        } else {
+            headers.put("if-match", EntityTags.of(ifMatch.getAsLong()));
+        }
+        return headers.build();
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to the admin API of hosts. */
+package org.boragebarrow.ctl.admin;
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/CallerClient.java
@@ -0,0 +1,40 @@
+package org.boragebarrow.ctl.caller;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import io.netty.channel.EventLoopGroup;
+import org.boragebarrow.http.client.HttpAnswer;
+import org.boragebarrow.http.client.HttpClient;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.port.EngineClient;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Sends callers' requests to entry hosts; thread-safe, never blocks. */
+public final class CallerClient {
+    /** How much later than its time limit an answer may still come. */
+    public static final Duration GRACE = Duration.ofSeconds(1);
+
+    private final HttpClient client;
+
+    /** Creates a client on the given one. */
+    public CallerClient(HttpClient client) {
+        this.client = checkNotNull(client);
+    }
+
+    /** Creates a client with connections of its own. */
+    public static CallerClient on(EventLoopGroup group) {
+        return new CallerClient(new HttpClient(group));
+    }
+
+    /** Sends a completion request and streams its answer to the listener. */
+    public EngineClient.Handle complete(Endpoint entry, PromptCall call, AnswerListener listener) {
+        return client.stream(entry, call.toHttp(), new CompletionStream(listener));
+    }
+
+    /** Sends a call of a plain service. */
+    public CompletableFuture<HttpAnswer> call(Endpoint entry, ServiceCall call) {
+        return client.exchange(entry, call.toHttp(), call.timeout().plus(GRACE));
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/CompletionStream.java
@@ -0,0 +1,140 @@
+package org.boragebarrow.ctl.caller;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableListMultimap;
+import io.netty.buffer.ByteBuf;
+import org.boragebarrow.http.client.HttpAnswer;
+import org.boragebarrow.http.client.StreamListener;
+import org.boragebarrow.http.engine.SseParser;
+import org.boragebarrow.port.TargetFailure;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** Turns a streamed completion into tokens and its end. */
+final class CompletionStream implements StreamListener {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int OK = 200;
+    private static final int MAX_ERROR_CHARS = 4_000;
+    private static final String DONE = "[DONE]";
+    private static final String ERROR_EVENT = "error";
+
+    private final AnswerListener listener;
+    private final SseParser parser = new SseParser(this::onEvent);
+    private final StringBuilder error = new StringBuilder();
+    private Optional<AnswerEnd> end = Optional.empty();
+    private Optional<JsonNode> usage = Optional.empty();
+    private int status;
+    private int tokens;
+    private boolean ended;
+
+    CompletionStream(AnswerListener listener) {
+        this.listener = listener;
+    }
+
+    @Override
+    public void onHead(int answerStatus, ImmutableListMultimap<String, String> headers) {
+        status = answerStatus;
+        String type = HttpAnswer.header(headers, "content-type").orElse("");
+        checkArgument(status != OK || type.startsWith("text/event-stream"), "not an event stream: \"%s\"", type);
+    }
+
+    @Override
+    public void onBody(ByteBuf part) {
+        if (status == OK) {
+            parser.feed(part);
+            return;
+        }
+        int length = Math.min(part.readableBytes(), MAX_ERROR_CHARS - error.length());
+        error.append(part.toString(part.readerIndex(), Math.max(0, length), StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void onEnd() {
+        if (status == OK) {
+            finish(end.orElse(new AnswerEnd.Cut(true, "the stream ended without its end event")));
+            return;
+        }
+        JsonNode fields = lenient(error.toString()).path("error");
+        finish(new AnswerEnd.Refused(
+                status,
+                fields.path("kind").asText("STATUS_" + status),
+                fields.path("ran").asText(""),
+                fields.path("message").asText(error.toString())));
+    }
+
+    @Override
+    public void onFailure(TargetFailure failure) {
+        finish(end.orElse(new AnswerEnd.Cut(failure.sent(), failure.message())));
+    }
+
+    private void finish(AnswerEnd told) {
+        if (!ended) {
+            ended = true;
+            listener.onEnd(told);
+        }
+    }
+
+    private void onEvent(String type, byte[] data, int offset, int length) {
+        checkArgument(end.isEmpty(), "an event after the end");
+        if (type.equals(ERROR_EVENT)) {
+            JsonNode fields = parse(data, offset, length).path("error");
+            end = Optional.of(new AnswerEnd.Failed(
+                    fields.path("kind").asText(""), fields.path("message").asText("")));
+            return;
+        }
+        if (isDone(data, offset, length)) {
+            end = Optional.of(complete());
+            return;
+        }
+        takeChunk(parse(data, offset, length));
+    }
+
+    private static boolean isDone(byte[] data, int offset, int length) {
+        return length == DONE.length() && new String(data, offset, length, StandardCharsets.US_ASCII).equals(DONE);
+    }
+
+    private void takeChunk(JsonNode chunk) {
+        JsonNode choice = chunk.path("choices").path(0);
+        if (chunk.has("usage")) {
+            usage = Optional.of(chunk.path("usage"));
+        }
+        String text =
+                choice.path("text").asText(choice.path("delta").path("content").asText(""));
+        if (!text.isEmpty()) {
+            tokens++;
+            listener.onToken(text);
+        }
+    }
+
+    private AnswerEnd complete() {
+        if (usage.isEmpty()) {
+            return new AnswerEnd.Cut(true, "the end event tells no counts");
+        }
+        int counted = usage.get().path("completion_tokens").asInt(-1);
+        if (counted != tokens) {
+            return new AnswerEnd.Cut(true, "the end event counts " + counted + " tokens, " + tokens + " came");
+        }
+        return new AnswerEnd.Complete(counted, usage.get().path("prompt_tokens").asInt());
+    }
+
+    private static JsonNode parse(byte[] data, int offset, int length) {
+        try {
+            return MAPPER.readTree(data, offset, length);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("malformed event data: " + e.getMessage(), e);
+        }
+    }
+
+    private static JsonNode lenient(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (IOException e) {
+            return MAPPER.missingNode();
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/PromptCall.java
@@ -0,0 +1,41 @@
+package org.boragebarrow.ctl.caller;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.OptionalInt;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import org.boragebarrow.http.client.HttpCall;
+import org.boragebarrow.model.RequestId;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * One streamed completion request.
+ *
+ * @param key the caller's API key
+ * @param promptTokens the prompt's length as the caller declares it, in tokens
+ */
+public record PromptCall(
+        String key, RequestId request, ImmutableList<ByteBuffer> body, Duration timeout, OptionalInt promptTokens) {
+    private static final String PATH = "/v1/completions";
+
+    public PromptCall {
+        checkNotNull(key);
+        checkNotNull(request);
+        checkNotNull(body);
+        checkNotNull(timeout);
+        checkNotNull(promptTokens);
+    }
+
+    HttpCall toHttp() {
+        ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
+        headers.put("authorization", "Bearer " + key);
+        headers.put("content-type", "application/json");
+        headers.put("request-id", request.value());
+        headers.put("request-timeout-ms", Long.toString(timeout.toMillis()));
+        promptTokens.ifPresent(tokens -> headers.put("prompt-tokens", Integer.toString(tokens)));
+        return new HttpCall("POST", PATH, headers.build(), body, true);
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.boragebarrow.ctl;
--- /dev/null
+++ b/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/BoragebarrowctlTest.java
@@ -0,0 +1,170 @@
+package org.boragebarrow.ctl;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class BoragebarrowctlTest {
+    private static final String HASH = "a".repeat(64);
+
+    private final FakeAdmin admin = new FakeAdmin();
+    private final CommandLine line = new CommandLine();
+    private final Path token = file(FakeAdmin.TOKEN + "\n");
+
+    @AfterTry
+    void close() throws IOException {
+        admin.close();
+        Files.delete(token);
+    }
+
+    private static Path file(String text) {
+        try {
+            return Files.writeString(Files.createTempFile("secret", ".txt"), text);
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private ExitCode run(String... words) {
+        List<String> all = new ArrayList<>(Arrays.asList(words));
+        all.addAll(List.of("--admin", admin.address(), "--token", "file:" + token));
+        return line.run(all.toArray(new String[0]));
+    }
+
+    private ExitCode setPlan(String... more) {
+        List<String> all = new ArrayList<>(List.of("plan", "set", "org1", "--plan", "gold", "--key-hash", HASH));
+        all.addAll(Arrays.asList(more));
+        return run(all.toArray(new String[0]));
+    }
+
+    @Example
+    void aPlanThatWasSetIsShownWithItsVersion() {
+        assertThat(setPlan()).isEqualTo(ExitCode.OK);
+        assertThat(run("plan", "get", "org1")).isEqualTo(ExitCode.OK);
+        assertThat(line.out()).contains("org1 version 1: {\"plan\":\"gold\",\"keyHashes\":[\"" + HASH + "\"]}");
+    }
+
+    @Example
+    void aKeyIsSentAsItsHashOnly() throws IOException {
+        Path key = file("caller-key\n");
+        ExitCode code = run("plan", "set", "org1", "--plan", "gold", "--key", "file:" + key);
+        Files.delete(key);
+        assertThat(code).isEqualTo(ExitCode.OK);
+        assertThat(line.out()).contains("d9f376b9bf894cc2c24e74981b01839a2dcf84bf07c5bb6bea376e90c4c7ae81");
+        assertThat(line.out()).doesNotContain("caller-key");
+    }
+
+    @Example
+    void anAllowanceThatWasSetIsListed() {
+        ExitCode code = run(
+                "allowance",
+                "set",
+                "gold",
+                "--tokens-per-minute",
+                "100000",
+                "--max-concurrent",
+                "20",
+                "--max-prompt-tokens",
+                "4096",
+                "--models",
+                "a,b");
+        assertThat(code).isEqualTo(ExitCode.OK);
+        assertThat(run("allowance", "list", "--json")).isEqualTo(ExitCode.OK);
+        assertThat(line.out()).contains("\"tokensPerMinute\":100000");
+        assertThat(line.out()).contains("\"models\":[\"a\",\"b\"]");
+    }
+
+    @Example
+    void aTargetIsStopped() {
+        assertThat(run("target", "stop", "engine-a1")).isEqualTo(ExitCode.OK);
+        run("target", "list");
+        assertThat(line.out()).contains("engine-a1 version 1: {\"started\":false}");
+    }
+
+    @Example
+    void aStaleEditIsAConflictThatShowsThePresentValue() {
+        setPlan();
+        assertThat(setPlan("--if-match", "7")).isEqualTo(ExitCode.CONFLICT);
+        assertThat(line.err()).contains("version 1 is {\"plan\":\"gold\"");
+    }
+
+    @Example
+    void anEditOfVersionZeroRefusesAnEntryThatExists() {
+        assertThat(setPlan("--if-match", "0")).isEqualTo(ExitCode.OK);
+        assertThat(setPlan("--if-match", "0")).isEqualTo(ExitCode.CONFLICT);
+    }
+
+    @Example
+    void aLostAnswerIsRepeatedAndTakesEffectOnce() {
+        admin.loseAnswers(2);
+        assertThat(setPlan()).isEqualTo(ExitCode.OK);
+        assertThat(admin.head()).isEqualTo(1);
+    }
+
+    @Example
+    void theSameChangeIdTakesEffectOnce() {
+        assertThat(setPlan("--change-id", "c1")).isEqualTo(ExitCode.OK);
+        assertThat(setPlan("--change-id", "c1")).isEqualTo(ExitCode.OK);
+        assertThat(admin.head()).isEqualTo(1);
+    }
+
+    @Example
+    void waitingEndsOnceAllReachableHostsHaveTheChange() {
+        admin.setPendingAnswers(3);
+        assertThat(setPlan("--wait", "60")).isEqualTo(ExitCode.OK);
+        assertThat(line.out()).contains("in force on: host-a1");
+        assertThat(line.out()).contains("unreachable: host-b1");
+    }
+
+    @Example
+    void waitingTooLongNamesTheHostsThatLackTheChange() {
+        admin.setPendingAnswers(Integer.MAX_VALUE);
+        assertThat(run("change", "show", "1", "--wait", "1")).isEqualTo(ExitCode.WAIT_TIMED_OUT);
+        assertThat(line.err()).contains("host-a2");
+    }
+
+    @Example
+    void anUnknownEntryIsAFailure() {
+        assertThat(run("plan", "get", "nobody")).isEqualTo(ExitCode.FAILED);
+        assertThat(line.err()).contains("NOT_FOUND");
+    }
+
+    @Example
+    void aHostThatDoesNotAnswerIsUnreachable() {
+        ExitCode code = line.run("status", "--admin", "127.0.0.1:1", "--token", "file:" + token);
+        assertThat(code).isEqualTo(ExitCode.UNREACHABLE);
+    }
+
+    @Example
+    void theNextHostIsAskedWhenOneDoesNotAnswer() {
+        String both = "127.0.0.1:1," + admin.address();
+        assertThat(line.run("status", "--admin", both, "--token", "file:" + token))
+                .isEqualTo(ExitCode.OK);
+    }
+
+    @Example
+    void aMissingOptionIsAUsageError() {
+        assertThat(line.run("plan", "set", "org1")).isEqualTo(ExitCode.USAGE);
+    }
+
+    @Example
+    void aMalformedHashIsAUsageError() {
+        assertThat(run("plan", "set", "org1", "--plan", "gold", "--key-hash", "xyz"))
+                .isEqualTo(ExitCode.USAGE);
+        assertThat(line.err()).contains("keyHashes");
+    }
+
+    @Example
+    void helpOfACommandNeedsNoOtherOption() {
+        assertThat(line.run("plan", "set", "--help")).isEqualTo(ExitCode.OK);
+        assertThat(line.out()).contains("--key-hash");
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the operators' command line. */
+package org.boragebarrow.ctl;
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/engine/SseParser.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/engine/SseParser.java
@@ -6,14 +6,16 @@
 import io.netty.buffer.ByteBuf;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
 
 /**
  * Splits a stream of bytes into server-sent events with one data line each; not thread-safe.
  *
  * <p>Throws {@link IllegalArgumentException} on anything else, and must not be used after that.
  */
-final class SseParser {
-    static final int MAX_LINE_BYTES = 256 << 10;
+public final class SseParser {
+    /** The longest line, in bytes. */
+    public static final int MAX_LINE_BYTES = 256 << 10;
 
     private static final String DEFAULT_TYPE = "message";
     private static final byte[] EVENT = "event: ".getBytes(StandardCharsets.US_ASCII);
@@ -30,17 +32,18 @@
     private boolean hasType;
 
     /** Receives events. */
-    interface Sink {
+    public interface Sink {
         /** Receives one event; the bytes are valid during the call only. */
         void onEvent(String type, byte[] data, int offset, int length);
     }
 
-    SseParser(Sink sink) {
-        this.sink = sink;
+    /** Creates a parser that hands each whole event to the sink. */
+    public SseParser(Sink sink) {
+        this.sink = checkNotNull(sink);
     }
 
     /** Takes in the next bytes. */
-    void feed(ByteBuf part) {
+    public void feed(ByteBuf part) {
         int start = part.readerIndex();
         int end = part.writerIndex();
         while (start < end) {
--- a/boragebarrow-standins/src/main/java/org/boragebarrow/standins/web/WebResponse.java
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/web/WebResponse.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableListMultimap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -44,15 +45,20 @@
         this.onDone = onDone;
     }
 
-    /** Sends the whole response. */
+    /** Sends the whole response with only its content type as header. */
     public void send(int status, String contentType, byte[] body) {
-        checkNotNull(contentType);
+        send(status, ImmutableListMultimap.of(HttpHeaderNames.CONTENT_TYPE.toString(), contentType), body);
+    }
+
+    /** Sends the whole response. */
+    public void send(int status, ImmutableListMultimap<String, String> headers, byte[] body) {
+        checkNotNull(headers);
         checkNotNull(body);
         onEventLoop(() -> {
             start();
             FullHttpResponse message = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-            message.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+            headers.forEach(message.headers()::add);
             HttpUtil.setContentLength(message, body.length);
             HttpUtil.setKeepAlive(message, keepAlive);
             finish(message);
