--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeFollower.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeFollower.java
@@ -109,7 +109,7 @@
         known = Math.max(known, learnt.number());
         peers.put(learnt.peer(), learnt.number());
         if (learnt.ready()) {
-            readiness.peerTold(learnt.number());
+            readiness.peerTold();
         }
     }
 
@@ -148,9 +148,8 @@
 
     private void answer(Answered answered, long nowNanos, ImmutableList.Builder<ChangeFollowerEffect> effects) {
         if (headCall.isPresent() && headCall.get().call() == answered.call()) {
-            TableCall table = headCall.get().table();
             headCall = Optional.empty();
-            answerHead(table, answered.answer(), effects);
+            answerHead(answered.answer(), effects);
         } else if (fetchCall.isPresent() && fetchCall.get().call() == answered.call()) {
             TableCall table = fetchCall.get().table();
             fetchCall = Optional.empty();
@@ -158,9 +157,9 @@
         }
     }
 
-    private void answerHead(TableCall table, TableAnswer answer, ImmutableList.Builder<ChangeFollowerEffect> effects) {
-        if (table instanceof TableCall.Commit) {
-            readiness.proofAnswered(answer);
+    private void answerHead(TableAnswer answer, ImmutableList.Builder<ChangeFollowerEffect> effects) {
+        if (answer instanceof TableAnswer.Finished finished) {
+            readiness.proofAnswered(finished.result());
         } else if (answer instanceof TableAnswer.Found found) {
             known = Math.max(known, headOf(found.row()));
             headCall = readiness.headRead(found.row()).map(proof -> call(proof, effects));
@@ -222,7 +221,7 @@
         if (applied.number() > before) {
             effects.add(new Configured(applied.state()));
         }
-        if (readiness.becomesReady(applied.number(), nowNanos - startNanos >= PEER_WAIT_NANOS)) {
+        if (readiness.becomesReady(applied.number(), known, nowNanos - startNanos >= PEER_WAIT_NANOS)) {
             effects.add(new BecameReady());
         }
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeRows.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeRows.java
@@ -10,6 +10,12 @@
     /** Holds the number and the parts of the latest snapshot. */
     static final String SNAPSHOT = "change-snapshot";
 
+    /** Prefix of all changes. */
+    static final String CHANGES = "change/";
+
+    /** Prefix of the parts of all snapshots. */
+    static final String SNAPSHOT_PARTS = "change-snapshot-part/";
+
     /** Changes that share a scan prefix. */
     static final int BLOCK = 100;
 
@@ -19,7 +25,7 @@
     private ChangeRows() {}
 
     static String change(long number) {
-        return "change/" + padded(number);
+        return CHANGES + padded(number);
     }
 
     /** Returns the prefix of the block of changes that holds the given one. */
@@ -38,7 +44,7 @@
 
     /** Returns the prefix of all parts of one snapshot. */
     static String snapshotParts(long number) {
-        return "change-snapshot-part/" + padded(number) + "/";
+        return SNAPSHOT_PARTS + padded(number) + "/";
     }
 
     static String snapshotPart(long number, int part) {
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/SnapshotWriter.java
@@ -0,0 +1,228 @@
+package org.boragebarrow.decision.change;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.Machine;
+import org.boragebarrow.decision.change.SnapshotEffect.Call;
+import org.boragebarrow.decision.change.SnapshotEvent.Answered;
+import org.boragebarrow.decision.change.SnapshotEvent.Configured;
+import org.boragebarrow.decision.change.SnapshotEvent.RoleChanged;
+import org.boragebarrow.decision.change.SnapshotEvent.Ticked;
+import org.boragebarrow.decision.table.TableAnswer;
+import org.boragebarrow.decision.table.TableCall;
+import org.boragebarrow.port.TableService;
+import org.boragebarrow.port.TableService.Condition;
+import org.boragebarrow.port.TableService.Row;
+import org.boragebarrow.port.TableService.Write;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Writes a snapshot of the state every so many changes and trims what is older.
+ *
+ * <p>Any number of writers may run at once: parts of one snapshot are the same whoever writes them, the pointer moves only
+ * forward, and only rows that no pointer leads to any more are deleted. A round that fails anywhere is dropped; the next
+ * one begins afresh.
+ */
+public final class SnapshotWriter implements Machine<SnapshotEvent, SnapshotEffect> {
+    /** Changes between two snapshots. */
+    public static final int EVERY = 500;
+
+    /** Changes, with their change ids, that are kept singly below the latest snapshot. */
+    public static final int KEPT = 10_000;
+
+    private static final int PART_CHARS = 64 * 1024;
+    private static final long RETRY_NANOS = Duration.ofSeconds(10).toNanos();
+
+    private final ChangeCodec codec;
+    private final int every;
+    private final int kept;
+    private final int partChars;
+    private boolean held;
+    private ChangeState state = ChangeState.empty();
+    private long done;
+    private long retryNanos;
+    private boolean delayed;
+    private long lastCall;
+    private Optional<Round> round = Optional.empty();
+
+    public SnapshotWriter(ChangeCodec codec) {
+        this(codec, EVERY, KEPT, PART_CHARS);
+    }
+
+    SnapshotWriter(ChangeCodec codec, int every, int kept, int partChars) {
+        checkArgument(every > 0 && kept >= 0 && partChars > 0, "%s %s %s", every, kept, partChars);
+        this.codec = codec;
+        this.every = every;
+        this.kept = kept;
+        this.partChars = partChars;
+    }
+
+    @Override
+    public ImmutableList<SnapshotEffect> apply(SnapshotEvent event, long nowNanos) {
+        Optional<TableCall> next = Optional.empty();
+        switch (event) {
+            case RoleChanged changed -> held = changed.held();
+            case Configured configured -> state = configured.state();
+            case Answered answered -> next = answer(answered, nowNanos);
+            case Ticked ticked -> delayed &= nowNanos - retryNanos < 0;
+        }
+        if (round.isEmpty() && held && !delayed && state.number() >= done + every) {
+            round = Optional.of(new Round(state));
+            next = Optional.of(new TableCall.Get(ChangeRows.SNAPSHOT));
+        }
+        return next.map(this::call).map(ImmutableList::of).orElse(ImmutableList.of());
+    }
+
+    private SnapshotEffect call(TableCall table) {
+        lastCall++;
+        return new Call(lastCall, table);
+    }
+
+    private Optional<TableCall> answer(Answered answered, long nowNanos) {
+        if (round.isEmpty() || answered.call() != lastCall) {
+            return Optional.empty();
+        }
+        Optional<TableCall> next = round.get().next(answered.answer());
+        if (next.isEmpty()) {
+            done = Math.max(done, round.get().written);
+            delayed = round.get().step != Step.DONE;
+            retryNanos = nowNanos + RETRY_NANOS;
+            round = Optional.empty();
+        }
+        return next;
+    }
+
+    /** Where a round stands. */
+    private enum Step {
+        /** Reads the pointer to the latest snapshot. */
+        READ_POINTER,
+        /** Writes the parts, one transaction each. */
+        WRITE_PARTS,
+        /** Points to the new snapshot. */
+        MOVE_POINTER,
+        /** Looks for parts of older snapshots. */
+        FIND_PARTS,
+        /** Deletes parts of older snapshots. */
+        DELETE_PARTS,
+        /** Looks for changes that the snapshot has made superfluous. */
+        FIND_CHANGES,
+        /** Deletes such changes. */
+        DELETE_CHANGES,
+        /** Nothing is left to do. */
+        DONE
+    }
+
+    /** The writing of one snapshot. */
+    private final class Round {
+        private final long number;
+        private final List<String> parts;
+        private Step step = Step.READ_POINTER;
+        private long pointerVersion;
+        private int partsWritten;
+        private long written;
+
+        Round(ChangeState state) {
+            this.number = state.number();
+            this.parts = Splitter.fixedLength(partChars).splitToList(codec.encodeState(state));
+        }
+
+        /** Returns the call that follows the answer, or empty if the round has ended. */
+        Optional<TableCall> next(TableAnswer answer) {
+            return switch (answer) {
+                case TableAnswer.Found found -> pointerRead(found.row());
+                case TableAnswer.Scanned scanned -> scanned(scanned.rows());
+                case TableAnswer.Finished finished ->
+                    finished.result() instanceof TableService.Committed ? committed() : Optional.empty();
+                case TableAnswer.ReadFailed failed -> Optional.empty();
+            };
+        }
+
+        private Optional<TableCall> pointerRead(Optional<Row> row) {
+            pointerVersion = row.map(Row::version).orElse(0L);
+            long latest = row.map(
+                            pointer -> SnapshotPointer.parse(pointer.value()).number())
+                    .orElse(0L);
+            if (number < latest + every) {
+                written = latest;
+                step = Step.DONE;
+                return Optional.empty();
+            }
+            step = Step.WRITE_PARTS;
+            return Optional.of(writePart());
+        }
+
+        private Optional<TableCall> committed() {
+            switch (step) {
+                case WRITE_PARTS -> {
+                    partsWritten++;
+                    if (partsWritten < parts.size()) {
+                        return Optional.of(writePart());
+                    }
+                    step = Step.MOVE_POINTER;
+                    String pointer = new SnapshotPointer(number, parts.size()).toString();
+                    return Optional.of(new TableCall.Commit(
+                            ImmutableList.of(new Condition(ChangeRows.SNAPSHOT, pointerVersion)),
+                            ImmutableList.of(Write.put(ChangeRows.SNAPSHOT, pointer))));
+                }
+                case MOVE_POINTER -> {
+                    written = number;
+                    return Optional.of(findParts());
+                }
+                case DELETE_PARTS -> {
+                    return Optional.of(findParts());
+                }
+                default -> {
+                    return Optional.of(findChanges());
+                }
+            }
+        }
+
+        private TableCall writePart() {
+            String key = ChangeRows.snapshotPart(number, partsWritten);
+            return new TableCall.Commit(ImmutableList.of(), ImmutableList.of(Write.put(key, parts.get(partsWritten))));
+        }
+
+        private TableCall findParts() {
+            step = Step.FIND_PARTS;
+            return new TableCall.Scan(ChangeRows.SNAPSHOT_PARTS, ChangeRows.BLOCK);
+        }
+
+        private TableCall findChanges() {
+            step = Step.FIND_CHANGES;
+            return new TableCall.Scan(ChangeRows.CHANGES, ChangeRows.BLOCK);
+        }
+
+        private Optional<TableCall> scanned(ImmutableList<Row> rows) {
+            ImmutableList.Builder<Write> deletions = ImmutableList.builder();
+            if (step == Step.FIND_PARTS) {
+                String ownParts = ChangeRows.snapshotParts(number);
+                rows.stream()
+                        .filter(row -> row.key().compareTo(ownParts) < 0)
+                        .forEach(row -> deletions.add(Write.delete(row.key())));
+                step = Step.DELETE_PARTS;
+            } else {
+                rows.stream()
+                        .map(row -> codec.decode(row.value()))
+                        .filter(change -> change.number() <= number - kept)
+                        .forEach(change -> deletions.add(
+                                Write.delete(ChangeRows.change(change.number())),
+                                Write.delete(ChangeRows.changeId(change.changeId()))));
+                step = Step.DELETE_CHANGES;
+            }
+            ImmutableList<Write> writes = deletions.build();
+            if (!writes.isEmpty()) {
+                return Optional.of(new TableCall.Commit(ImmutableList.of(), writes));
+            }
+            if (step == Step.DELETE_PARTS) {
+                return Optional.of(findChanges());
+            }
+            step = Step.DONE;
+            return Optional.empty();
+        }
+    }
+}
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/TableCatchUp.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/TableCatchUp.java
@@ -39,7 +39,7 @@
             return Optional.of(parts(found.row()));
         }
         if (answer instanceof TableAnswer.Scanned scanned && call instanceof TableCall.Scan scan) {
-            if (scan.prefix().startsWith(ChangeRows.SNAPSHOT)) {
+            if (scan.prefix().startsWith(ChangeRows.SNAPSHOT_PARTS)) {
                 adopt(scan, scanned.rows());
                 return Optional.of(block());
             }
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/change/ChangeWorld.java
@@ -0,0 +1,284 @@
+package org.boragebarrow.decision.change;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.boragebarrow.decision.table.TableCall;
+import org.boragebarrow.decision.table.TableDriver;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.port.TableService.Row;
+import org.boragebarrow.testing.CommitFault;
+import org.boragebarrow.testing.FakeTable;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** Change writers, snapshot writers and followers over one table, and an oracle of what was accepted. */
+final class ChangeWorld {
+    static final int HOSTS = 3;
+    static final int WRITERS = 2;
+    static final ChangeCodec CODEC = new JsonChangeCodec();
+
+    private static final long SEED = 7;
+    private static final int STALE_COMMITS = 3;
+    private static final int SNAPSHOT_EVERY = 4;
+    private static final int KEPT_WHEN_TRIMMING = 2;
+    private static final int PART_CHARS = 200;
+    private static final int MAX_ROUNDS = 500;
+
+    final FakeTable table = FakeTable.stepped(SEED);
+    final List<FollowerHost> hosts = new ArrayList<>();
+    long nowNanos = 1;
+    boolean down;
+    private final TableDriver driver = new TableDriver(table);
+    private final List<ChangeWriter> writers = List.of(new ChangeWriter(CODEC), new ChangeWriter(CODEC));
+    private final boolean trimming;
+    private final List<SnapshotWriter> snapshots;
+    private final Map<Long, ChangeWriterEvent.Submitted> submitted = new HashMap<>();
+    private final Map<String, ChangeWriterEvent.Submitted> byChangeId = new HashMap<>();
+    private final Map<String, Change> accepted = new HashMap<>();
+    private final Set<String> conflicted = new HashSet<>();
+    private final Set<String> repeated = new HashSet<>();
+    private final List<Runnable> messages = new ArrayList<>();
+    private final Map<Long, Change> log = new HashMap<>();
+
+    /**
+     * Creates the world.
+     *
+     * @param trimming whether snapshots soon trim the log; since change ids go with it, nothing is then sent twice
+     */
+    ChangeWorld(boolean trimming) {
+        this.trimming = trimming;
+        int kept = trimming ? KEPT_WHEN_TRIMMING : SnapshotWriter.KEPT;
+        snapshots = List.of(newSnapshots(kept), newSnapshots(kept));
+        table.setStaleCommits(STALE_COMMITS);
+        for (int i = 0; i < HOSTS; i++) {
+            hosts.add(new FollowerHost(this, HostId.of("host-" + i)));
+        }
+        snapshots.forEach(snapshot -> drive(snapshot, new SnapshotEvent.RoleChanged(true)));
+    }
+
+    private static SnapshotWriter newSnapshots(int kept) {
+        return new SnapshotWriter(CODEC, SNAPSHOT_EVERY, kept, PART_CHARS);
+    }
+
+    /** Submits a new change; {@code based} says whether it names the version that a host shows. */
+    void submit(int writer, ChangeEntry entry, boolean based, int host) {
+        String changeId = "change-" + byChangeId.size();
+        long version = hosts.get(host).follower().state().versionOf(entry.key());
+        OptionalLong expected = based ? OptionalLong.of(version) : OptionalLong.empty();
+        submit(writer, changeId, entry, expected);
+    }
+
+    /** Submits an earlier change again, as after a lost answer. */
+    void repeat(int writer, int index) {
+        if (byChangeId.isEmpty() || trimming) {
+            return;
+        }
+        ChangeWriterEvent.Submitted earlier = byChangeId.get("change-" + index % byChangeId.size());
+        repeated.add(earlier.changeId());
+        submit(writer, earlier.changeId(), earlier.entry(), earlier.expectedVersion());
+    }
+
+    private void submit(int writer, String changeId, ChangeEntry entry, OptionalLong expected) {
+        long request = submitted.size();
+        ChangeWriterEvent.Submitted event = new ChangeWriterEvent.Submitted(request, changeId, entry, expected);
+        submitted.put(request, event);
+        byChangeId.put(changeId, event);
+        drive(writer, event);
+    }
+
+    private void drive(int writer, ChangeWriterEvent event) {
+        for (ChangeWriterEffect effect : writers.get(writer).apply(event, nowNanos)) {
+            switch (effect) {
+                case ChangeWriterEffect.Call call ->
+                    driver.call(
+                            call.table(), answer -> drive(writer, new ChangeWriterEvent.Answered(call.call(), answer)));
+                case ChangeWriterEffect.Accepted done -> accept(writer, done);
+                case ChangeWriterEffect.Rejected rejected -> {
+                    if (rejected.kind() == ErrorKind.VERSION_CONFLICT) {
+                        conflicted.add(submitted.get(rejected.request()).changeId());
+                    }
+                }
+            }
+        }
+    }
+
+    private void accept(int writer, ChangeWriterEffect.Accepted done) {
+        Change change = done.change();
+        assertThat(change.changeId()).isEqualTo(submitted.get(done.request()).changeId());
+        Change earlier = accepted.putIfAbsent(change.changeId(), change);
+        assertWithMessage("accepted twice")
+                .that(earlier == null || earlier.equals(change))
+                .isTrue();
+        hosts.get(writer).receive(new ChangeFollowerEvent.Committed(change));
+    }
+
+    private void drive(SnapshotWriter snapshot, SnapshotEvent event) {
+        for (SnapshotEffect effect : snapshot.apply(event, nowNanos)) {
+            SnapshotEffect.Call call = (SnapshotEffect.Call) effect;
+            driver.call(call.table(), answer -> drive(snapshot, new SnapshotEvent.Answered(call.call(), answer)));
+        }
+    }
+
+    void configured(int host, ChangeState state) {
+        if (host < snapshots.size()) {
+            drive(snapshots.get(host), new SnapshotEvent.Configured(state));
+        }
+    }
+
+    void call(FollowerHost host, long call, TableCall tableCall) {
+        driver.call(tableCall, answer -> host.receive(new ChangeFollowerEvent.Answered(call, answer)));
+    }
+
+    /** Lets one host tell another what it has applied. */
+    void gossip(int from, int to) {
+        FollowerHost peer = hosts.get(from);
+        ChangeFollower follower = peer.follower();
+        hosts.get(to)
+                .receive(new ChangeFollowerEvent.Learnt(
+                        peer.id(), follower.state().number(), follower.isReady()));
+    }
+
+    void fetch(FollowerHost host, HostId peer, long after) {
+        messages.add(() -> {
+            ChangeFollower from = hosts.stream()
+                    .filter(each -> each.id().equals(peer))
+                    .findFirst()
+                    .orElseThrow()
+                    .follower();
+            host.receive(new ChangeFollowerEvent.Received(peer, from.changesAfter(after, 2)));
+        });
+    }
+
+    void deliverMessage(int index, boolean keep) {
+        if (!messages.isEmpty()) {
+            int chosen = index % messages.size();
+            messages.get(chosen).run();
+            if (!keep) {
+                messages.remove(chosen);
+            }
+        }
+    }
+
+    void dropMessage(int index) {
+        if (!messages.isEmpty()) {
+            messages.remove(index % messages.size());
+        }
+    }
+
+    void deliver(int index) {
+        driver.deliver(index);
+        checkLog();
+    }
+
+    /** Checks that the log only grows and holds each change id once, and remembers what is trimmed later. */
+    private void checkLog() {
+        for (Row row : table.rows().scan(ChangeRows.CHANGES, Integer.MAX_VALUE)) {
+            Change change = CODEC.decode(row.value());
+            Change earlier = log.putIfAbsent(change.number(), change);
+            assertWithMessage("rewritten")
+                    .that(earlier == null || earlier.equals(change))
+                    .isTrue();
+        }
+    }
+
+    long head() {
+        return table.rows()
+                .get(ChangeRows.HEAD)
+                .map(row -> Long.parseLong(row.value()))
+                .orElse(0L);
+    }
+
+    void failNext(CommitFault fault) {
+        boolean lost = fault != CommitFault.NONE && fault != CommitFault.REFUSED;
+        if (!(trimming && lost)) {
+            table.failNextCommit(fault);
+            hosts.forEach(FollowerHost::sawFault);
+        }
+    }
+
+    void setDown(boolean isDown) {
+        down = isDown;
+        table.setDown(isDown);
+        if (isDown) {
+            hosts.forEach(FollowerHost::sawOutage);
+        }
+    }
+
+    void restart(int index) {
+        FollowerHost old = hosts.get(index);
+        old.crash();
+        hosts.set(index, new FollowerHost(this, old.id()));
+    }
+
+    void advance(Duration time) {
+        nowNanos += time.toNanos();
+        for (int i = 0; i < WRITERS; i++) {
+            drive(i, new ChangeWriterEvent.Ticked());
+            drive(snapshots.get(i), new SnapshotEvent.Ticked());
+        }
+        hosts.forEach(host -> host.receive(new ChangeFollowerEvent.Ticked()));
+    }
+
+    /** Ends all faults, lets every host catch up and checks the whole log and every host against it. */
+    void checkEnd() {
+        table.setStaleCommits(0);
+        setDown(false);
+        hosts.forEach(host -> host.receive(new ChangeFollowerEvent.PollingChanged(true)));
+        for (int round = 0; round < MAX_ROUNDS && !isSettled(); round++) {
+            while (table.pending() > 0) {
+                deliver(0);
+            }
+            while (!messages.isEmpty()) {
+                deliverMessage(0, false);
+            }
+            advance(Duration.ofMillis(100));
+        }
+        assertWithMessage("settled").that(isSettled()).isTrue();
+        ChangeState expected = replay();
+        for (FollowerHost host : hosts) {
+            assertThat(host.follower().state()).isEqualTo(expected);
+        }
+    }
+
+    private boolean isSettled() {
+        return table.pending() == 0
+                && messages.isEmpty()
+                && hosts.stream()
+                        .allMatch(host -> host.follower().isReady()
+                                && host.follower().state().number() == head());
+    }
+
+    private ChangeState replay() {
+        Set<String> ids = new HashSet<>();
+        ChangeState state = ChangeState.empty();
+        for (long number = 1; number <= head(); number++) {
+            Change change = log.get(number);
+            assertWithMessage("change %s", number).that(change).isNotNull();
+            assertWithMessage("second %s", change)
+                    .that(ids.add(change.changeId()))
+                    .isTrue();
+            OptionalLong expected = byChangeId.get(change.changeId()).expectedVersion();
+            long version = state.versionOf(change.entry().key());
+            assertWithMessage("stale edit %s", change)
+                    .that(expected.orElse(version))
+                    .isEqualTo(version);
+            state = state.apply(change);
+        }
+        accepted.forEach((id, change) -> assertThat(log.get(change.number())).isEqualTo(change));
+        for (String id : conflicted) {
+            assertWithMessage("%s was rejected", id)
+                    .that(!repeated.contains(id) && ids.contains(id))
+                    .isFalse();
+        }
+        return state;
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/change/FollowerHost.java
@@ -0,0 +1,70 @@
+package org.boragebarrow.decision.change;
+
+import org.boragebarrow.model.HostId;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** One life of a host with its change follower; checks that nothing is ever taken back. */
+final class FollowerHost {
+    private final ChangeWorld world;
+    private final HostId id;
+    private final ChangeFollower follower = new ChangeFollower(ChangeWorld.CODEC);
+    private final long headAtStart;
+    private boolean outage;
+    private int faults;
+    private boolean dead;
+    private long inForce;
+
+    FollowerHost(ChangeWorld world, HostId id) {
+        this.world = world;
+        this.id = id;
+        this.headAtStart = world.head();
+        this.outage = world.down;
+    }
+
+    HostId id() {
+        return id;
+    }
+
+    ChangeFollower follower() {
+        return follower;
+    }
+
+    void crash() {
+        dead = true;
+    }
+
+    void sawOutage() {
+        outage = true;
+    }
+
+    /** Notes that a commit may fail; a host may take several in a row for an outage. */
+    void sawFault() {
+        faults++;
+        outage |= faults == Readiness.MAX_FAILURES;
+    }
+
+    void receive(ChangeFollowerEvent event) {
+        if (!dead) {
+            follower.apply(event, world.nowNanos).forEach(this::perform);
+        }
+    }
+
+    private void perform(ChangeFollowerEffect effect) {
+        switch (effect) {
+            case ChangeFollowerEffect.Call call -> world.call(this, call.call(), call.table());
+            case ChangeFollowerEffect.Fetch fetch -> world.fetch(this, fetch.peer(), fetch.after());
+            case ChangeFollowerEffect.Configured configured -> {
+                long number = configured.state().number();
+                assertWithMessage("number after %s", inForce).that(number).isGreaterThan(inForce);
+                inForce = number;
+                world.configured(world.hosts.indexOf(this), configured.state());
+            }
+            case ChangeFollowerEffect.BecameReady ready -> {
+                if (!outage) {
+                    assertWithMessage("in force when ready").that(inForce).isAtLeast(headAtStart);
+                }
+            }
+        }
+    }
+}
