Add the observer: verdicts on targets and orphans in engine memory

Cause: engines must lose no memory for good, and a silent or leaving target must be known in its zone within 2 s. Change: each target is polled by two hosts; verdicts have hysteresis and are joined over its observers. Orphans (past their limit and slack, of an ended life, or exports older than any request) are cancelled with backoff until the engine's listing shows them gone. Conclusion: ready to be wired; effects name what to ask of EngineControl.

--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/observe/Effects.java
@@ -0,0 +1,16 @@
+package org.boragebarrow.decision.observe;
+
+import com.google.common.collect.ImmutableList;
+
+/** Collects the effects of one event. */
+final class Effects {
+    private final ImmutableList.Builder<ObserveEffect> effects = ImmutableList.builder();
+
+    void add(ObserveEffect effect) {
+        effects.add(effect);
+    }
+
+    ImmutableList<ObserveEffect> build() {
+        return effects.build();
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/observe/Orphans.java
@@ -0,0 +1,106 @@
+package org.boragebarrow.decision.observe;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.boragebarrow.decision.member.MemberView;
+import org.boragebarrow.decision.observe.ObserveEffect.CancelSequence;
+import org.boragebarrow.decision.observe.ObserveEffect.DeleteExport;
+import org.boragebarrow.decision.observe.ObserveEffect.ReleaseReservation;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.port.EngineControl.Export;
+import org.boragebarrow.port.EngineControl.Holdings;
+import org.boragebarrow.port.EngineControl.Reservation;
+import org.boragebarrow.port.EngineControl.Sequence;
+
+/**
+ * Finds what holds memory at one engine without an owner, and cancels it until a listing shows it gone.
+ *
+ * <p>A holding is an orphan if the life that owns it has ended, or if it is past its time limit and slack. An export has
+ * no time limit of its own; it is past every limit once it has been there for longer than any request may take.
+ */
+final class Orphans {
+    private final TargetId target;
+    private final ObserveSettings settings;
+    private final Map<ObserveEffect, Long> overdueSince = new HashMap<>();
+    private final Map<ObserveEffect, Retry> retries = new HashMap<>();
+
+    Orphans(TargetId target, ObserveSettings settings) {
+        this.target = target;
+        this.settings = settings;
+    }
+
+    boolean isEmpty() {
+        return retries.isEmpty();
+    }
+
+    /** Takes a listing and adds the cancellations that are due. */
+    void list(Holdings holdings, MemberView view, Effects out, long now) {
+        Set<ObserveEffect> listed = new HashSet<>();
+        for (Sequence sequence : holdings.sequences()) {
+            ObserveEffect cancel = new CancelSequence(target, sequence.attempt());
+            listed.add(cancel);
+            check(cancel, sequence.attempt(), isLate(cancel, sequence.remaining(), now), view, out, now);
+        }
+        for (Reservation reservation : holdings.reservations()) {
+            ObserveEffect release = new ReleaseReservation(target, reservation.attempt());
+            listed.add(release);
+            check(release, reservation.attempt(), isLate(release, reservation.remaining(), now), view, out, now);
+        }
+        for (Export export : holdings.exports()) {
+            ObserveEffect delete = new DeleteExport(target, export.id());
+            listed.add(delete);
+            check(delete, export.attempt(), isOld(delete, now), view, out, now);
+        }
+        overdueSince.keySet().retainAll(listed);
+        retries.keySet().retainAll(listed);
+    }
+
+    private void check(ObserveEffect cancel, AttemptId attempt, boolean late, MemberView view, Effects out, long now) {
+        if (!late && !view.isEnded(attempt.owner())) {
+            retries.remove(cancel);
+            return;
+        }
+        Retry retry = retries.computeIfAbsent(cancel, c -> new Retry(now, settings.firstRetry()));
+        if (now - retry.dueNanos >= 0) {
+            retry.dueNanos = now + retry.delay.toNanos();
+            retry.delay = min(retry.delay.multipliedBy(2), settings.maxRetry());
+            out.add(cancel);
+        }
+    }
+
+    /** Returns whether the holding is past its limit and slack, also if the engine never reports less than zero. */
+    private boolean isLate(ObserveEffect holding, Duration remaining, long now) {
+        if (!remaining.isZero() && !remaining.isNegative()) {
+            overdueSince.remove(holding);
+            return false;
+        }
+        long since = overdueSince.computeIfAbsent(holding, h -> now);
+        Duration past = remaining.negated();
+        return past.compareTo(settings.slack()) > 0
+                || now - since > settings.slack().toNanos();
+    }
+
+    private boolean isOld(ObserveEffect export, long now) {
+        long since = overdueSince.computeIfAbsent(export, e -> now);
+        return now - since > settings.longestRequest().plus(settings.slack()).toNanos();
+    }
+
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) <= 0 ? a : b;
+    }
+
+    private static final class Retry {
+        long dueNanos;
+        Duration delay;
+
+        Retry(long dueNanos, Duration delay) {
+            this.dueNanos = dueNanos;
+            this.delay = delay;
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/observe/ObserverTest.java
@@ -0,0 +1,268 @@
+package org.boragebarrow.decision.observe;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Range;
+import net.jqwik.api.Example;
+import org.boragebarrow.decision.observe.ObserveEffect.CancelSequence;
+import org.boragebarrow.decision.observe.ObserveEffect.ListHoldings;
+import org.boragebarrow.decision.observe.ObserveEffect.Poll;
+import org.boragebarrow.decision.observe.ObserveEffect.TargetChanged;
+import org.boragebarrow.decision.observe.ObserveEvent.HoldingsListed;
+import org.boragebarrow.decision.observe.ObserveEvent.MembersChanged;
+import org.boragebarrow.decision.observe.ObserveEvent.PollAnswered;
+import org.boragebarrow.decision.observe.ObserveEvent.PollFailed;
+import org.boragebarrow.decision.observe.ObserveEvent.TargetsListed;
+import org.boragebarrow.decision.observe.ObserveEvent.Ticked;
+import org.boragebarrow.decision.observe.ObserveEvent.VerdictsReceived;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.TargetKind;
+import org.boragebarrow.port.EngineControl.Export;
+import org.boragebarrow.port.EngineControl.Holdings;
+import org.boragebarrow.port.EngineControl.Reservation;
+import org.boragebarrow.port.EngineControl.Sequence;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ObserverTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final HostId OTHER = HostId.of("a1");
+    private static final TargetId ENGINE = TargetId.of("engine-1");
+    private static final AttemptId OWNED = AttemptId.of(Views.life("a1", 2), 1);
+    private static final AttemptId DEAD = AttemptId.of(Views.life("a1", 1), 1);
+
+    private final Observer observer = new Observer(HostId.of("a0"), ObserveSettings.defaults(), 3);
+    private final List<ObserveEffect> effects = new ArrayList<>();
+    private boolean answers = true;
+    private boolean accepting = true;
+    private long now = SECOND;
+
+    ObserverTest() {
+        apply(new MembersChanged(Views.view(ImmutableSet.of("a0", "a1"), Views.life("a1", 1))));
+        listTarget(false);
+    }
+
+    private void listTarget(boolean leaving) {
+        apply(new TargetsListed(ImmutableList.of(engine(ENGINE, leaving))));
+    }
+
+    private static Target engine(TargetId id, boolean leaving) {
+        return new Target(id, TargetKind.ENGINE, Views.ZONE, Endpoint.of("10.1.0.1", 8000), Optional.empty(), leaving);
+    }
+
+    private List<ObserveEffect> apply(ObserveEvent event) {
+        List<ObserveEffect> out = observer.apply(event, now);
+        effects.addAll(out);
+        return out;
+    }
+
+    /** Lets time pass in steps of 100 ms, with a target that answers its polls or not. */
+    private void run(double seconds) {
+        long end = now + (long) (seconds * SECOND);
+        while (now < end) {
+            now += SECOND / 10;
+            for (ObserveEffect effect : apply(new Ticked())) {
+                if (effect instanceof Poll poll) {
+                    apply(
+                            answers
+                                    ? new PollAnswered(poll.target(), poll.poll(), accepting)
+                                    : new PollFailed(poll.target(), poll.poll()));
+                }
+            }
+        }
+    }
+
+    private List<TargetChanged> changes() {
+        return effects.stream()
+                .filter(TargetChanged.class::isInstance)
+                .map(TargetChanged.class::cast)
+                .toList();
+    }
+
+    private long cancels() {
+        return effects.stream().filter(CancelSequence.class::isInstance).count();
+    }
+
+    private void hear(boolean reachable) {
+        apply(new VerdictsReceived(OTHER, ImmutableMap.of(ENGINE, new Verdict(reachable, true))));
+    }
+
+    private static HoldingsListed sequence(AttemptId attempt, Duration remaining) {
+        Holdings holdings = new Holdings(
+                ImmutableList.of(new Sequence(attempt, remaining, 100)), ImmutableList.of(), ImmutableList.of());
+        return new HoldingsListed(ENGINE, holdings);
+    }
+
+    @Example
+    void aHealthyTargetIsPolledAndChangesNothing() {
+        run(10);
+        assertThat(effects.stream().filter(Poll.class::isInstance).count()).isIn(List.of(18L, 19L, 20L, 21L));
+        assertThat(changes()).isEmpty();
+    }
+
+    @Example
+    void aTargetThatNoObserverReachesIsUnreachableWithinTwoSeconds() {
+        run(3);
+        answers = false;
+        hear(false);
+        run(2);
+        assertThat(changes()).containsExactly(new TargetChanged(ENGINE, new Verdict(false, true)));
+    }
+
+    @Example
+    void aTargetThatOneObserverReachesStaysReachable() {
+        hear(true);
+        answers = false;
+        run(10);
+        assertThat(changes()).isEmpty();
+    }
+
+    @Example
+    void oneLostPollChangesNothing() {
+        hear(false);
+        run(3);
+        answers = false;
+        run(0.5);
+        answers = true;
+        run(3);
+        assertThat(changes()).isEmpty();
+    }
+
+    @Example
+    void aTargetThatNeverAnswersTimesOut() {
+        hear(false);
+        for (int i = 0; i < 50; i++) {
+            now += SECOND / 10;
+            apply(new Ticked());
+        }
+        assertThat(changes()).containsExactly(new TargetChanged(ENGINE, new Verdict(false, true)));
+    }
+
+    @Example
+    void aLateAnswerIsDropped() {
+        hear(false);
+        answers = false;
+        run(3);
+        int before = changes().size();
+        apply(new PollAnswered(ENGINE, 1, true));
+        apply(new PollAnswered(ENGINE, 2, true));
+        assertThat(changes()).hasSize(before);
+    }
+
+    @Example
+    void aTargetThatSaysItLeavesIsReported() {
+        run(2);
+        accepting = false;
+        run(1);
+        assertThat(changes()).containsExactly(new TargetChanged(ENGINE, new Verdict(true, false)));
+    }
+
+    @Example
+    void aTargetThatTheHostListSaysIsLeavingIsReported() {
+        listTarget(true);
+        assertThat(changes()).containsExactly(new TargetChanged(ENGINE, new Verdict(true, false)));
+    }
+
+    @Example
+    void aSequenceOfAnEndedLifeIsCancelledUntilTheListingShowsItGone() {
+        apply(sequence(DEAD, Duration.ofMinutes(5)));
+        assertThat(cancels()).isEqualTo(1);
+        for (int i = 0; i < 8; i++) {
+            now += SECOND;
+            apply(sequence(DEAD, Duration.ofMinutes(5)));
+        }
+        assertThat(cancels()).isEqualTo(4);
+        apply(sequence(OWNED, Duration.ofMinutes(5)));
+        now += 60 * SECOND;
+        apply(sequence(OWNED, Duration.ofMinutes(5)));
+        assertThat(cancels()).isEqualTo(4);
+    }
+
+    @Example
+    void anOrphanMakesTheNextListingComeSoon() {
+        run(1);
+        apply(sequence(DEAD, Duration.ofMinutes(5)));
+        effects.clear();
+        run(1.1);
+        assertThat(effects).contains(new ListHoldings(ENGINE));
+    }
+
+    @Example
+    void aLiveOwnersSequenceWithinItsLimitIsLeftAlone() {
+        for (int i = 0; i < 100; i++) {
+            now += SECOND;
+            apply(sequence(OWNED, Duration.ofMillis(1)));
+        }
+        assertThat(cancels()).isEqualTo(0);
+    }
+
+    @Example
+    void aSequencePastItsLimitAndSlackIsCancelled() {
+        apply(sequence(OWNED, Duration.ofMillis(-1_900)));
+        assertThat(cancels()).isEqualTo(0);
+        apply(sequence(OWNED, Duration.ofMillis(-2_100)));
+        assertThat(cancels()).isEqualTo(1);
+    }
+
+    @Example
+    void aSequenceWhoseEngineReportsNoLessThanZeroIsCancelledAfterTheSlack() {
+        apply(sequence(OWNED, Duration.ZERO));
+        now += 2 * SECOND;
+        apply(sequence(OWNED, Duration.ZERO));
+        assertThat(cancels()).isEqualTo(0);
+        now += SECOND;
+        apply(sequence(OWNED, Duration.ZERO));
+        assertThat(cancels()).isEqualTo(1);
+    }
+
+    @Example
+    void reservationsAndExportsOfEndedLivesAreReleased() {
+        Holdings holdings = new Holdings(
+                ImmutableList.of(),
+                ImmutableList.of(new Reservation(DEAD, Duration.ofMinutes(1), 10)),
+                ImmutableList.of(new Export("kv-1", DEAD, 10), new Export("kv-2", OWNED, 10)));
+        List<ObserveEffect> out = apply(new HoldingsListed(ENGINE, holdings));
+        assertThat(out)
+                .containsExactly(
+                        new ObserveEffect.ReleaseReservation(ENGINE, DEAD),
+                        new ObserveEffect.DeleteExport(ENGINE, "kv-1"));
+    }
+
+    @Example
+    void anExportThatOutlivesEveryRequestIsDeleted() {
+        Holdings holdings =
+                new Holdings(ImmutableList.of(), ImmutableList.of(), ImmutableList.of(new Export("kv-2", OWNED, 10)));
+        assertThat(apply(new HoldingsListed(ENGINE, holdings))).isEmpty();
+        now += ObserveSettings.defaults().longestRequest().toNanos() + 3 * SECOND;
+        assertThat(apply(new HoldingsListed(ENGINE, holdings)))
+                .contains(new ObserveEffect.DeleteExport(ENGINE, "kv-2"));
+    }
+
+    @Example
+    void targetsAreSharedOutByTwoAmongTheHosts() {
+        apply(new MembersChanged(Views.view(ImmutableSet.of("a0", "a1", "a2", "a3", "a4", "a5"))));
+        ImmutableList.Builder<Target> targets = ImmutableList.builder();
+        for (int i = 0; i < 90; i++) {
+            targets.add(engine(TargetId.of("engine-" + i), false));
+        }
+        apply(new TargetsListed(targets.build()));
+        effects.clear();
+        run(1);
+        long polled = effects.stream()
+                .filter(Poll.class::isInstance)
+                .map(effect -> ((Poll) effect).target())
+                .distinct()
+                .count();
+        assertThat(polled).isIn(Range.closed(20L, 40L));
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/observe/Views.java
@@ -0,0 +1,36 @@
+package org.boragebarrow.decision.observe;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
+import org.boragebarrow.decision.member.Member;
+import org.boragebarrow.decision.member.MemberView;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+
+/** Static makers of member views. */
+final class Views {
+    static final AvailabilityZoneId ZONE = AvailabilityZoneId.of("a");
+
+    private Views() {}
+
+    static HostLife life(String host, long incarnation) {
+        return HostLife.of(HostId.of(host), Incarnation.of(incarnation));
+    }
+
+    /** Returns a view with these live hosts, each in incarnation 2, and these ended lives. */
+    static MemberView view(ImmutableSet<String> live, HostLife... ended) {
+        ImmutableSortedMap.Builder<HostId, Member> members = ImmutableSortedMap.naturalOrder();
+        for (String host : live) {
+            members.put(HostId.of(host), new Member(life(host, 2), 0, ZONE, Endpoint.of("10.0.0.1", 7000), false));
+        }
+        ImmutableMap.Builder<HostId, Incarnation> over = ImmutableMap.builder();
+        for (HostLife life : ended) {
+            over.put(life.host(), life.incarnation());
+        }
+        return new MemberView(members.buildOrThrow(), ImmutableSet.of(), over.buildOrThrow(), ImmutableMap.of());
+    }
+}
