Run keyed calls through claims

Cause: a keyed booking sent twice, or through two zones, could run twice. Change: the claim keeper and the zone's claim writer run as duties; a keyed call is dispatched only by the attempt that proved its claim; long answers go to the object store; a drain waits for claims to settle.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -4,15 +4,19 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
+import com.google.common.base.Stopwatch;
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.boragebarrow.decision.change.JsonChangeCodec;
 import org.boragebarrow.decision.dispatch.DispatchSettings;
 import org.boragebarrow.decision.dispatch.Dispatcher;
+import org.boragebarrow.decision.member.Member;
 import org.boragebarrow.decision.member.MemberEvent;
 import org.boragebarrow.decision.member.MemberSettings;
 import org.boragebarrow.decision.member.Membership;
@@ -21,6 +25,7 @@
 import org.boragebarrow.http.engine.HttpEngineClient;
 import org.boragebarrow.http.engine.HttpEngineControl;
 import org.boragebarrow.http.platform.HttpHostList;
+import org.boragebarrow.http.platform.HttpObjectStore;
 import org.boragebarrow.http.platform.HttpTableService;
 import org.boragebarrow.http.server.HttpServer;
 import org.boragebarrow.http.service.HttpServiceClient;
@@ -30,6 +35,7 @@
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.node.admin.AdminApi;
 import org.boragebarrow.node.change.ChangeDuty;
+import org.boragebarrow.node.claim.ClaimDuty;
 import org.boragebarrow.node.dispatch.DispatchContext;
 import org.boragebarrow.node.dispatch.Dispatching;
 import org.boragebarrow.node.front.EngineCancels;
@@ -37,6 +43,7 @@
 import org.boragebarrow.node.log.EventLog;
 import org.boragebarrow.node.log.LogEvent;
 import org.boragebarrow.node.member.MemberDuty;
+import org.boragebarrow.node.member.Members;
 import org.boragebarrow.node.metrics.HostMetrics;
 import org.boragebarrow.node.ring.DutyRing;
 import org.boragebarrow.node.settings.HostSettings;
@@ -46,9 +53,11 @@
 import org.boragebarrow.peer.link.PeerKey;
 import org.boragebarrow.peer.link.PeerLinks;
 import org.boragebarrow.peer.link.PeerSender;
+import org.boragebarrow.peer.wire.ChangeMessages;
 import org.boragebarrow.peer.wire.SummaryMessages;
 import org.boragebarrow.port.EngineControl;
 import org.boragebarrow.port.HostList;
+import org.boragebarrow.port.TableService;
 
 /** One host of the system with all its duties. Thread-safe. */
 public final class Host implements AutoCloseable {
@@ -58,6 +67,7 @@
     private static final long TARGET_POLL_MILLIS = 500;
     private static final long HOST_LIST_MILLIS = 1_000;
     private static final long DRAIN_POLL_MILLIS = 50;
+    private static final Duration SETTLE_LIMIT = Duration.ofSeconds(10);
 
     private final HostSettings settings;
     private final EventLoopGroup loops;
@@ -67,6 +77,7 @@
     private final PeerLinks links;
     private final MemberDuty members;
     private final ChangeDuty changes;
+    private final ClaimDuty claims;
     private final Dispatching dispatching;
     private final TargetWatch watch;
     private final Front front;
@@ -104,8 +115,9 @@
                 reactions,
                 rings);
         JsonChangeCodec codec = new JsonChangeCodec();
-        this.changes = new ChangeDuty(
-                codec, new HttpTableService(client, platform.table(), platform.timeout()), ticker, reactions, rings);
+        TableService table = surroundings.table(new HttpTableService(client, platform.table(), platform.timeout()));
+        this.changes = new ChangeDuty(codec, table, ticker, reactions, rings);
+        this.claims = new ClaimDuty(new ClaimDuty.Collaborators(members, peers, table, ticker, loops), rings);
         DispatchContext context = new DispatchContext(
                 members,
                 peers,
@@ -124,6 +136,8 @@
         Front.Collaborators collaborators = new Front.Collaborators(
                 members::self,
                 dispatching.broker(),
+                claims,
+                new HttpObjectStore(client, platform.objects(), platform.timeout()),
                 new HttpEngineClient(client),
                 new HttpServiceClient(client),
                 new EngineCancels(control, loops),
@@ -132,7 +146,7 @@
                 new SplittableRandom(incarnation.value()));
         this.front = new Front(collaborators, settings.services(), settings.maxRequests());
         reactions.connect(members, changes, dispatching, front, codec);
-        router.connect(members, changes, dispatching, codec);
+        router.connect(new PeerRouter.Duties(members, changes, claims, dispatching, new ChangeMessages(codec)));
         this.adminServer = HttpServer.start(
                 loops,
                 settings.admin(),
@@ -173,6 +187,9 @@
         metrics.gauge("boragebarrow.grants.in.use", () -> dispatching.broker().inUse());
         metrics.gauge("boragebarrow.connections", callerServer::connections);
         metrics.gauge("boragebarrow.buffered.bytes", callerServer::bufferedBytes);
+        metrics.gauge(
+                "boragebarrow.targets.reported",
+                () -> dispatching.reportedTargets().size());
         metrics.gauge("boragebarrow.members", () -> members.members().live().size());
     }
 
@@ -206,6 +223,8 @@
     private void tick() {
         members.offer(new MemberEvent.Ticked());
         changes.tick();
+        claims.tick();
+        claims.hostsListed(liveHosts());
         dispatching.tick();
         boolean ready = changes.isReady() && !draining;
         if (ready != front.isReady()) {
@@ -214,6 +233,12 @@
         }
     }
 
+    private ImmutableSet<HostLife> liveHosts() {
+        Stream<Member> near = members.members().live().values().stream();
+        Stream<Member> far = members.zones().zones().values().stream().flatMap(zone -> zone.members().stream());
+        return Stream.concat(near, far).map(Member::life).collect(ImmutableSet.toImmutableSet());
+    }
+
     private void readHostList() {
         hostList.list().whenComplete((listing, failure) -> {
             if (failure != null) {
@@ -257,6 +282,16 @@
         return changes.state().number();
     }
 
+    /** Returns what this host knows of the others. */
+    public Members members() {
+        return members;
+    }
+
+    /** Returns the targets that observers have reported to this host's dispatcher. */
+    public ImmutableSet<TargetId> reportedTargets() {
+        return dispatching.reportedTargets();
+    }
+
     /** Returns whether the host is ready. */
     public boolean isReady() {
         return front.isReady();
@@ -278,11 +313,20 @@
         while (front.inProgress() > 0) {
             TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
         }
+        awaitClaims();
         members.offer(new MemberEvent.Leaving());
         TimeUnit.MILLISECONDS.sleep(2 * DRAIN_POLL_MILLIS);
         close();
     }
 
+    /** Gives the table a bounded time to take what is left to record. */
+    private void awaitClaims() throws InterruptedException {
+        Stopwatch waited = Stopwatch.createStarted();
+        while (claims.unsettled() > 0 && waited.elapsed().compareTo(SETTLE_LIMIT) < 0) {
+            TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
+        }
+    }
+
     private static void sleep(Duration time) throws InterruptedException {
         TimeUnit.MILLISECONDS.sleep(time.toMillis());
     }
@@ -297,6 +341,7 @@
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         members.close();
         changes.close();
+        claims.close();
         dispatching.close();
         client.close();
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/PeerRouter.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/PeerRouter.java
@@ -2,13 +2,13 @@
 
 import java.util.Optional;
 
-import org.boragebarrow.decision.change.ChangeCodec;
 import org.boragebarrow.decision.change.ChangeFollowerEvent;
 import org.boragebarrow.decision.member.MemberEvent;
 import org.boragebarrow.decision.member.MemberMessage;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.model.HostLife;
 import org.boragebarrow.node.change.ChangeDuty;
+import org.boragebarrow.node.claim.ClaimDuty;
 import org.boragebarrow.node.dispatch.Dispatching;
 import org.boragebarrow.node.log.EventLog;
 import org.boragebarrow.node.log.LogEvent;
@@ -29,16 +29,21 @@
 
     private volatile Optional<Duties> duties = Optional.empty();
 
-    private record Duties(
-            MemberDuty members, ChangeDuty changes, Dispatching dispatching, ChangeMessages changeMessages) {}
+    /** Where messages go. */
+    record Duties(
+            MemberDuty members,
+            ChangeDuty changes,
+            ClaimDuty claims,
+            Dispatching dispatching,
+            ChangeMessages changeMessages) {}
 
     PeerRouter(HostMetrics metrics) {
         this.metrics = checkNotNull(metrics);
     }
 
     /** Sets where messages go; those that came earlier were dropped, as if the link had lost them. */
-    void connect(MemberDuty members, ChangeDuty changes, Dispatching dispatching, ChangeCodec codec) {
-        duties = Optional.of(new Duties(members, changes, dispatching, new ChangeMessages(codec)));
+    void connect(Duties connected) {
+        duties = Optional.of(connected);
     }
 
     @Override
@@ -69,6 +74,7 @@
                 duties.changes()
                         .follow(new ChangeFollowerEvent.Received(
                                 from.host(), duties.changeMessages().fromBatch(message.getChangeBatch())));
+            case CLAIM_SWAP, CLAIM_SWAPPED -> duties.claims().onMessage(from, message);
             default -> duties.dispatching().onMessage(from, message);
         }
     }
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimDuty.java
@@ -0,0 +1,174 @@
+package org.boragebarrow.node.claim;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableSet;
+import io.netty.channel.EventLoopGroup;
+import org.boragebarrow.decision.claim.ClaimAnswer;
+import org.boragebarrow.decision.claim.ClaimKeeper;
+import org.boragebarrow.decision.claim.ClaimKeeperEffect;
+import org.boragebarrow.decision.claim.ClaimKeeperEvent;
+import org.boragebarrow.decision.claim.ClaimKey;
+import org.boragebarrow.decision.table.TableAnswer;
+import org.boragebarrow.decision.table.TableCall;
+import org.boragebarrow.decision.table.TableCalls;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.RequestException;
+import org.boragebarrow.node.front.Claims;
+import org.boragebarrow.node.member.Members;
+import org.boragebarrow.node.ring.DutyRing;
+import org.boragebarrow.peer.link.PeerSender;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.port.TableService;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** The thread that runs {@link ClaimKeeper}. */
+public final class ClaimDuty implements Claims, AutoCloseable {
+    private static final long RETRY_MILLIS = 10;
+
+    private final ClaimKeeper keeper = new ClaimKeeper();
+    private final TableService table;
+    private final Ticker ticker;
+    private final ClaimWriting writing;
+    private final SwapRoute route;
+    private final DutyRing<ClaimKeeperEvent> ring;
+    private final Map<AttemptId, Waiting> waiting = new ConcurrentHashMap<>();
+
+    private volatile int unsettled;
+
+    private record Waiting(Executor executor, Listener listener) {}
+
+    /** What the duty uses. */
+    public record Collaborators(
+            Members members, PeerSender peers, TableService table, Ticker ticker, EventLoopGroup timers) {}
+
+    /** Starts the duty and the host's claim writer. */
+    public ClaimDuty(Collaborators collaborators, DutyRing.Factory rings) {
+        this.table = checkNotNull(collaborators.table());
+        this.ticker = checkNotNull(collaborators.ticker());
+        this.writing = new ClaimWriting(table, ticker, rings);
+        this.route = new SwapRoute(collaborators.members(), collaborators.peers(), writing, collaborators.timers());
+        this.ring = rings.start("claim", this::handle);
+    }
+
+    @Override
+    public void request(
+            AttemptId attempt,
+            ClaimKey key,
+            String requestHash,
+            long deadlineNanos,
+            Executor executor,
+            Listener listener) {
+        waiting.put(attempt, new Waiting(executor, listener));
+        if (!ring.offer(new ClaimKeeperEvent.Requested(attempt, key, requestHash, deadlineNanos))) {
+            answer(
+                    attempt,
+                    refused -> refused.onRefused(RequestException.of(ErrorKind.OVERLOADED, "too many claims wait")
+                            .withRanUnknown()));
+        }
+    }
+
+    @Override
+    public void abandon(AttemptId attempt) {
+        waiting.remove(attempt);
+        offerSurely(new ClaimKeeperEvent.Abandoned(attempt));
+    }
+
+    @Override
+    public void finish(AttemptId attempt, ClaimAnswer answer) {
+        offerSurely(new ClaimKeeperEvent.Finished(attempt, answer));
+    }
+
+    @Override
+    public void interrupt(AttemptId attempt) {
+        offerSurely(new ClaimKeeperEvent.Interrupted(attempt));
+    }
+
+    /** Takes the hosts that are alive in any zone. */
+    public void hostsListed(ImmutableSet<HostLife> live) {
+        ring.offer(new ClaimKeeperEvent.HostsListed(live));
+    }
+
+    /** Lets time pass. */
+    public void tick() {
+        ring.offer(new ClaimKeeperEvent.Ticked());
+    }
+
+    /** Takes a peer's message if it belongs here; returns whether it did. */
+    public boolean onMessage(HostLife from, Envelope message) {
+        return route.onMessage(from, message);
+    }
+
+    /** Returns how many attempts still need this host to release a claim or to record an outcome. */
+    public int unsettled() {
+        return unsettled;
+    }
+
+    private void handle(ClaimKeeperEvent event) {
+        for (ClaimKeeperEffect effect : keeper.apply(event, ticker.read())) {
+            handle(effect);
+        }
+        unsettled = keeper.unsettled();
+    }
+
+    private void handle(ClaimKeeperEffect effect) {
+        switch (effect) {
+            case ClaimKeeperEffect.Read read ->
+                TableCalls.make(new TableCall.Get(read.key()), table)
+                        .thenAccept(answer -> answered(read.call(), answer));
+            case ClaimKeeperEffect.Swap swap ->
+                route.write(swap.swap(), result -> answered(swap.call(), new TableAnswer.Finished(result)));
+            case ClaimKeeperEffect.Granted granted -> grant(granted.attempt());
+            case ClaimKeeperEffect.Refused refused ->
+                answer(
+                        refused.attempt(),
+                        listener -> listener.onRefused(RequestException.of(refused.kind(), refused.message())
+                                .withRanUnknown()));
+            case ClaimKeeperEffect.Replayed replayed ->
+                answer(replayed.attempt(), listener -> listener.onReplayed(replayed.answer()));
+        }
+    }
+
+    private void grant(AttemptId attempt) {
+        if (!answer(attempt, Listener::onGranted)) {
+            // Nobody waits any more, so nothing was or will be dispatched.
+            offerSurely(new ClaimKeeperEvent.Abandoned(attempt));
+        }
+    }
+
+    private boolean answer(AttemptId attempt, Consumer<Listener> call) {
+        Waiting asking = waiting.remove(attempt);
+        if (asking == null) {
+            return false;
+        }
+        asking.executor().execute(() -> call.accept(asking.listener()));
+        return true;
+    }
+
+    private void answered(long call, TableAnswer answer) {
+        offerSurely(new ClaimKeeperEvent.Answered(call, answer));
+    }
+
+    /** Hands over an event that must not be lost; a full ring is tried again without blocking. */
+    private void offerSurely(ClaimKeeperEvent event) {
+        if (!ring.offer(event)) {
+            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
+                    .execute(() -> offerSurely(event));
+        }
+    }
+
+    @Override
+    public void close() {
+        ring.close();
+        writing.close();
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimWriting.java
@@ -0,0 +1,82 @@
+package org.boragebarrow.node.claim;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import com.google.common.base.Ticker;
+import org.boragebarrow.decision.claim.ClaimSwap;
+import org.boragebarrow.decision.claim.ClaimWriter;
+import org.boragebarrow.decision.claim.ClaimWriterEffect;
+import org.boragebarrow.decision.claim.ClaimWriterEvent;
+import org.boragebarrow.decision.table.TableAnswer;
+import org.boragebarrow.decision.table.TableCalls;
+import org.boragebarrow.node.ring.DutyRing;
+import org.boragebarrow.port.TableService;
+import org.boragebarrow.port.TableService.CommitResult;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** The thread that runs this host's {@link ClaimWriter}, for itself and for the hosts of its zone that ask. */
+final class ClaimWriting implements AutoCloseable {
+    private static final long RETRY_MILLIS = 10;
+
+    private final ClaimWriter writer = new ClaimWriter();
+    private final TableService table;
+    private final Ticker ticker;
+    private final DutyRing<ClaimWriterEvent> ring;
+    private final AtomicLong requests = new AtomicLong();
+    private final Map<Long, Consumer<CommitResult>> waiting = new ConcurrentHashMap<>();
+
+    ClaimWriting(TableService table, Ticker ticker, DutyRing.Factory rings) {
+        this.table = checkNotNull(table);
+        this.ticker = checkNotNull(ticker);
+        this.ring = rings.start("claim-writer", this::handle);
+    }
+
+    /** Applies a swap; the listener is called once, on another thread. */
+    void write(ClaimSwap swap, Consumer<CommitResult> listener) {
+        long request = requests.incrementAndGet();
+        waiting.put(request, listener);
+        if (!ring.offer(new ClaimWriterEvent.Requested(request, swap))) {
+            waiting.remove(request);
+            listener.accept(new TableService.Unavailable());
+        }
+    }
+
+    private void handle(ClaimWriterEvent event) {
+        for (ClaimWriterEffect effect : writer.apply(event, ticker.read())) {
+            switch (effect) {
+                case ClaimWriterEffect.Commit commit -> commit(commit);
+                case ClaimWriterEffect.Finished finished -> {
+                    Consumer<CommitResult> listener = waiting.remove(finished.request());
+                    listener.accept(finished.result());
+                }
+            }
+        }
+    }
+
+    private void commit(ClaimWriterEffect.Commit commit) {
+        TableCalls.make(commit.commit(), table).thenAccept(answer -> {
+            CommitResult result =
+                    answer instanceof TableAnswer.Finished finished ? finished.result() : new TableService.Unknown();
+            answered(new ClaimWriterEvent.Answered(commit.call(), result));
+        });
+    }
+
+    /** An answer must not be lost, as the machine waits for it; a full ring is tried again without blocking. */
+    private void answered(ClaimWriterEvent event) {
+        if (!ring.offer(event)) {
+            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
+                    .execute(() -> answered(event));
+        }
+    }
+
+    @Override
+    public void close() {
+        ring.close();
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/SwapRoute.java
@@ -0,0 +1,97 @@
+package org.boragebarrow.node.claim;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoopGroup;
+import org.boragebarrow.decision.claim.ClaimSwap;
+import org.boragebarrow.decision.member.Member;
+import org.boragebarrow.decision.placement.Role;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.node.member.Members;
+import org.boragebarrow.peer.link.PeerSender;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.wire.ClaimMessages;
+import org.boragebarrow.port.TableService;
+import org.boragebarrow.port.TableService.CommitResult;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Brings swaps to the zone's claim writer and its results back. Thread-safe.
+ *
+ * <p>A swap that got no result in time has an unknown one. If the writer cannot be reached at all, this host's own writer
+ * takes its place; several writers at once are harmless.
+ */
+final class SwapRoute {
+    private static final long TIMEOUT_MILLIS = 4_000;
+    private static final Role WRITER = new Role.ClaimWriter();
+
+    private final Members members;
+    private final PeerSender peers;
+    private final ClaimWriting own;
+    private final EventLoopGroup timers;
+    private final AtomicLong requests = new AtomicLong();
+    private final Map<Long, Consumer<CommitResult>> waiting = new ConcurrentHashMap<>();
+
+    SwapRoute(Members members, PeerSender peers, ClaimWriting own, EventLoopGroup timers) {
+        this.members = checkNotNull(members);
+        this.peers = checkNotNull(peers);
+        this.own = checkNotNull(own);
+        this.timers = checkNotNull(timers);
+    }
+
+    /** Applies a swap; the listener is called exactly once. */
+    void write(ClaimSwap swap, Consumer<CommitResult> listener) {
+        Optional<Member> writer = members.holder(members.zone(), WRITER)
+                .filter(member -> !member.host().equals(members.self().host()));
+        if (writer.isEmpty()) {
+            own.write(swap, listener);
+            return;
+        }
+        long request = requests.incrementAndGet();
+        waiting.put(request, listener);
+        if (peers.send(writer.get().endpoint(), ClaimMessages.swap(request, swap))) {
+            timers.next()
+                    .schedule(
+                            () -> complete(request, new TableService.Unknown()), TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        waiting.remove(request);
+        own.write(swap, listener);
+    }
+
+    private void complete(long request, CommitResult result) {
+        Consumer<CommitResult> listener = waiting.remove(request);
+        if (listener != null) {
+            listener.accept(result);
+        }
+    }
+
+    /** Takes a peer's message if it belongs here; returns whether it did. */
+    boolean onMessage(HostLife from, Envelope message) {
+        switch (message.getBodyCase()) {
+            case CLAIM_SWAP -> serve(from, message.getClaimSwap());
+            case CLAIM_SWAPPED ->
+                complete(
+                        message.getClaimSwapped().getRequest(),
+                        ClaimMessages.fromResult(message.getClaimSwapped().getResult()));
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void serve(HostLife from, org.boragebarrow.peer.proto.ClaimSwap swap) {
+        long request = swap.getRequest();
+        own.write(
+                ClaimMessages.fromSwap(swap),
+                result -> members.find(from.host())
+                        .ifPresent(asking -> peers.send(asking.endpoint(), ClaimMessages.swapped(request, result))));
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/Dispatching.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/Dispatching.java
@@ -1,11 +1,14 @@
 package org.boragebarrow.node.dispatch;
 
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import org.boragebarrow.decision.dispatch.DispatchEffect;
 import org.boragebarrow.decision.dispatch.DispatchEvent;
 import org.boragebarrow.decision.dispatch.Dispatcher;
@@ -37,6 +40,7 @@
     private final Ticker ticker;
     private final Consumer<ZoneSummary> summaries;
     private final DispatchDuty duty;
+    private final Set<TargetId> reported = ConcurrentHashMap.newKeySet();
     private final GrantBroker broker;
 
     /** Starts the dispatcher and its broker. */
@@ -72,8 +76,15 @@
         broker.renew();
     }
 
+    /** Returns the targets that observers have reported to this host's dispatcher. */
+    public ImmutableSet<TargetId> reportedTargets() {
+        return ImmutableSet.copyOf(reported);
+    }
+
     /** Takes the zone's targets, replacing the earlier list. */
     public void targetsListed(ImmutableList<Target> targets) {
+        Set<TargetId> listed = targets.stream().map(Target::id).collect(ImmutableSet.toImmutableSet());
+        reported.retainAll(listed);
         duty.offer(new DispatchEvent.TargetsListed(targets));
     }
 
@@ -127,6 +138,7 @@
 
     private void onReport(TargetReport report) {
         TargetId target = TargetId.of(report.getTarget());
+        reported.add(target);
         duty.offer(new DispatchEvent.ReachabilityChanged(target, report.getReachable()));
         if (report.hasLoad()) {
             duty.offer(new DispatchEvent.LoadReported(target, ReportMessages.fromLoad(report.getLoad())));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ErrorBodies.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ErrorBodies.java
@@ -22,6 +22,21 @@
 
     /** Answers with the failure's status, headers and body. */
     public static void send(ServerResponse response, RequestException failure, Optional<RequestId> request) {
+        send(response, failure, request, bytes(failure, false));
+    }
+
+    /**
+     * Answers a keyed call with its failure.
+     *
+     * @param claimed whether the claim was proven to be this attempt's own; otherwise nothing is known of other attempts,
+     *     and the answer says that this one did not run
+     */
+    static void sendKeyed(ServerResponse response, RequestException failure, RequestId request, boolean claimed) {
+        send(response, failure, Optional.of(request), bytes(failure, !claimed));
+    }
+
+    private static void send(
+            ServerResponse response, RequestException failure, Optional<RequestId> request, byte[] body) {
         ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
         headers.put("content-type", "application/json");
         request.ifPresent(id -> headers.put("request-id", id.value()));
@@ -29,7 +44,7 @@
             long seconds = (delay.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
             headers.put("retry-after", Long.toString(seconds));
         });
-        response.send(failure.kind().status(), headers.build(), ByteBuffer.wrap(bytes(failure, false)));
+        response.send(failure.kind().status(), headers.build(), ByteBuffer.wrap(body));
     }
 
     /** Returns the event that ends a stream which had begun. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/Front.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/Front.java
@@ -29,6 +29,7 @@
 import org.boragebarrow.node.metrics.HostMetrics;
 import org.boragebarrow.node.settings.ServiceSettings;
 import org.boragebarrow.port.EngineClient;
+import org.boragebarrow.port.ObjectStore;
 import org.boragebarrow.port.ServiceClient;
 
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -55,6 +56,8 @@
     public record Collaborators(
             Supplier<HostLife> self,
             Grants grants,
+            Claims claims,
+            ObjectStore objects,
             EngineClient engines,
             ServiceClient services,
             EngineCancels cancels,
@@ -66,6 +69,8 @@
     public Front(Collaborators collaborators, ImmutableMap<ServiceName, ServiceSettings> services, int maxRequests) {
         this.context = new FrontContext(
                 collaborators.grants(),
+                collaborators.claims(),
+                collaborators.objects(),
                 collaborators.engines(),
                 collaborators.services(),
                 collaborators.cancels(),
@@ -185,7 +190,12 @@
 
     private void call(ServerRequest request, ServerResponse response, Admitted admitted, Allowance allowance) {
         ServiceExchange.Request call = serviceRequest(request, allowance);
+        Optional<String> key = RequestHeaders.idempotencyKey(request);
         begin();
+        if (key.isPresent()) {
+            callKeyed(response, admitted, call, key.get());
+            return;
+        }
         ServiceExchange exchange =
                 new ServiceExchange(context, admitted, call, response.eventLoop(), new ServiceExchange.Listener() {
                     @Override
@@ -204,6 +214,25 @@
         exchange.start();
     }
 
+    private void callKeyed(ServerResponse response, Admitted admitted, ServiceExchange.Request call, String key) {
+        KeyedExchange exchange =
+                new KeyedExchange(context, admitted, call.once(), response.eventLoop(), new KeyedExchange.Listener() {
+                    @Override
+                    public void onAnswer(ServiceAnswer answer) {
+                        inProgress.decrementAndGet();
+                        sendAnswer(response, answer, admitted.request());
+                    }
+
+                    @Override
+                    public void onFailure(RequestException failure, boolean claimed) {
+                        inProgress.decrementAndGet();
+                        ErrorBodies.sendKeyed(response, failure, admitted.request(), claimed);
+                    }
+                });
+        response.onClose(exchange::callerGone);
+        exchange.start(key);
+    }
+
     private ServiceExchange.Request serviceRequest(ServerRequest request, Allowance allowance) {
         String target = request.target();
         if (!target.startsWith(SERVICES)) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/FrontContext.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/FrontContext.java
@@ -9,11 +9,14 @@
 import org.boragebarrow.node.log.EventLog;
 import org.boragebarrow.node.metrics.HostMetrics;
 import org.boragebarrow.port.EngineClient;
+import org.boragebarrow.port.ObjectStore;
 import org.boragebarrow.port.ServiceClient;
 
 /** What all requests of one host share. */
 record FrontContext(
         Grants grants,
+        Claims claims,
+        ObjectStore objects,
         EngineClient engines,
         ServiceClient services,
         EngineCancels cancels,
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/RequestHeaders.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/RequestHeaders.java
@@ -43,6 +43,15 @@
         return text.map(RequestId::of);
     }
 
+    /** Returns the idempotency key, if there is one. */
+    static Optional<String> idempotencyKey(ServerRequest request) {
+        Optional<String> key = request.header(IDEMPOTENCY_KEY);
+        if (key.isPresent() && !Ids.isValid(key.get())) {
+            throw bad("idempotency-key is not 1 to " + Ids.MAX_LENGTH + " printable ASCII characters");
+        }
+        return key;
+    }
+
     /** Returns the request's time limit: what it asks for, bounded by its plan, or the plan's default. */
     static Duration timeout(ServerRequest request, Allowance allowance) {
         Optional<Integer> millis = positive(request, TIMEOUT);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ServiceExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ServiceExchange.java
@@ -36,7 +36,12 @@
  */
 final class ServiceExchange {
     /** A call as it goes to the service. */
-    record Request(ServiceName service, String path, ServerRequest received, boolean repeatable) {}
+    record Request(ServiceName service, String path, ServerRequest received, boolean repeatable) {
+        /** Returns the same call, not to be repeated. */
+        Request once() {
+            return new Request(service, path, received, false);
+        }
+    }
 
     /** Receives the end of the exchange. */
     interface Listener {
@@ -89,7 +94,7 @@
             return;
         }
         stopWork();
-        close();
+        fail(KeyedFailures.callerGone());
     }
 
     private void acquire() {
--- a/boragebarrow-trials/src/main/java/org/boragebarrow/trials/Deployment.java
+++ b/boragebarrow-trials/src/main/java/org/boragebarrow/trials/Deployment.java
@@ -17,6 +17,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.boragebarrow.decision.member.ZonesView;
+import org.boragebarrow.decision.placement.Role;
 import org.boragebarrow.http.platform.HostListMessages.ListingMessage;
 import org.boragebarrow.http.platform.PlatformJson;
 import org.boragebarrow.model.AvailabilityZoneId;
@@ -28,6 +30,7 @@
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.model.TargetKind;
 import org.boragebarrow.node.Host;
+import org.boragebarrow.node.member.Members;
 import org.boragebarrow.node.settings.HostSettings;
 import org.boragebarrow.port.HostList;
 import org.boragebarrow.standins.engine.EngineStandin;
@@ -167,10 +170,31 @@
         Caller.control("PUT", platform.endpoint(), "/hosts", body);
     }
 
-    /** Waits until every host is ready. */
+    /** Waits until every host is ready, knows every other and has a dispatcher that knows the zone's engines. */
     public void awaitReady() {
         Waiting.until(
                 READY_SECONDS, "every host is ready", () -> hosts().stream().allMatch(Host::isReady));
+        Waiting.until(
+                READY_SECONDS,
+                "all hosts know each other",
+                () -> hosts().stream().allMatch(this::isSettled));
+        Waiting.until(READY_SECONDS, "all engines are reported", this::areEnginesReported);
+    }
+
+    private boolean isSettled(Host host) {
+        Members members = host.members();
+        long near = members.members().live().size();
+        long far = members.zones().zones().values().stream()
+                .filter(ZonesView.ZoneStatus::heard)
+                .mapToLong(zone -> zone.members().size())
+                .sum();
+        return near + far >= hosts().size();
+    }
+
+    private boolean areEnginesReported() {
+        return hosts().stream()
+                .filter(host -> host.members().holds(new Role.Dispatcher()))
+                .allMatch(host -> host.reportedTargets().size() >= shape.enginesPerZone());
     }
 
     /** Returns the hosts that run, in the order of their ids. */
--- a/boragebarrow-trials/src/test/java/org/boragebarrow/trials/WholePathTest.java
+++ b/boragebarrow-trials/src/test/java/org/boragebarrow/trials/WholePathTest.java
@@ -58,6 +58,30 @@
         assertThat(answer.body()).contains("monday");
     }
 
+    @Example
+    void aKeyedBookingSentThroughTwoZonesRunsOnceAndIsAnsweredTwice() {
+        HttpResponse<String> first = book(deployment.hosts().get(0), "key-1", "roll-2");
+        HttpResponse<String> second = book(deployment.hosts().get(3), "key-1", "roll-2");
+        assertThat(first.statusCode()).isEqualTo(200);
+        assertThat(second.body()).isEqualTo(first.body());
+        assertThat(second.headers().firstValue("idempotent-replayed")).hasValue("true");
+    }
+
+    @Example
+    void aKeyWithAnotherBodyIsRefused() {
+        book(deployment.hosts().get(0), "key-2", "roll-3");
+        HttpResponse<String> answer = book(deployment.hosts().get(1), "key-2", "roll-4");
+        assertThat(answer.statusCode()).isEqualTo(422);
+        assertThat(answer.body()).contains("KEY_REUSED");
+    }
+
+    private static HttpResponse<String> book(Host host, String key, String order) {
+        return Caller.send(caller.request(host, "/services/desk/furnace/bookings")
+                .header("Idempotency-Key", key)
+                .POST(BodyPublishers.ofString("{\"slot\":\"tuesday\",\"order\":\"" + order + "\"}"))
+                .build());
+    }
+
     @Example
     void anUnknownKeyIsRefusedAsNotRun() {
         HttpResponse<String> answer =
