--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/ScriptedServer.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/ScriptedServer.java
@@ -9,15 +9,20 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.boragebarrow.model.Endpoint;
 
 /** Answers each request's head with fixed bytes and counts its connections. */
 public final class ScriptedServer implements AutoCloseable {
+    private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)\r\ncontent-length: ([0-9]+)");
+
     private final ServerSocket server;
     private final byte[] answer;
     private final boolean keepAlive;
     private final AtomicInteger connections = new AtomicInteger();
+    private volatile String lastHead = "";
 
     private ScriptedServer(String answer, boolean keepAlive) throws IOException {
         this.server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
@@ -42,6 +47,11 @@
         return connections.get();
     }
 
+    /** Returns the head of the request that came last. */
+    public String lastHead() {
+        return lastHead;
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
@@ -61,7 +71,14 @@
 
     private void serve(Socket socket) {
         try (socket) {
-            while (readHead(socket.getInputStream())) {
+            InputStream in = socket.getInputStream();
+            while (true) {
+                String head = readHead(in);
+                if (head.isEmpty()) {
+                    return;
+                }
+                in.skipNBytes(bodyLength(head));
+                lastHead = head;
                 socket.getOutputStream().write(answer);
                 if (!keepAlive) {
                     return;
@@ -72,15 +89,20 @@
         }
     }
 
-    private static boolean readHead(InputStream in) throws IOException {
+    private static String readHead(InputStream in) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
             int next = in.read();
             if (next < 0) {
-                return false;
+                return "";
             }
             head.write(next);
         }
-        return true;
+        return head.toString(StandardCharsets.US_ASCII);
+    }
+
+    private static long bodyLength(String head) {
+        Matcher length = CONTENT_LENGTH.matcher(head);
+        return length.find() ? Long.parseLong(length.group(1)) : 0;
     }
 }
--- a/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/EngineStandin.java
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/EngineStandin.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -21,6 +22,7 @@
     private final EngineDriver driver;
     private final WebServer server;
     private final Optional<EventLoopGroup> ownGroup;
+    private final AtomicBoolean closed = new AtomicBoolean();
 
     private EngineStandin(TargetId id, EngineDriver driver, WebServer server, Optional<EventLoopGroup> ownGroup) {
         this.id = id;
@@ -77,6 +79,9 @@
     /** Stops the engine as if it were killed: its connections are dropped and its state is lost. */
     @Override
     public void close() {
+        if (closed.getAndSet(true)) {
+            return;
+        }
         driver.execute(driver::stop);
         server.close();
         ownGroup.ifPresent(group ->
