--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -59,13 +59,25 @@
             connection.release(open);
             return;
         }
+        HttpRequest request;
+        try {
+            request = request();
+        } catch (IllegalArgumentException e) {
+            connection.release(open);
+            fail("malformed request: " + e.getMessage());
+            return;
+        }
         channel = Optional.of(open);
         connection.attach(this);
         open.config().setAutoRead(reading);
+        send(request, open);
+    }
+
+    private void send(HttpRequest request, Channel open) {
         BodyWriter body = new BodyWriter(open, call.body(), this::checkWritten);
         writer = Optional.of(body);
         sent = true;
-        open.write(request()).addListener((ChannelFuture written) -> checkWritten(written));
+        open.write(request).addListener((ChannelFuture written) -> checkWritten(written));
         body.writeMore();
     }
 
@@ -113,7 +125,7 @@
     private void run(Runnable step) {
         if (loop.inEventLoop()) {
             step.run();
-        } else {
+        } else if (!loop.isShutdown()) {
             loop.execute(step);
         }
     }
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.collect.ImmutableListMultimap;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -87,6 +88,24 @@
         }
     }
 
+    @Example
+    void aRequestOnAReusedConnectionThatDiesCountsAsSent() throws Exception {
+        try (ScriptedServer server =
+                ScriptedServer.startThatDiesAtTheSecond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")) {
+            get(server.endpoint());
+            assertThat(failure(server.endpoint(), TIMEOUT).sent()).isTrue();
+            assertThat(server.connections()).isEqualTo(1);
+        }
+    }
+
+    @Example
+    void aRequestThatCannotBeWrittenIsNotSent() throws Exception {
+        HttpCall forged = CALL.withHeaders(ImmutableListMultimap.of("Name", "value\r\nForged: 1"));
+        try (ScriptedServer server = ScriptedServer.start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", true)) {
+            assertThat(failure(server.endpoint(), forged, TIMEOUT).sent()).isFalse();
+        }
+    }
+
     private void assertBroken(String answer) throws Exception {
         try (ScriptedServer server = ScriptedServer.start(answer, false)) {
             assertThat(failure(server.endpoint(), TIMEOUT).sent()).isTrue();
@@ -98,7 +117,11 @@
     }
 
     private HttpCallException failure(Endpoint endpoint, Duration timeout) {
-        Throwable failure = client.exchange(endpoint, CALL, timeout)
+        return failure(endpoint, CALL, timeout);
+    }
+
+    private HttpCallException failure(Endpoint endpoint, HttpCall call, Duration timeout) {
+        Throwable failure = client.exchange(endpoint, call, timeout)
                 .handle((answer, thrown) -> thrown)
                 .join();
         assertThat(failure).isInstanceOf(HttpCallException.class);
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/ScriptedServer.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/ScriptedServer.java
@@ -20,19 +20,30 @@
 
     private final ServerSocket server;
     private final byte[] answer;
-    private final boolean keepAlive;
+    private final int answers;
+    private final boolean dying;
     private final AtomicInteger connections = new AtomicInteger();
     private volatile String lastHead = "";
 
-    private ScriptedServer(String answer, boolean keepAlive) throws IOException {
+    private ScriptedServer(String answer, int answers, boolean dying) throws IOException {
         this.server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
         this.answer = answer.getBytes(StandardCharsets.UTF_8);
-        this.keepAlive = keepAlive;
+        this.answers = answers;
+        this.dying = dying;
     }
 
     /** Starts a server that closes each connection after its answer, unless it keeps it alive. */
     public static ScriptedServer start(String answer, boolean keepAlive) throws IOException {
-        ScriptedServer scripted = new ScriptedServer(answer, keepAlive);
+        return start(answer, keepAlive ? Integer.MAX_VALUE : 1, false);
+    }
+
+    /** Starts a server that answers the first request on each connection and dies at the second. */
+    public static ScriptedServer startThatDiesAtTheSecond(String answer) throws IOException {
+        return start(answer, 1, true);
+    }
+
+    private static ScriptedServer start(String answer, int answers, boolean dying) throws IOException {
+        ScriptedServer scripted = new ScriptedServer(answer, answers, dying);
         Thread.ofVirtual().start(scripted::accept);
         return scripted;
     }
@@ -72,23 +83,27 @@
     private void serve(Socket socket) {
         try (socket) {
             InputStream in = socket.getInputStream();
-            while (true) {
-                String head = readHead(in);
-                if (head.isEmpty()) {
-                    return;
-                }
-                in.skipNBytes(bodyLength(head));
-                lastHead = head;
+            for (int i = 0; i < answers && readRequest(in); i++) {
                 socket.getOutputStream().write(answer);
-                if (!keepAlive) {
-                    return;
-                }
+            }
+            if (dying) {
+                readRequest(in);
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
+    private boolean readRequest(InputStream in) throws IOException {
+        String head = readHead(in);
+        if (head.isEmpty()) {
+            return false;
+        }
+        in.skipNBytes(bodyLength(head));
+        lastHead = head;
+        return true;
+    }
+
     private static String readHead(InputStream in) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
--- a/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/TokenStreams.java
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/TokenStreams.java
@@ -48,9 +48,15 @@
         }
 
         void flush() {
+            if (response.isOpen()) {
+                send();
+            }
+            text.setLength(0);
+        }
+
+        private void send() {
             if (!text.isEmpty()) {
                 response.write(text.toString());
-                text.setLength(0);
             }
             if (ended) {
                 response.end();
@@ -64,7 +70,6 @@
         drop(attempt);
         TokenStream stream = new TokenStream(response, sequence.request());
         response.startStream(200, "text/event-stream");
-        response.onClose(() -> streams.remove(attempt, stream));
         stream.event(
                 EngineProtocol.START_EVENT,
                 JsonNodeFactory.instance
--- a/boragebarrow-standins/src/main/java/org/boragebarrow/standins/web/WebResponse.java
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/web/WebResponse.java
@@ -122,6 +122,9 @@
     public void abort() {
         onEventLoop(() -> {
             done = true;
+            if (!channel.isActive()) {
+                return;
+            }
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
             channel.close();
         });
@@ -132,6 +135,11 @@
         channel.closeFuture().addListener(closed -> action.run());
     }
 
+    /** Returns whether the connection is still open. */
+    public boolean isOpen() {
+        return channel.isActive();
+    }
+
     boolean started() {
         return started;
     }
