Add the lease with fencing epochs

Cause: orders to engines need one planner a zone and a number that tells a late order from a present one, without comparing clocks of different hosts. Change: package decision.lease: the holder raises a counter; another host takes over by a conditional write after it saw the row stand still for the lease's length.

--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/lease/LeaseRow.java
@@ -0,0 +1,53 @@
+package org.boragebarrow.decision.lease;
+
+import java.util.List;
+
+import com.google.common.base.Splitter;
+import org.boragebarrow.model.HostLife;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * The value of a lease's row.
+ *
+ * @param counter raised by the holder to show that it lives
+ * @param holder the holder's life, or empty after a release
+ */
+record LeaseRow(long epoch, long counter, String holder) {
+    private static final Splitter SPLITTER = Splitter.on(' ').limit(3);
+
+    static LeaseRow parse(String text) {
+        List<String> fields = SPLITTER.splitToList(text);
+        checkArgument(fields.size() == 3, "not a lease: \"%s\"", text);
+        return new LeaseRow(Long.parseLong(fields.get(0)), Long.parseLong(fields.get(1)), fields.get(2));
+    }
+
+    static LeaseRow first(HostLife holder) {
+        return new LeaseRow(1, 1, holder.toString());
+    }
+
+    boolean isHeldBy(HostLife life) {
+        return holder.equals(life.toString());
+    }
+
+    boolean isReleased() {
+        return holder.isEmpty();
+    }
+
+    LeaseRow raised() {
+        return new LeaseRow(epoch, counter + 1, holder);
+    }
+
+    LeaseRow takenOver(HostLife life) {
+        return new LeaseRow(epoch + 1, 1, life.toString());
+    }
+
+    LeaseRow released() {
+        return new LeaseRow(epoch, counter + 1, "");
+    }
+
+    @Override
+    public String toString() {
+        return epoch + " " + counter + " " + holder;
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/lease/LeaseFuzzTest.java
@@ -0,0 +1,60 @@
+package org.boragebarrow.decision.lease;
+
+import java.time.Duration;
+import java.util.function.BiConsumer;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.state.Action;
+import net.jqwik.api.state.ActionChain;
+import net.jqwik.api.state.Transformer;
+import org.boragebarrow.testing.CommitFault;
+
+class LeaseFuzzTest {
+    private static final String SEED = "20261204";
+    private static final int TRIES = 1_000;
+    private static final int MAX_STEPS = 200;
+
+    @Property(seed = SEED, tries = TRIES)
+    void twoHostsNeverHoldTheLeaseAtOnceAndEpochsOnlyGrow(@ForAll("chains") ActionChain<LeaseWorld> chain) {
+        chain.run().checkEnd();
+    }
+
+    @Provide
+    Arbitrary<ActionChain<LeaseWorld>> chains() {
+        Arbitrary<Integer> any = Arbitraries.integers().between(0, 20);
+        Arbitrary<Integer> host = Arbitraries.integers().between(0, LeaseWorld.HOSTS - 1);
+        Arbitrary<Boolean> flag = Arbitraries.of(true, false);
+        return ActionChain.startWith(LeaseWorld::new)
+                .withAction(40, on("deliver", any, LeaseWorld::deliver))
+                .withAction(
+                        25,
+                        on(
+                                "advance ms",
+                                Arbitraries.of(100, 500, 2_500, 9_000, 12_000),
+                                (world, millis) -> world.advance(Duration.ofMillis(millis))))
+                .withAction(
+                        4,
+                        on(
+                                "fail next commit",
+                                Arbitraries.of(CommitFault.class),
+                                (world, fault) -> world.table.failNextCommit(fault)))
+                .withAction(
+                        2, on("pause", host, (world, h) -> world.hosts.get(h).pause()))
+                .withAction(
+                        3, on("resume", host, (world, h) -> world.hosts.get(h).resume()))
+                .withAction(1, on("restart", host, LeaseWorld::restart))
+                .withAction(2, on("give up", host, (world, h) -> world.want(h, false)))
+                .withAction(2, on("want", host, (world, h) -> world.want(h, true)))
+                .withAction(1, on("down", flag, (world, down) -> world.table.setDown(down)))
+                .withMaxTransformations(MAX_STEPS);
+    }
+
+    private static <T> Action.Independent<LeaseWorld> on(
+            String name, Arbitrary<T> values, BiConsumer<LeaseWorld, T> step) {
+        return () -> values.map(value -> Transformer.mutate(name + " " + value, world -> step.accept(world, value)));
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/lease/LeaseWorld.java
@@ -0,0 +1,152 @@
+package org.boragebarrow.decision.lease;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+import org.boragebarrow.decision.table.TableDriver;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.testing.FakeTable;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** Hosts with unlike clocks that compete for one lease, and an oracle of who held which epoch. */
+final class LeaseWorld {
+    static final int HOSTS = 3;
+    static final Duration LENGTH = Duration.ofSeconds(10);
+
+    private static final long SEED = 7;
+    private static final int STALE_COMMITS = 2;
+    private static final int MAX_ROUNDS = 1_000;
+    private static final double[] CLOCK_RATES = {0.95, 1.0, 1.05};
+
+    final FakeTable table = FakeTable.stepped(SEED);
+    final List<Host> hosts = new ArrayList<>();
+    private final TableDriver driver = new TableDriver(table);
+    private final Map<Long, HostLife> epochs = new HashMap<>();
+    private long highestEpoch;
+    private long nowNanos;
+    private long lives;
+
+    LeaseWorld() {
+        table.setStaleCommits(STALE_COMMITS);
+        for (int i = 0; i < HOSTS; i++) {
+            hosts.add(new Host(i));
+        }
+    }
+
+    void deliver(int index) {
+        driver.deliver(index);
+        check();
+    }
+
+    void advance(Duration time) {
+        nowNanos += time.toNanos();
+        hosts.forEach(host -> host.receive(new LeaseEvent.Ticked()));
+        check();
+    }
+
+    void want(int host, boolean wanted) {
+        hosts.get(host).receive(new LeaseEvent.WantedChanged(wanted));
+        check();
+    }
+
+    void restart(int index) {
+        hosts.get(index).dead = true;
+        hosts.set(index, new Host(index));
+    }
+
+    /** Checks that at most one host believes that it holds the lease, also while some are paused. */
+    private void check() {
+        long holders = hosts.stream().filter(host -> host.epoch().isPresent()).count();
+        assertWithMessage("holders").that(holders).isAtMost(1);
+    }
+
+    /** Ends all faults and checks that some host gets the lease and keeps it. */
+    void checkEnd() {
+        table.setStaleCommits(0);
+        table.setDown(false);
+        hosts.forEach(Host::resume);
+        want(0, true);
+        for (int round = 0; round < MAX_ROUNDS; round++) {
+            driver.deliverAll();
+            advance(Duration.ofMillis(100));
+        }
+        driver.deliverAll();
+        assertWithMessage("held in the end")
+                .that(hosts.stream().anyMatch(host -> host.epoch().isPresent()))
+                .isTrue();
+    }
+
+    /** One life of a host. */
+    final class Host {
+        private final HostLife life;
+        private final LeaseMachine lease;
+        private final double clockRate;
+        private final Deque<LeaseEvent> inbox = new ArrayDeque<>();
+        private boolean paused;
+        private boolean dead;
+
+        Host(int index) {
+            lives++;
+            life = HostLife.of(HostId.of("host-" + index), Incarnation.of(lives));
+            lease = new LeaseMachine("planner", life, LENGTH);
+            clockRate = CLOCK_RATES[index];
+            receive(new LeaseEvent.WantedChanged(true));
+        }
+
+        void pause() {
+            paused = true;
+        }
+
+        void resume() {
+            paused = false;
+            while (!inbox.isEmpty()) {
+                receive(inbox.remove());
+            }
+        }
+
+        OptionalLong epoch() {
+            return dead ? OptionalLong.empty() : lease.epoch(clock());
+        }
+
+        void receive(LeaseEvent event) {
+            if (dead) {
+                return;
+            }
+            if (paused) {
+                inbox.add(event);
+                return;
+            }
+            lease.apply(event, clock()).forEach(this::perform);
+        }
+
+        private long clock() {
+            return (long) (nowNanos * clockRate);
+        }
+
+        private void perform(LeaseEffect effect) {
+            switch (effect) {
+                case LeaseEffect.Call call ->
+                    driver.call(call.table(), answer -> receive(new LeaseEvent.Answered(call.call(), answer)));
+                case LeaseEffect.Held held -> {
+                    HostLife earlier = epochs.putIfAbsent(held.epoch(), life);
+                    assertWithMessage("epoch %s of %s", held.epoch(), life)
+                            .that(earlier == null || earlier.equals(life))
+                            .isTrue();
+                    assertWithMessage("epoch").that(held.epoch()).isAtLeast(highestEpoch);
+                    highestEpoch = held.epoch();
+                }
+                case LeaseEffect.Lost lost ->
+                    assertWithMessage("lost").that(epochs.get(lost.epoch())).isEqualTo(life);
+            }
+        }
+    }
+}
