Benchmark one dispatch decision and pass over engines without room

Cause: each event tried every waiting class on all engines. Change: a pool looks up its open engines once a run, matches prefixes only after an engine fits, and keeps its sums; a JMH module, not shipped and not forked, measures the end of one request, the grant of another and the queueing of a new one at 84 engines, 290 organisations and 2,000 queued.

--- /dev/null
+++ b/boragebarrow-bench/src/main/java/org/boragebarrow/bench/DecisionBenchmark.java
@@ -0,0 +1,132 @@
+package org.boragebarrow.bench;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.ImmutableLongArray;
+import org.boragebarrow.decision.dispatch.DispatchEffect;
+import org.boragebarrow.decision.dispatch.DispatchEvent;
+import org.boragebarrow.decision.dispatch.DispatchSettings;
+import org.boragebarrow.decision.dispatch.Dispatcher;
+import org.boragebarrow.decision.dispatch.GrantRequest;
+import org.boragebarrow.decision.dispatch.Work;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.port.EngineControl;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * Measures one decision of a busy dispatcher: a request ends, another is granted, and a new one is queued.
+ *
+ * <p>Not forked, as the project's processes start no others.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 3)
+@Measurement(iterations = 5, time = 3)
+@Fork(0)
+public class DecisionBenchmark {
+    private static final int ENGINES = 84;
+    private static final int ORGANISATIONS = 290;
+    private static final int QUEUED = 2_000;
+    private static final int SLOTS = 16;
+    private static final long CAPACITY_TOKENS = 400_000;
+    private static final int MAX_TOKENS = 512;
+    private static final int BLOCKS = 8;
+    private static final int DISTINCT_PREFIXES = 500;
+    private static final int LONG_PART = 50;
+    private static final long STEP_NANOS = Duration.ofMillis(10).toNanos();
+    private static final long LIMIT_NANOS = Duration.ofHours(1).toNanos();
+
+    private final SplittableRandom random = new SplittableRandom(1);
+    private final ArrayDeque<DispatchEffect.Granted> running = new ArrayDeque<>();
+    private final HostLife front = HostLife.of(HostId.of("front"), Incarnation.of(1));
+    private Dispatcher dispatcher;
+    private long now;
+    private long attempts;
+
+    /** Fills the dispatcher. */
+    @Setup(Level.Trial)
+    public void fill() {
+        dispatcher = new Dispatcher(Fleet.ZONE, DispatchSettings.defaults().withLease(Duration.ofHours(1)));
+        now = 0;
+        apply(new DispatchEvent.Configured(Fleet.configuration(ORGANISATIONS)));
+        apply(new DispatchEvent.TargetsListed(Fleet.engines(ENGINES)));
+        for (int i = 0; i < ENGINES; i++) {
+            apply(new DispatchEvent.LoadReported(Fleet.engineId(i), report()));
+        }
+        while (dispatcher.queued() < QUEUED) {
+            now += STEP_NANOS;
+            submit();
+        }
+    }
+
+    /** Ends the oldest request and submits another. */
+    @Benchmark
+    public int decide() {
+        now += STEP_NANOS;
+        DispatchEffect.Granted oldest = running.remove();
+        apply(new DispatchEvent.Finished(
+                oldest.attempt(), oldest.targets().get(0), MAX_TOKENS / 4, DispatchEvent.Outcome.COMPLETED));
+        if (dispatcher.queued() < QUEUED) {
+            submit();
+        }
+        return dispatcher.queued();
+    }
+
+    private void submit() {
+        boolean longer = random.nextInt(LONG_PART) == 0;
+        int length = longer ? 100_000 + random.nextInt(100_000) : 200 + random.nextInt(3_800);
+        long prefix = random.nextInt(DISTINCT_PREFIXES);
+        ImmutableLongArray.Builder blocks = ImmutableLongArray.builder();
+        for (int i = 0; i < Math.min(BLOCKS, length / 512); i++) {
+            blocks.add(prefix * BLOCKS + i);
+        }
+        apply(new DispatchEvent.Submitted(new GrantRequest(
+                AttemptId.of(front, attempts++),
+                Fleet.organisation(random.nextInt(ORGANISATIONS)),
+                new Work.Prompt(Fleet.MODEL, length, MAX_TOKENS, blocks.build()),
+                now + LIMIT_NANOS,
+                ImmutableSet.of(),
+                false)));
+    }
+
+    private void apply(DispatchEvent event) {
+        for (DispatchEffect effect : dispatcher.apply(event, now)) {
+            if (effect instanceof DispatchEffect.Granted granted) {
+                running.add(granted);
+            }
+        }
+    }
+
+    private static EngineControl.LoadReport report() {
+        return new EngineControl.LoadReport(
+                Duration.ZERO,
+                CAPACITY_TOKENS,
+                0,
+                SLOTS,
+                0,
+                0,
+                20_000,
+                120,
+                ImmutableSet.of(Fleet.MODEL),
+                "both",
+                true);
+    }
+}
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Admission.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Admission.java
@@ -152,29 +152,19 @@
 
     /** Returns the queue in which the prompt waits. */
     int queueIndex(ModelPool pool, Queued queued) {
-        if (isMeasured(pool) && !Gangs.fitsOneEngine(pool, queued.lengthClass, queued.tokens)) {
+        if (pool.isMeasured() && !Gangs.fitsOneEngine(pool, queued.lengthClass, queued.tokens)) {
             return ModelPool.GANG_QUEUE;
         }
         return settings.policy().isClassAware() ? queued.lengthClass.ordinal() : 0;
     }
 
     private static Optional<Integer> gangSize(ModelPool pool, Queued queued) {
-        if (!isMeasured(pool) || Gangs.fitsOneEngine(pool, queued.lengthClass, queued.tokens)) {
+        if (!pool.isMeasured() || Gangs.fitsOneEngine(pool, queued.lengthClass, queued.tokens)) {
             return Optional.of(1);
         }
         return Gangs.size(pool.engines(), queued.tokens);
     }
 
-    /** Returns whether the engines' memory is known from their reports. */
-    private static boolean isMeasured(ModelPool pool) {
-        for (EngineView e : pool.engines()) {
-            if (!e.isReported()) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** Returns whether the pool has an engine that the request does not exclude. */
     static boolean hasEngineFor(ModelPool pool, Queued queued) {
         for (EngineView e : pool.engines()) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Dispatcher.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Dispatcher.java
@@ -226,6 +226,9 @@
             runAll(nowNanos);
             return;
         }
+        for (ModelId m : e.models()) {
+            targets.modelPool(m).ifPresent(ModelPool::updateRates);
+        }
         runPoolsOf(e.models(), nowNanos);
     }
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/EngineView.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/EngineView.java
@@ -131,6 +131,11 @@
         backlog.remove(grant.lengthClass, Math.max(0, grant.prefillEach - worked));
     }
 
+    /** Returns whether the engine may take some prompt now. */
+    boolean isOpen(long nowNanos) {
+        return sequences() < slots && isAvailable(nowNanos);
+    }
+
     boolean isReported() {
         return reported;
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Forecast.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Forecast.java
@@ -23,17 +23,11 @@
             promptTokens += share * queue.promptTokens();
             answerTokens += share * queue.answerTokens();
         }
-        double prefillRate = 0;
-        double decodeRate = 0;
-        for (EngineView e : pool.engines()) {
-            prefillRate += e.prefillRate();
-            decodeRate += e.slots() * e.decodeRate();
-        }
-        if (prefillRate == 0 || decodeRate == 0) {
+        if (pool.prefillRate() == 0 || pool.decodeRate() == 0) {
             return 0;
         }
         // Engines read and answer at the same time, so the slower of the two decides.
-        return Math.max(promptTokens / prefillRate, answerTokens / decodeRate);
+        return Math.max(promptTokens / pool.prefillRate(), answerTokens / pool.decodeRate());
     }
 
     /** Returns the predicted time from the grant to the last token on the best engine, in seconds. */
@@ -61,14 +55,12 @@
     /** Returns the predicted wait of a short prompt that is queued now, in seconds. */
     static double shortWaitSeconds(ModelPool pool, long nowNanos) {
         FairQueue queue = pool.queue(LengthClass.SHORT.ordinal());
-        double prefillRate = 0;
         double least = Double.MAX_VALUE;
         for (EngineView e : pool.engines()) {
-            prefillRate += e.prefillRate();
             if (e.isAvailable(nowNanos)) {
                 least = Math.min(least, e.waitSeconds(LengthClass.SHORT, nowNanos));
             }
         }
-        return prefillRate == 0 || least == Double.MAX_VALUE ? 0 : least + queue.promptTokens() / prefillRate;
+        return least == Double.MAX_VALUE ? 0 : least + queue.promptTokens() / pool.prefillRate();
     }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Gangs.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Gangs.java
@@ -12,6 +12,8 @@
 final class Gangs {
     private static final LengthClass CLASS = LengthClass.HUGE;
 
+    private static final int MIN_SIZE = 2;
+
     private Gangs() {}
 
     /** Returns whether one engine of the pool is large enough for the prompt. */
@@ -47,6 +49,9 @@
 
     /** Returns a gang that has room now, all or nothing. */
     static Optional<Choice> choose(ModelPool pool, Queued queued, long nowNanos) {
+        if (pool.openings() < MIN_SIZE) {
+            return Optional.empty();
+        }
         List<EngineView> candidates = candidates(pool, queued, nowNanos);
         Optional<Integer> size = size(candidates, queued.tokens);
         if (size.isEmpty()) {
@@ -82,10 +87,13 @@
         if (candidates.size() < size.get()) {
             return Optional.empty();
         }
-        candidates.sort(Comparator.comparingLong(e -> roomAt(e, each, nowNanos)));
-        List<EngineView> kept = candidates.subList(0, size.get());
-        long start = roomAt(kept.getLast(), each, nowNanos);
-        return Optional.of(new Hold(queued, inOrder(kept), each, start));
+        List<Room> rooms = new ArrayList<>();
+        candidates.forEach(e -> rooms.add(new Room(e, roomAt(e, each, nowNanos))));
+        rooms.sort(Comparator.comparingLong(Room::atNanos));
+        List<Room> first = rooms.subList(0, size.get());
+        List<EngineView> kept = new ArrayList<>();
+        first.forEach(r -> kept.add(r.engine));
+        return Optional.of(new Hold(queued, inOrder(kept), each, first.getLast().atNanos));
     }
 
     /** Returns when the engine is predicted to have the memory and a slot free. */
@@ -139,6 +147,8 @@
         return sizes;
     }
 
+    private record Room(EngineView engine, long atNanos) {}
+
     private static long part(long tokens, int engines) {
         return (tokens + engines - 1) / engines;
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/ModelPool.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/ModelPool.java
@@ -24,6 +24,12 @@
     private final long[] grantsAtLastTurn = new long[QUEUES];
     private final Hold[] holds = new Hold[QUEUES];
     private ImmutableList<EngineView> engines = ImmutableList.of();
+    private int[] open = new int[0];
+    private int openCount;
+    private long sequences;
+    private boolean measured;
+    private double prefillRate;
+    private double decodeRate;
     private long grants;
     private double longTokens;
     private double allTokens;
@@ -47,9 +53,68 @@
 
     void setEngines(ImmutableList<EngineView> engines) {
         this.engines = engines;
+        open = new int[engines.size()];
+        openCount = 0;
+        measured = true;
+        for (EngineView e : engines) {
+            measured &= e.isReported();
+        }
+        updateRates();
         unblock();
     }
 
+    /** Adds the engines' speeds up anew. */
+    void updateRates() {
+        prefillRate = 0;
+        decodeRate = 0;
+        for (EngineView e : engines) {
+            prefillRate += e.prefillRate();
+            decodeRate += e.slots() * e.decodeRate();
+        }
+    }
+
+    /** Returns whether the engines' memory is known from their reports. */
+    boolean isMeasured() {
+        return measured;
+    }
+
+    /** Returns the prompt tokens a second that the engines read together. */
+    double prefillRate() {
+        return prefillRate;
+    }
+
+    /** Returns the answer tokens a second that the engines give together with full batches. */
+    double decodeRate() {
+        return decodeRate;
+    }
+
+    /** Looks up which engines may take anything at all now, so that trying a prompt passes over the others. */
+    void refreshOpenings(long nowNanos) {
+        openCount = 0;
+        sequences = 0;
+        for (int i = 0; i < engines.size(); i++) {
+            sequences += engines.get(i).sequences();
+            if (engines.get(i).isOpen(nowNanos)) {
+                open[openCount++] = i;
+            }
+        }
+    }
+
+    /** Returns the mean number of requests on an engine. */
+    double meanSequences() {
+        return (double) sequences / Math.max(1, engines.size());
+    }
+
+    /** Returns the number of engines that may take anything at all. */
+    int openings() {
+        return openCount;
+    }
+
+    /** Returns the index of such an engine. */
+    int opening(int number) {
+        return open[number];
+    }
+
     /** Notes a submitted prompt, to follow the part of long ones. */
     void onSubmitted(LengthClass lengthClass, int promptTokens) {
         longTokens *= SHARE_MEMORY;
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Placement.java
@@ -42,17 +42,21 @@
 
     private Optional<Choice> cheapest(ModelPool pool, Queued queued, long nowNanos) {
         Work.Prompt prompt = (Work.Prompt) queued.request.work();
-        prefixes.match(prompt.prefix());
         int first = firstEngine(pool, queued.lengthClass);
         ImmutableList<EngineView> engines = pool.engines();
-        double bound = loadBound(engines);
+        double bound = LOAD_BOUND * pool.meanSequences() + 1;
         Optional<EngineView> best = Optional.empty();
         double least = Double.MAX_VALUE;
-        for (int i = first; i < engines.size(); i++) {
-            EngineView e = engines.get(i);
-            if (!isCandidate(e, queued, nowNanos) || !fits(e, queued, nowNanos)) {
+        boolean matched = false;
+        for (int i = 0; i < pool.openings(); i++) {
+            EngineView e = engines.get(pool.opening(i));
+            if (pool.opening(i) < first || !isCandidate(e, queued, nowNanos) || !fits(e, queued, nowNanos)) {
                 continue;
             }
+            if (!matched) {
+                prefixes.match(prompt.prefix());
+                matched = true;
+            }
             double score = score(e, queued, prompt, e.sequences() < bound, nowNanos);
             if (score < least) {
                 best = Optional.of(e);
@@ -120,27 +124,22 @@
         return n - Math.min(n - least, Math.max(least, open));
     }
 
-    private static double loadBound(ImmutableList<EngineView> engines) {
-        double sum = 0;
-        for (EngineView e : engines) {
-            sum += e.sequences();
-        }
-        return LOAD_BOUND * sum / Math.max(1, engines.size()) + 1;
-    }
-
     private Optional<Choice> nextInTurn(ModelPool pool, Queued queued, long nowNanos) {
+        Work.Prompt prompt = (Work.Prompt) queued.request.work();
         int turn = pool.nextTurn();
         ImmutableList<EngineView> engines = pool.engines();
         for (int i = 0; i < engines.size(); i++) {
             EngineView e = engines.get((turn + i) % engines.size());
             if (isCandidate(e, queued, nowNanos) && hasRoom(e, queued)) {
-                return Optional.of(choice(e, queued, (Work.Prompt) queued.request.work(), nowNanos));
+                prefixes.match(prompt.prefix());
+                return Optional.of(choice(e, queued, prompt, nowNanos));
             }
         }
         return Optional.empty();
     }
 
     private Optional<Choice> leastLoaded(ModelPool pool, Queued queued, long nowNanos) {
+        Work.Prompt prompt = (Work.Prompt) queued.request.work();
         Optional<EngineView> best = Optional.empty();
         int least = Integer.MAX_VALUE;
         int turn = pool.nextTurn();
@@ -152,7 +151,8 @@
                 least = e.sequences();
             }
         }
-        return best.map(e -> choice(e, queued, (Work.Prompt) queued.request.work(), nowNanos));
+        prefixes.match(prompt.prefix());
+        return best.map(e -> choice(e, queued, prompt, nowNanos));
     }
 
     private static boolean hasRoom(EngineView engine, Queued queued) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/PrefillBacklog.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/PrefillBacklog.java
@@ -14,6 +14,9 @@
 
     /** Lets the engine work until now. */
     void advance(double tokensPerSecond, long nowNanos) {
+        if (nowNanos == advancedAtNanos) {
+            return;
+        }
         double done = (nowNanos - advancedAtNanos) / NANOS_PER_SECOND * tokensPerSecond;
         advancedAtNanos = nowNanos;
         for (int i = 0; i < CLASSES; i++) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Scheduler.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Scheduler.java
@@ -31,12 +31,15 @@
             return;
         }
         pool.refreshHolds(nowNanos);
+        pool.refreshOpenings(nowNanos);
         while (true) {
             int index = mostUrgent(pool, nowNanos);
             if (index < 0) {
                 return;
             }
-            if (!serve(pool, index, configuration, nowNanos)) {
+            if (serve(pool, index, configuration, nowNanos)) {
+                pool.refreshOpenings(nowNanos);
+            } else {
                 pool.block(index);
             }
         }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/prefix/PrefixIndex.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/prefix/PrefixIndex.java
@@ -33,6 +33,7 @@
     private static final int MAX_SLOTS = 2 * MAX_ENGINES;
     private static final int WORDS = MAX_SLOTS / Long.SIZE;
     private static final double DOUBT = 0.5;
+    private static final long[] NOTHING = new long[WORDS];
 
     private final Map<Long, long[]> holders;
     private final Map<TargetId, Slots> engines = new HashMap<>();
@@ -114,12 +115,14 @@
         for (int i = 0; i < length; i++) {
             long[] bits = holders.get(chain.get(i));
             if (bits == null) {
+                settle(NOTHING, i);
                 return;
             }
-            if (!advance(bits, i + 1)) {
+            if (!settle(bits, i)) {
                 return;
             }
         }
+        settle(NOTHING, length);
     }
 
     /** Returns how many leading blocks of the matched prompt the engine holds, doubtful ones counted half. */
@@ -148,18 +151,20 @@
         return engines.size() >= MAX_ENGINES && !engines.containsKey(engine);
     }
 
-    private boolean advance(long[] bits, int length) {
-        boolean any = false;
+    /** Notes the length of the match of those slots that lack the next block; returns whether others are left. */
+    private boolean settle(long[] bits, int length) {
+        long any = 0;
         for (int w = 0; w < WORDS; w++) {
+            long lost = alive[w] & ~bits[w];
             alive[w] &= bits[w];
-            long rest = alive[w];
-            any |= rest != 0;
-            while (rest != 0) {
-                matched[w * Long.SIZE + Long.numberOfTrailingZeros(rest)] = length;
-                rest &= rest - 1;
+            any |= alive[w];
+            // Nothing is noted before the first block, as all lengths start from 0.
+            while (length > 0 && lost != 0) {
+                matched[w * Long.SIZE + Long.numberOfTrailingZeros(lost)] = length;
+                lost &= lost - 1;
             }
         }
-        return any;
+        return any != 0;
     }
 
     private void store(Slots slots, long hash) {
