--- /dev/null
+++ b/boragebarrow-trials/src/main/java/org/boragebarrow/trials/AddedLatency.java
@@ -0,0 +1,149 @@
+package org.boragebarrow.trials;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableListMultimap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.HdrHistogram.Histogram;
+import org.boragebarrow.http.client.HttpCall;
+import org.boragebarrow.http.client.HttpClient;
+import org.boragebarrow.http.client.StreamListener;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.node.Host;
+import org.boragebarrow.port.TargetFailure;
+import org.boragebarrow.standins.engine.EngineSettings;
+
+/**
+ * Measures what one host adds to the time to the first token, against the stand-in engine reached directly.
+ *
+ * <p>Both ways carry the same prompt, one request at a time and in turn, so that they see the same machine.
+ */
+public final class AddedLatency {
+    private static final int WARM_UP = 2_000;
+    private static final int REQUESTS = 5_000;
+    private static final int MAX_TOKENS = 4;
+    private static final double QUICK_PREFILL_TOKENS_PER_SECOND = 10_000_000;
+    private static final long HIGHEST_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final String BODY =
+            "{\"model\":\"model\",\"prompt\":\"how many gaskets are in stock\",\"max_tokens\":4,\"stream\":true}";
+
+    private final HttpClient client;
+
+    private AddedLatency(HttpClient client) {
+        this.client = client;
+    }
+
+    /** Runs the measurement and prints a table. */
+    public static void main(String[] arguments) {
+        EngineSettings quick = EngineSettings.builder()
+                .prefillTokensPerSecond(QUICK_PREFILL_TOKENS_PER_SECOND)
+                .stepBase(Duration.ofNanos(100_000))
+                .stepPerSequence(Duration.ZERO)
+                .build();
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (Deployment deployment = Deployment.start(new Shape(1, 1, 1, quick, 1))) {
+            Host host = deployment.hosts().get(0);
+            Operators.setAllowance(host, "standard", 1_000_000_000, 1_000);
+            Operators.awaitInForce(deployment, Operators.setPlan(host, "workshop", "standard", "workshop-key"));
+            Endpoint engine = deployment.engines().values().iterator().next().endpoint();
+            new AddedLatency(new HttpClient(group)).measure(host.callerEndpoint(), engine);
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
+    private void measure(Endpoint host, Endpoint engine) {
+        Histogram through = new Histogram(HIGHEST_NANOS, 3);
+        Histogram direct = new Histogram(HIGHEST_NANOS, 3);
+        for (int number = 0; number < WARM_UP + REQUESTS; number++) {
+            long directNanos = firstByteNanos(engine, directCall(number));
+            long throughNanos = firstByteNanos(host, hostCall());
+            if (number >= WARM_UP) {
+                direct.recordValue(directNanos);
+                through.recordValue(throughNanos);
+            }
+        }
+        System.out.println("| first token, ms | p50 | p99 |");
+        System.out.println("|---|---|---|");
+        print("engine reached directly", direct);
+        print("through one host", through);
+        System.out.printf(
+                "| added | %.3f | %.3f |%n",
+                (through.getValueAtPercentile(50) - direct.getValueAtPercentile(50)) / NANOS_PER_MILLI,
+                (through.getValueAtPercentile(99) - direct.getValueAtPercentile(99)) / NANOS_PER_MILLI);
+    }
+
+    private static void print(String name, Histogram histogram) {
+        System.out.printf(
+                "| %s | %.3f | %.3f |%n",
+                name,
+                histogram.getValueAtPercentile(50) / NANOS_PER_MILLI,
+                histogram.getValueAtPercentile(99) / NANOS_PER_MILLI);
+    }
+
+    private static HttpCall hostCall() {
+        return HttpCall.of("POST", "/v1/completions")
+                .withHeaders(ImmutableListMultimap.of("authorization", "Bearer workshop-key"))
+                .withBody(body());
+    }
+
+    private static HttpCall directCall(int number) {
+        ImmutableListMultimap<String, String> headers = ImmutableListMultimap.<String, String>builder()
+                .put("request-id", "direct-" + number)
+                .put("attempt-id", "direct#1/" + number)
+                .put("model", "model")
+                .put("prompt-tokens", "8")
+                .put("max-tokens", Integer.toString(MAX_TOKENS))
+                .put("first-index", "0")
+                .put("resume", "false")
+                .put("priority", "0")
+                .put("remaining-ms", "30000")
+                .put("continuation-bytes", "0")
+                .build();
+        return HttpCall.of("POST", "/v1/sequences").withHeaders(headers).withBody(body());
+    }
+
+    private static ByteBuffer body() {
+        return ByteBuffer.wrap(BODY.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private long firstByteNanos(Endpoint endpoint, HttpCall call) {
+        CompletableFuture<Long> first = new CompletableFuture<>();
+        CompletableFuture<Void> end = new CompletableFuture<>();
+        long started = System.nanoTime();
+        client.stream(endpoint, call, new StreamListener() {
+            @Override
+            public void onHead(int status, ImmutableListMultimap<String, String> headers) {
+                if (status != 200) {
+                    first.completeExceptionally(new IllegalStateException("status " + status));
+                }
+            }
+
+            @Override
+            public void onBody(ByteBuf part) {
+                first.complete(System.nanoTime() - started);
+            }
+
+            @Override
+            public void onEnd() {
+                end.complete(null);
+            }
+
+            @Override
+            public void onFailure(TargetFailure failure) {
+                first.completeExceptionally(new IllegalStateException(failure.message()));
+                end.completeExceptionally(new IllegalStateException(failure.message()));
+            }
+        });
+        end.join();
+        return first.join();
+    }
+}
