Name cached prefixes alike in hosts and engines

Cause: the front hashed blocks of 1,024 characters of the prompt's text, the stand-in engine blocks of 2,048 bytes of the raw body, and the dispatcher took a block for 512 tokens: no cache event ever met a hash that a host knew. Tests: 4 in PrefixBlocksTest, and the stand-in's cache events name the blocks of a prompt's text. Conclusion: cache events reach the dispatcher's index under the same hashes.

--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/model/PrefixBlocksTest.java
@@ -0,0 +1,51 @@
+package org.boragebarrow.model;
+
+import com.google.common.primitives.ImmutableLongArray;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class PrefixBlocksTest {
+    private static final int BLOCK = PrefixBlocks.BLOCK_CHARACTERS;
+
+    private static ImmutableLongArray hashes(String... parts) {
+        PrefixBlocks blocks = new PrefixBlocks();
+        for (String part : parts) {
+            blocks.add(part);
+        }
+        return blocks.hashes();
+    }
+
+    @Property(seed = "3", tries = 50)
+    void howTheTextIsCutMakesNoDifference(@ForAll @IntRange(max = 5 * 2_048) int cut) {
+        String text = "order 17 ".repeat(5 * BLOCK / 9 + 1).substring(0, 5 * BLOCK);
+        assertThat(hashes(text.substring(0, cut), text.substring(cut))).isEqualTo(hashes(text));
+        assertThat(hashes(text).length()).isEqualTo(5);
+    }
+
+    @Example
+    void promptsShareHashesAsFarAsTheirTextAgrees() {
+        String common = "a".repeat(2 * BLOCK);
+        ImmutableLongArray one = hashes(common + "b".repeat(BLOCK));
+        ImmutableLongArray two = hashes(common + "c".repeat(BLOCK));
+        assertThat(one.subArray(0, 2)).isEqualTo(two.subArray(0, 2));
+        assertThat(one.get(2)).isNotEqualTo(two.get(2));
+    }
+
+    @Example
+    void equalBlocksBehindUnlikeOnesDiffer() {
+        ImmutableLongArray one = hashes("a".repeat(BLOCK) + "c".repeat(BLOCK));
+        ImmutableLongArray two = hashes("b".repeat(BLOCK) + "c".repeat(BLOCK));
+        assertThat(one.get(1)).isNotEqualTo(two.get(1));
+    }
+
+    @Example
+    void onlySoManyWholeBlocksCount() {
+        assertThat(hashes("a".repeat(BLOCK - 1)).length()).isEqualTo(0);
+        assertThat(hashes("a".repeat((PrefixBlocks.MAX_BLOCKS + 3) * BLOCK)).length())
+                .isEqualTo(PrefixBlocks.MAX_BLOCKS);
+    }
+}
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/engine/EngineMessages.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/engine/EngineMessages.java
@@ -42,8 +42,13 @@
 
     /** Parses JSON. */
     public static JsonNode parse(byte[] json) {
+        return parse(json, json.length);
+    }
+
+    /** Parses the first bytes as JSON. */
+    public static JsonNode parse(byte[] json, int length) {
         try {
-            return MAPPER.readTree(json);
+            return MAPPER.readTree(json, 0, length);
         } catch (IOException e) {
             throw new IllegalArgumentException("not JSON: " + e.getMessage(), e);
         }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptParser.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptParser.java
@@ -15,6 +15,7 @@
 import io.netty.buffer.Unpooled;
 import org.boragebarrow.model.ErrorKind;
 import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.PrefixBlocks;
 import org.boragebarrow.model.RequestException;
 
 /** Reads the fields of a completion request that the front needs; the engine reads the rest. */
@@ -31,7 +32,7 @@
             .build();
 
     private final boolean chat;
-    private final PrefixHasher prefix = new PrefixHasher();
+    private final PrefixBlocks prefix = new PrefixBlocks();
 
     private String model = "";
     private int maxTokens = DEFAULT_MAX_TOKENS;
--- a/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/EngineRoutes.java
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/EngineRoutes.java
@@ -1,17 +1,14 @@
 package org.boragebarrow.standins.engine;
 
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.google.common.collect.ImmutableList;
 import org.boragebarrow.http.engine.EngineMessages;
 import org.boragebarrow.http.engine.EngineProtocol;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.ModelId;
-import org.boragebarrow.model.PrefixBlocks;
 import org.boragebarrow.standins.web.WebHandler;
 import org.boragebarrow.standins.web.WebRequest;
 import org.boragebarrow.standins.web.WebResponse;
@@ -125,12 +122,11 @@
         int continuation = integer(request, EngineProtocol.CONTINUATION_BYTES, 0);
         int length = request.body().length - continuation;
         checkArgument(length >= 0, "continuation is longer than the body: %s bytes", continuation);
-        ByteBuffer body = ByteBuffer.wrap(request.body(), 0, length);
         return new SequenceRequest(
                 attempt,
                 ModelId.of(request.header(EngineProtocol.MODEL).orElse("model")),
                 TokenTexts.bodyHash(request.body(), length),
-                PrefixBlocks.hash(ImmutableList.of(body)),
+                PromptText.blocks(request.body(), length),
                 integer(request, EngineProtocol.PROMPT_TOKENS, length / BYTES_PER_TOKEN),
                 integer(request, EngineProtocol.MAX_TOKENS, DEFAULT_MAX_TOKENS),
                 firstIndex,
--- /dev/null
+++ b/boragebarrow-standins/src/main/java/org/boragebarrow/standins/engine/PromptText.java
@@ -0,0 +1,32 @@
+package org.boragebarrow.standins.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.primitives.ImmutableLongArray;
+import org.boragebarrow.http.engine.EngineMessages;
+import org.boragebarrow.model.PrefixBlocks;
+
+/** Static functions that find the prompt in a caller's body. */
+final class PromptText {
+    private PromptText() {}
+
+    /** Returns the hashes of the prompt's leading blocks; a body that is no completion request has none. */
+    static ImmutableLongArray blocks(byte[] body, int length) {
+        PrefixBlocks blocks = new PrefixBlocks();
+        try {
+            JsonNode request = EngineMessages.parse(body, length);
+            request.path("messages").forEach(message -> addMessage(message, blocks));
+            blocks.add(request.path("prompt").asText());
+        } catch (IllegalArgumentException e) {
+            return ImmutableLongArray.of();
+        }
+        return blocks.hashes();
+    }
+
+    private static void addMessage(JsonNode message, PrefixBlocks blocks) {
+        message.properties().forEach(field -> {
+            if (field.getKey().equals("role") || field.getKey().equals("content")) {
+                blocks.add(field.getValue().asText());
+            }
+        });
+    }
+}
--- a/boragebarrow-standins/src/test/java/org/boragebarrow/standins/engine/EngineStandinTest.java
+++ b/boragebarrow-standins/src/test/java/org/boragebarrow/standins/engine/EngineStandinTest.java
@@ -258,14 +258,16 @@
 
     @Example
     void cacheEventsNameTheBlocksOfThePrompt() {
-        byte[] body = new byte[10_000];
+        String text = "ledger ".repeat(1_400);
+        byte[] body = ("{\"max_tokens\":1,\"prompt\":\"" + text + "\"}").getBytes(StandardCharsets.UTF_8);
         submit(target, submission(body, 1, 0, false)).outcome();
+        PrefixBlocks blocks = new PrefixBlocks();
+        blocks.add(text);
         CacheEvents events = control.cacheEvents(target, 0).join();
         assertThat(events.first()).isEqualTo(1);
         assertThat(events.next()).isEqualTo(5);
         assertThat(events.events().stream().map(e -> e.blockHash()))
-                .containsExactlyElementsIn(PrefixBlocks.hash(ImmutableList.of(ByteBuffer.wrap(body)))
-                        .asList())
+                .containsExactlyElementsIn(blocks.hashes().asList())
                 .inOrder();
     }
 }
