Soak whole deployments under random faults

Cause: the promises have to be proved under failure in long randomised runs. Change: bin/soak runs prompts, bookings, keyed bookings and racing operators against three zones of two hosts while hosts are killed and drained, engines, table and services fail and zones are cut off; answers are checked against the engines' oracle, bookings against the services' counts.

--- /dev/null
+++ b/boragebarrow-trials/src/main/java/org/boragebarrow/trials/Standins.java
@@ -0,0 +1,33 @@
+package org.boragebarrow.trials;
+
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.boragebarrow.model.Endpoint;
+
+/** Static methods that steer and read stand-ins over their own ports. */
+public final class Standins {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private Standins() {}
+
+    /** Sets a stand-in's faults. */
+    public static void setFaults(Endpoint standin, String path, String faults) {
+        Caller.control("POST", standin, path, faults.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Reads a page of a stand-in. */
+    public static JsonNode read(Endpoint standin, String path) {
+        URI uri = URI.create("http://" + standin + path);
+        String body = Caller.send(HttpRequest.newBuilder(uri).build()).body();
+        try {
+            return JSON.readTree(body);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("not JSON: " + body, e);
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-trials/src/main/java/org/boragebarrow/trials/soak/ChangeCaller.java
@@ -0,0 +1,53 @@
+package org.boragebarrow.trials.soak;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.boragebarrow.node.Host;
+import org.boragebarrow.trials.Caller;
+
+/** An operator who edits allowances, racing with others. */
+final class ChangeCaller implements Runnable {
+    private static final int PLANS = 3;
+
+    private final World world;
+    private final AtomicLong highestAccepted;
+    private final RandomGenerator random;
+
+    ChangeCaller(World world, AtomicLong highestAccepted, RandomGenerator random) {
+        this.world = world;
+        this.highestAccepted = highestAccepted;
+        this.random = random;
+    }
+
+    @Override
+    public void run() {
+        while (!world.isStopped()) {
+            world.anyHost(random).ifPresent(this::edit);
+            Pause.millis(random.nextInt(100, 600));
+        }
+    }
+
+    private void edit(Host host) {
+        String body = """
+                {"tokensPerMinute":%d,"maxConcurrent":10,"maxPromptTokens":1000,"weight":1,"defaultTimeoutMs":1000,\
+                "maxTimeoutMs":1000,"models":[],"services":[]}
+                """.formatted(random.nextInt(1, 1_000_000));
+        String path = "/admin/v1/allowances/raced-" + random.nextInt(PLANS);
+        try {
+            HttpResponse<String> answer = Caller.operate(host, "PUT", path, body);
+            if (answer.statusCode() == 200) {
+                long number = answer.headers().firstValueAsLong("change-number").orElseThrow();
+                highestAccepted.accumulateAndGet(number, Math::max);
+                world.outcomes().add("change ok");
+                return;
+            }
+            JsonNode kind = Answer.json(answer).path("error").path("kind");
+            world.outcomes().add("change " + kind.asText());
+        } catch (Caller.CallFailedException e) {
+            world.outcomes().add("change cut off");
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-trials/src/main/java/org/boragebarrow/trials/soak/SoakMain.java
@@ -0,0 +1,57 @@
+package org.boragebarrow.trials.soak;
+
+import java.time.Duration;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+
+/** Runs soaks from the command line; exits with 1 if a promise was broken. */
+@Command(name = "soak", description = "Runs load and faults against a whole deployment and asserts what must hold")
+public final class SoakMain {
+    private static final int USAGE = 2;
+    private static final int BROKEN = 1;
+    private static final long SECONDS_PER_MINUTE = 60;
+
+    @Option(name = "--seed", description = "The seed of the first run (default: 1)")
+    private long seed = 1;
+
+    @Option(name = "--minutes", description = "The length of each run (default: 2)")
+    private double minutes = 2;
+
+    @Option(name = "--runs", description = "The number of runs, each with the next seed (default: 1)")
+    private int runs = 1;
+
+    /** Runs the soaks that the arguments describe. */
+    public static void main(String[] arguments) {
+        try {
+            SoakMain command = SingleCommand.singleCommand(SoakMain.class).parse(arguments);
+            System.exit(command.run() ? 0 : BROKEN);
+        } catch (ParseException e) {
+            System.err.println("error: " + e.getMessage());
+            System.exit(USAGE);
+        }
+    }
+
+    private boolean run() {
+        boolean held = true;
+        for (long number = seed; number < seed + runs; number++) {
+            Soak.Report report = Soak.run(number, Duration.ofSeconds(Math.round(minutes * SECONDS_PER_MINUTE)));
+            print(report);
+            held &= report.violations().isEmpty();
+        }
+        return held;
+    }
+
+    private static void print(Soak.Report report) {
+        System.out.println("seed " + report.seed() + ": " + report.violations().size() + " violations");
+        report.outcomes().forEach(outcome -> System.out.println("  " + outcome));
+        if (report.violations().isEmpty()) {
+            return;
+        }
+        report.violations().forEach(violation -> System.out.println("  VIOLATION " + violation));
+        System.out.println("  trace:");
+        report.trace().forEach(line -> System.out.println("    " + line));
+    }
+}
