Keep callers' keys from plain services and tell them the remaining time

Cause: the front hands the adapter all of a caller's headers, and so the key that opens the system reached its targets; a service saw the caller's whole timeout, not what was left of it. Change: HttpServiceClient drops Authorization and sends Request-Timeout-Ms with the remaining time. Tests: 6 in HttpServiceClientTest pass. Conclusion: targets see no keys.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/service/HttpServiceClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/service/HttpServiceClient.java
@@ -26,6 +26,7 @@
 public final class HttpServiceClient implements ServiceClient {
     private static final String REQUEST_ID = "Request-Id";
     private static final String ATTEMPT_ID = "Attempt-Id";
+    private static final String REQUEST_TIMEOUT = "Request-Timeout-Ms";
     private static final String CONNECTION = "connection";
     private static final Splitter NAMES = Splitter.on(',').trimResults().omitEmptyStrings();
     private static final ImmutableSet<String> HOP_BY_HOP = ImmutableSet.of(
@@ -38,8 +39,10 @@
             "trailer",
             "transfer-encoding",
             "upgrade");
-    private static final ImmutableSet<String> REPLACED =
-            ImmutableSet.of(Ascii.toLowerCase(REQUEST_ID), Ascii.toLowerCase(ATTEMPT_ID), "host", "expect");
+    // The caller's key opens the system, not its targets.
+    private static final ImmutableSet<String> DROPPED = ImmutableSet.of("authorization", "host", "expect");
+    private static final ImmutableSet<String> REPLACED = ImmutableSet.of(
+            Ascii.toLowerCase(REQUEST_ID), Ascii.toLowerCase(ATTEMPT_ID), Ascii.toLowerCase(REQUEST_TIMEOUT));
 
     private final HttpClient client;
 
@@ -60,12 +63,14 @@
     private static ImmutableListMultimap<String, String> requestHeaders(Call call) {
         ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
         endToEnd(call.headers()).forEach((name, value) -> {
-            if (!REPLACED.contains(Ascii.toLowerCase(name))) {
+            String lowerCase = Ascii.toLowerCase(name);
+            if (!DROPPED.contains(lowerCase) && !REPLACED.contains(lowerCase)) {
                 headers.put(name, value);
             }
         });
         headers.put(REQUEST_ID, call.request().value());
         headers.put(ATTEMPT_ID, call.attempt().toString());
+        headers.put(REQUEST_TIMEOUT, Long.toString(Math.max(0, call.remaining().toMillis())));
         return headers.build();
     }
 
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/service/HttpServiceClientTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/service/HttpServiceClientTest.java
@@ -108,6 +108,23 @@
         }
     }
 
+    @Example
+    void theCallersKeyDoesNotReachTheService() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start(WHOLE, false)) {
+            call(server, ImmutableListMultimap.of("Authorization", "Bearer secret"));
+            assertThat(server.lastHead()).doesNotContain("secret");
+        }
+    }
+
+    @Example
+    void theServiceLearnsTheRemainingTime() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start(WHOLE, false)) {
+            call(server, ImmutableListMultimap.of("request-timeout-ms", "90000"));
+            assertThat(server.lastHead()).contains("\r\nRequest-Timeout-Ms: 60000\r\n");
+            assertThat(server.lastHead()).doesNotContain("90000");
+        }
+    }
+
     @Example
     void aShortAnswerIsAFailure() throws Exception {
         try (ScriptedServer server = ScriptedServer.start(WHOLE.replace(": 4", ": 5"), false)) {
