Add the planner of a zone's engines

Cause: engines must hold the models that demand calls for, whoever orders them and however late an order arrives. Change: package decision.plan: level-triggered orders, one in flight an engine, under the lease's epoch; towards engines that ignore fencing numbers only while the lease outlasts the call; loads within what the weight store allows; moves follow demand one engine at a time and only for a clear, lasting gain.

--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/plan/EngineState.java
@@ -0,0 +1,88 @@
+package org.boragebarrow.decision.plan;
+
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.port.EngineControl.ChangeRole;
+import org.boragebarrow.port.EngineControl.LoadModel;
+import org.boragebarrow.port.EngineControl.Order;
+import org.boragebarrow.port.EngineControl.UnloadModel;
+
+/** What a {@link Planner} knows of one engine. */
+final class EngineState {
+    PlannerEvent.Engine engine;
+    ImmutableSet<ModelId> models = ImmutableSet.of();
+    String role = "";
+    long usedTokens;
+    boolean loadReserved;
+    private Optional<Long> reportNanos = Optional.empty();
+    private Optional<SentOrder> sent = Optional.empty();
+
+    EngineState(PlannerEvent.Engine engine) {
+        this.engine = engine;
+    }
+
+    void report(PlannerEvent.Reported reported, long nowNanos) {
+        long taken = nowNanos - reported.age().toNanos();
+        if (reportNanos.isPresent() && taken - reportNanos.get() < 0) {
+            return;
+        }
+        reportNanos = Optional.of(taken);
+        models = reported.models();
+        role = reported.role();
+        usedTokens = reported.usedTokens();
+        if (sent.isPresent() && sent.get().ended && isDone(sent.get().order)) {
+            sent = Optional.empty();
+        }
+    }
+
+    boolean isReportedSince(long nanos) {
+        return reportNanos.isPresent() && reportNanos.get() - nanos >= 0;
+    }
+
+    boolean hasOrder() {
+        return sent.isPresent();
+    }
+
+    void send(Order order, long nowNanos) {
+        sent = Optional.of(new SentOrder(order, nowNanos));
+    }
+
+    void orderEnded(PlannerEvent.Result result) {
+        if (sent.isEmpty()) {
+            return;
+        }
+        sent.get().ended = true;
+        if (result == PlannerEvent.Result.REFUSED) {
+            sent = Optional.empty();
+        }
+    }
+
+    /** Forgets an order that should long have taken effect, so that it is sent again. */
+    void expire(long nowNanos, long longestOrderNanos) {
+        if (sent.isPresent() && nowNanos - sent.get().sentNanos >= longestOrderNanos) {
+            sent = Optional.empty();
+        }
+    }
+
+    private boolean isDone(Order order) {
+        return switch (order) {
+            case LoadModel load -> models.contains(load.model());
+            case UnloadModel unload -> !models.contains(unload.model());
+            case ChangeRole change -> role.equals(change.role());
+        };
+    }
+
+    /** An order on its way or being carried out. */
+    private static final class SentOrder {
+        private final Order order;
+        private final long sentNanos;
+        private boolean ended;
+
+        SentOrder(Order order, long sentNanos) {
+            this.order = order;
+            this.sentNanos = sentNanos;
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/plan/PlannerWorld.java
@@ -0,0 +1,200 @@
+package org.boragebarrow.decision.plan;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.port.EngineControl;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** Two planners that take turns with the lease, and engines of which only some check fencing numbers. */
+final class PlannerWorld {
+    static final ModelId DRAFT = ModelId.of("draft");
+    static final ModelId STOCK = ModelId.of("stock");
+    static final int PLANNERS = 2;
+    static final int ENGINES = 4;
+
+    private static final Duration LEASE = Duration.ofSeconds(10);
+    private static final int STABLE_ROUNDS = 200;
+    private static final int MAX_ROUNDS = 2_000;
+
+    final List<Planner> planners = new ArrayList<>();
+    final List<FakeEngine> engines = new ArrayList<>();
+    private final List<PlannerEffect.Send> calls = new ArrayList<>();
+    private final List<Integer> callers = new ArrayList<>();
+    private final List<PlannerEffect.Send> late = new ArrayList<>();
+    private final Map<Integer, Integer> loadsLeft = new HashMap<>();
+    private long nowNanos = 1;
+    private long epoch;
+    private int holder;
+    private long orders;
+
+    PlannerWorld() {
+        for (int i = 0; i < ENGINES; i++) {
+            engines.add(new FakeEngine(TargetId.of("engine-" + i), i % 2 == 0));
+        }
+        ImmutableList<PlannerEvent.Engine> listed = engines.stream()
+                .map(engine -> new PlannerEvent.Engine(engine.id, engine.checks, true))
+                .collect(ImmutableList.toImmutableList());
+        for (int i = 0; i < PLANNERS; i++) {
+            planners.add(new Planner(PlannerSettings.of(ImmutableSet.of(DRAFT, STOCK))));
+            drive(i, new PlannerEvent.EnginesListed(listed));
+            demand(i, 1, 1);
+        }
+    }
+
+    void demand(int planner, double draft, double stock) {
+        drive(planner, new PlannerEvent.DemandReported(ImmutableMap.of(DRAFT, draft, STOCK, stock)));
+    }
+
+    /** Gives the lease to a planner; the other may not yet know that it lost it. */
+    void lease(int planner) {
+        if (planner != holder || epoch == 0) {
+            epoch++;
+            holder = planner;
+        }
+        drive(planner, new PlannerEvent.LeaseHeld(epoch, nowNanos + LEASE.toNanos()));
+    }
+
+    void report(int engine) {
+        for (int i = 0; i < PLANNERS; i++) {
+            FakeEngine from = engines.get(engine);
+            ImmutableSet<ModelId> models = ImmutableSet.copyOf(from.models);
+            drive(i, new PlannerEvent.Reported(from.id, models, from.role, 0, Duration.ZERO));
+        }
+    }
+
+    void advance(Duration time) {
+        nowNanos += time.toNanos();
+        for (int i = 0; i < PLANNERS; i++) {
+            drive(i, new PlannerEvent.Ticked());
+        }
+    }
+
+    void deliver(int index) {
+        if (!calls.isEmpty()) {
+            int chosen = index % calls.size();
+            PlannerEffect.Send call = calls.remove(chosen);
+            int caller = callers.remove(chosen);
+            drive(caller, new PlannerEvent.OrderEnded(call.engine(), take(call)));
+        }
+    }
+
+    /** Tells the planner that its call failed, while the order still reaches the engine later. */
+    void delay(int index) {
+        if (!calls.isEmpty()) {
+            int chosen = index % calls.size();
+            PlannerEffect.Send call = calls.remove(chosen);
+            late.add(call);
+            drive(callers.remove(chosen), new PlannerEvent.OrderEnded(call.engine(), PlannerEvent.Result.FAILED));
+        }
+    }
+
+    void deliverLate(int index) {
+        if (!late.isEmpty()) {
+            take(late.remove(index % late.size()));
+        }
+    }
+
+    private PlannerEvent.Result take(PlannerEffect.Send call) {
+        return engines.stream()
+                .filter(engine -> engine.id.equals(call.engine()))
+                .findFirst()
+                .orElseThrow()
+                .take(call.order(), call.fencingNumber());
+    }
+
+    private void drive(int planner, PlannerEvent event) {
+        for (PlannerEffect effect : planners.get(planner).apply(event, nowNanos)) {
+            switch (effect) {
+                case PlannerEffect.Send send -> send(planner, send);
+                case PlannerEffect.AskWeightStore ask -> {
+                    loadsLeft.merge(planner, 1, Integer::sum);
+                    drive(planner, new PlannerEvent.LoadsAllowed(1));
+                }
+            }
+        }
+    }
+
+    private void send(int planner, PlannerEffect.Send send) {
+        orders++;
+        for (int i = 0; i < calls.size(); i++) {
+            boolean same = callers.get(i) == planner && calls.get(i).engine().equals(send.engine());
+            assertWithMessage("second order in flight: %s", send).that(same).isFalse();
+        }
+        assertWithMessage("sent in time").that(send.notAfterNanos()).isAtLeast(nowNanos);
+        if (send.order() instanceof EngineControl.LoadModel) {
+            int left = loadsLeft.merge(planner, -1, Integer::sum);
+            assertWithMessage("loads that the weight store allows").that(left).isAtLeast(0);
+        }
+        calls.add(send);
+        callers.add(planner);
+    }
+
+    /** Ends all faults and checks that one planner brings the engines to what it wants and then leaves them alone. */
+    void checkEnd() {
+        while (!late.isEmpty()) {
+            deliverLate(0);
+        }
+        long lastOrders = -1;
+        int stable = 0;
+        for (int round = 0; round < MAX_ROUNDS && stable < STABLE_ROUNDS; round++) {
+            lease(0);
+            while (!calls.isEmpty()) {
+                deliver(0);
+            }
+            for (int i = 0; i < ENGINES; i++) {
+                report(i);
+            }
+            advance(Duration.ofSeconds(3));
+            stable = orders == lastOrders ? stable + 1 : 0;
+            lastOrders = orders;
+        }
+        assertWithMessage("rounds without an order").that(stable).isEqualTo(STABLE_ROUNDS);
+        Set<ModelId> served = new TreeSet<>();
+        for (FakeEngine engine : engines) {
+            assertWithMessage("models of %s", engine.id).that(engine.models).hasSize(1);
+            assertThat(engine.role).isEqualTo("both");
+            served.addAll(engine.models);
+        }
+        assertThat(served).containsExactly(DRAFT, STOCK);
+    }
+
+    /** An engine that carries orders out at once. */
+    static final class FakeEngine {
+        final Set<ModelId> models = new TreeSet<>(Set.of(DRAFT));
+        String role = "both";
+        private final TargetId id;
+        private final boolean checks;
+        private long highest;
+
+        FakeEngine(TargetId id, boolean checks) {
+            this.id = id;
+            this.checks = checks;
+        }
+
+        PlannerEvent.Result take(EngineControl.Order order, long fencingNumber) {
+            if (checks && fencingNumber < highest) {
+                return PlannerEvent.Result.REFUSED;
+            }
+            highest = Math.max(highest, fencingNumber);
+            switch (order) {
+                case EngineControl.LoadModel load -> models.add(load.model());
+                case EngineControl.UnloadModel unload -> models.remove(unload.model());
+                case EngineControl.ChangeRole change -> role = change.role();
+            }
+            return PlannerEvent.Result.ACCEPTED;
+        }
+    }
+}
