Add an open-loop load command with checked answers

Cause: nothing measured the system by prompt length and organisation, or beside simple policies. Times count from when a request was due.

--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/AdminOptions.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/AdminOptions.java
@@ -36,7 +36,8 @@
         return json;
     }
 
-    AdminClient connect() {
+    /** Connects to the hosts that the options name. */
+    public AdminClient connect() {
         ImmutableList<Endpoint> hosts = Usage.checked("--admin", this::hosts);
         String secret = Usage.checked("--token", () -> Secrets.read(token));
         return new AdminClient(hosts, secret, Duration.ofMillis(Math.max(1, callTimeoutMillis)));
--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/Boragebarrowctl.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/Boragebarrowctl.java
@@ -7,6 +7,8 @@
 import com.github.rvesse.airline.Cli;
 import com.github.rvesse.airline.builder.CliBuilder;
 import com.github.rvesse.airline.parser.errors.ParseException;
+import org.boragebarrow.ctl.load.LoadCommand;
+import org.boragebarrow.ctl.load.PrepareCommand;
 
 /** The entry point of the operators' command line. */
 public final class Boragebarrowctl {
@@ -21,7 +23,9 @@
                 .withDefaultCommand(HelpCommand.class)
                 .withCommand(HelpCommand.class)
                 .withCommand(StatusCommand.class)
-                .withCommand(SendCommand.class);
+                .withCommand(SendCommand.class)
+                .withCommand(PrepareCommand.class)
+                .withCommand(LoadCommand.class);
         builder.withGroup("plan")
                 .withDescription("Edits the plans of organisations")
                 .withDefaultCommand(HelpCommand.class)
--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/SendCommand.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/SendCommand.java
@@ -30,7 +30,10 @@
 import org.boragebarrow.model.ServiceName;
 
 /** Sends one request as a caller would. */
-@Command(name = "send", description = "Sends one prompt or one call of a plain service, as a smoke test")
+@Command(
+        name = "send",
+        description =
+                "Sends one prompt or one call of a plain service, as a smoke test; its times include the start of this tool")
 public final class SendCommand implements CtlCommand {
     @Required
     @Option(name = "--entry", title = "HOST:PORT", description = "The callers' endpoint of a host")
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/AnswerEnds.java
@@ -0,0 +1,46 @@
+package org.boragebarrow.ctl.caller;
+
+import java.io.IOException;
+import java.util.concurrent.CompletionException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.boragebarrow.http.client.HttpAnswer;
+import org.boragebarrow.http.client.HttpCallException;
+
+/** Static functions that tell from whole answers and failures how a request ended. */
+final class AnswerEnds {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private AnswerEnds() {}
+
+    /** Returns the end that a whole answer of a plain service tells of. */
+    static AnswerEnd of(HttpAnswer answer) {
+        return answer.isSuccess() ? new AnswerEnd.Complete(0, 0) : refused(answer.status(), answer.text());
+    }
+
+    /** Returns the end that a failed exchange tells of. */
+    static AnswerEnd of(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        boolean sent = !(cause instanceof HttpCallException lost) || lost.sent();
+        return new AnswerEnd.Cut(sent, String.valueOf(cause.getMessage()));
+    }
+
+    /** Reads a refusal from its body, which may also be no JSON. */
+    static AnswerEnd refused(int status, String body) {
+        JsonNode fields = lenient(body).path("error");
+        return new AnswerEnd.Refused(
+                status,
+                fields.path("kind").asText("STATUS_" + status),
+                fields.path("ran").asText(""),
+                fields.path("message").asText(body));
+    }
+
+    private static JsonNode lenient(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (IOException e) {
+            return MAPPER.missingNode();
+        }
+    }
+}
--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/CallerClient.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/CallerClient.java
@@ -37,4 +37,11 @@
     public CompletableFuture<HttpAnswer> call(Endpoint entry, ServiceCall call) {
         return client.exchange(entry, call.toHttp(), call.timeout().plus(GRACE));
     }
+
+    /** Sends a call of a plain service and tells the listener of its end. */
+    public void call(Endpoint entry, ServiceCall call, AnswerListener listener) {
+        call(entry, call)
+                .whenComplete((answer, failure) ->
+                        listener.onEnd(failure == null ? AnswerEnds.of(answer) : AnswerEnds.of(failure)));
+    }
 }
--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/CompletionStream.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/CompletionStream.java
@@ -59,12 +59,7 @@
             finish(end.orElse(new AnswerEnd.Cut(true, "the stream ended without its end event")));
             return;
         }
-        JsonNode fields = lenient(error.toString()).path("error");
-        finish(new AnswerEnd.Refused(
-                status,
-                fields.path("kind").asText("STATUS_" + status),
-                fields.path("ran").asText(""),
-                fields.path("message").asText(error.toString())));
+        finish(AnswerEnds.refused(status, error.toString()));
     }
 
     @Override
@@ -129,12 +124,4 @@
             throw new IllegalArgumentException("malformed event data: " + e.getMessage(), e);
         }
     }
-
-    private static JsonNode lenient(String text) {
-        try {
-            return MAPPER.readTree(text);
-        } catch (IOException e) {
-            return MAPPER.missingNode();
-        }
-    }
 }
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/AnswerJudge.java
@@ -0,0 +1,35 @@
+package org.boragebarrow.ctl.load;
+
+import org.boragebarrow.ctl.caller.AnswerEnd;
+
+/** Decides from a result whether the caller got what it asked for. */
+final class AnswerJudge {
+    private final PromptBodies bodies;
+    private final long graceNanos;
+
+    AnswerJudge(Scenario.Run run) {
+        this.bodies = new PromptBodies(run);
+        this.graceNanos = run.grace().toNanos();
+    }
+
+    Outcome judge(Result result) {
+        long limit = result.arrival().work().timeout().toNanos() + graceNanos;
+        if (result.endNanos() - result.sentNanos() >= limit) {
+            return Outcome.LATE;
+        }
+        return switch (result.end()) {
+            case AnswerEnd.Refused refused -> Outcome.REFUSED;
+            case AnswerEnd.Failed failed -> Outcome.FAILED;
+            case AnswerEnd.Cut cut -> Outcome.CUT;
+            case AnswerEnd.Complete complete -> isRight(result, complete) ? Outcome.OK : Outcome.WRONG;
+        };
+    }
+
+    private boolean isRight(Result result, AnswerEnd.Complete end) {
+        if (!(result.arrival().work() instanceof Arrival.Prompt prompt)) {
+            return true;
+        }
+        return end.tokens() == prompt.maxTokens()
+                && result.text().equals(ExpectedAnswers.text(bodies.of(result.arrival(), prompt), prompt.maxTokens()));
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/EngineSender.java
@@ -0,0 +1,132 @@
+package org.boragebarrow.ctl.load;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.ctl.caller.AnswerEnd;
+import org.boragebarrow.ctl.caller.AnswerListener;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.TargetKind;
+import org.boragebarrow.port.EngineClient;
+import org.boragebarrow.port.TargetFailure;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** Sends prompts straight to engines by a simple policy, for comparison; {@link #send} is not thread-safe. */
+final class EngineSender implements Sender {
+    private static final AvailabilityZoneId ZONE = AvailabilityZoneId.of("direct");
+
+    private final EngineClient client;
+    private final HostLife self;
+    private final Policy policy;
+    private final PromptBodies bodies;
+    private final ImmutableList<Target> engines;
+    private final AtomicIntegerArray inProgress;
+    private int sent;
+
+    EngineSender(
+            EngineClient client, HostLife self, Policy policy, ImmutableList<Endpoint> engines, PromptBodies bodies) {
+        checkArgument(!engines.isEmpty(), "no engine");
+        checkArgument(policy != Policy.SYSTEM, "the system chooses");
+        this.client = client;
+        this.self = self;
+        this.policy = policy;
+        this.bodies = bodies;
+        this.engines = engines.stream().map(EngineSender::target).collect(ImmutableList.toImmutableList());
+        this.inProgress = new AtomicIntegerArray(engines.size());
+    }
+
+    private static Target target(Endpoint endpoint) {
+        TargetId id = TargetId.of("engine-" + endpoint);
+        return new Target(id, TargetKind.ENGINE, ZONE, endpoint, Optional.empty(), false);
+    }
+
+    @Override
+    public Runnable send(Arrival arrival, AnswerListener listener) {
+        if (!(arrival.work() instanceof Arrival.Prompt prompt)) {
+            throw new IllegalArgumentException("engines serve no " + arrival.work());
+        }
+        int engine = choose();
+        inProgress.incrementAndGet(engine);
+        AttemptId attempt = AttemptId.of(self, sent++);
+        EngineClient.Submission submission = new EngineClient.Submission(
+                arrival.requestId(attempt.toString()),
+                attempt,
+                bodies.model(),
+                bodies.of(arrival, prompt),
+                ByteBuffer.allocate(0),
+                prompt.promptTokens(),
+                prompt.maxTokens(),
+                0,
+                false,
+                0,
+                prompt.timeout(),
+                Optional.empty());
+        Progress progress = new Progress(engine, listener);
+        EngineClient.Handle handle = client.submit(engines.get(engine), submission, progress);
+        return () -> {
+            handle.close();
+            progress.countEnd();
+        };
+    }
+
+    private int choose() {
+        if (policy == Policy.ROUND_ROBIN) {
+            return sent % engines.size();
+        }
+        int least = 0;
+        for (int i = 1; i < engines.size(); i++) {
+            if (inProgress.get(i) < inProgress.get(least)) {
+                least = i;
+            }
+        }
+        return least;
+    }
+
+    /** Passes an engine's events on and counts its end. */
+    private final class Progress implements EngineClient.Listener {
+        private final int engine;
+        private final AnswerListener listener;
+        private final AtomicBoolean ended = new AtomicBoolean();
+
+        Progress(int engine, AnswerListener listener) {
+            this.engine = engine;
+            this.listener = listener;
+        }
+
+        /** Counts the end once, also when a request is given up just as it ends. */
+        void countEnd() {
+            if (ended.compareAndSet(false, true)) {
+                inProgress.decrementAndGet(engine);
+            }
+        }
+
+        @Override
+        public void onToken(int index, String text) {
+            listener.onToken(text);
+        }
+
+        @Override
+        public void onEnd(int count, int promptTokens, String finishReason) {
+            countEnd();
+            listener.onEnd(new AnswerEnd.Complete(count, promptTokens));
+        }
+
+        @Override
+        public void onFailure(TargetFailure failure) {
+            countEnd();
+            listener.onEnd(
+                    failure.refused()
+                            ? new AnswerEnd.Refused(0, "ENGINE_REFUSED", "no", failure.message())
+                            : new AnswerEnd.Cut(failure.sent(), failure.message()));
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/GroupStatistics.java
@@ -0,0 +1,81 @@
+package org.boragebarrow.ctl.load;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+import com.google.common.collect.Multiset;
+import com.google.common.collect.TreeMultiset;
+import org.HdrHistogram.Histogram;
+import org.boragebarrow.ctl.caller.AnswerEnd;
+
+/** Counts and times of the requests of one group; not thread-safe. */
+final class GroupStatistics {
+    private static final long NANOS_PER_MICRO = 1_000;
+    private static final long LONGEST_MICROS = 3_600_000_000L;
+    private static final int DIGITS = 3;
+
+    private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
+    private final Multiset<String> kinds = TreeMultiset.create();
+    private final Histogram firstToken = new Histogram(LONGEST_MICROS, DIGITS);
+    private final Histogram total = new Histogram(LONGEST_MICROS, DIGITS);
+    private long offeredTokens;
+    private long finishedTokens;
+
+    void add(Result result, Outcome outcome) {
+        outcomes.merge(outcome, 1, Integer::sum);
+        addKind(result.end());
+        long intended = result.arrival().atNanos();
+        result.firstTokenNanos().ifPresent(at -> record(firstToken, at - intended));
+        if (outcome == Outcome.OK) {
+            record(total, result.endNanos() - intended);
+        }
+        if (result.arrival().work() instanceof Arrival.Prompt prompt) {
+            offeredTokens += prompt.tokens();
+            finishedTokens += outcome == Outcome.OK ? prompt.tokens() : 0;
+        }
+    }
+
+    private void addKind(AnswerEnd end) {
+        switch (end) {
+            case AnswerEnd.Refused refused -> kinds.add(refused.kind());
+            case AnswerEnd.Failed failed -> kinds.add(failed.kind());
+            case AnswerEnd.Complete complete -> {}
+            case AnswerEnd.Cut cut -> {}
+        }
+    }
+
+    private static void record(Histogram histogram, long nanos) {
+        histogram.recordValue(Math.clamp(nanos / NANOS_PER_MICRO, 0, LONGEST_MICROS));
+    }
+
+    int planned() {
+        return outcomes.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    int count(Outcome outcome) {
+        return outcomes.getOrDefault(outcome, 0);
+    }
+
+    /** Returns how often each error kind came. */
+    Multiset<String> kinds() {
+        return kinds;
+    }
+
+    /** Returns times to the first token, in microseconds. */
+    Histogram firstToken() {
+        return firstToken;
+    }
+
+    /** Returns times to the end of right answers, in microseconds. */
+    Histogram total() {
+        return total;
+    }
+
+    long offeredTokens() {
+        return offeredTokens;
+    }
+
+    long finishedTokens() {
+        return finishedTokens;
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/LoadReport.java
@@ -0,0 +1,135 @@
+package org.boragebarrow.ctl.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.ImmutableLongArray;
+import org.HdrHistogram.Histogram;
+import org.boragebarrow.ctl.CommandException;
+import org.boragebarrow.ctl.ExitCode;
+
+/** Shows a run's statistics and writes them as tables and plots. */
+final class LoadReport {
+    private static final double MICROS_PER_MILLI = 1_000.0;
+    private static final double NANOS_PER_MILLI = 1_000_000.0;
+    private static final int WIDEST_CELL = 18;
+    private static final int NARROW_CELL = 9;
+    private static final Splitter CELLS = Splitter.on(',');
+
+    private final LoadStatistics statistics;
+
+    LoadReport(LoadStatistics statistics) {
+        this.statistics = statistics;
+    }
+
+    void print(PrintStream out) {
+        for (String line : SummaryTable.csv(statistics)) {
+            if (!isDetail(line)) {
+                out.println(aligned(line));
+            }
+        }
+        GroupStatistics all = all();
+        all.kinds().entrySet().forEach(kind -> out.println("refused or failed with " + kind));
+        out.println(String.format(
+                Locale.ROOT,
+                "goodput: %.0f tokens/s, %.4f of what was offered; Jain's index over organisations: %.4f",
+                statistics.goodputTokens(),
+                statistics.finishedPart(),
+                statistics.jainIndex()));
+        out.println(String.format(
+                Locale.ROOT, "latest send: %.2f ms after its time", statistics.largestLagNanos() / NANOS_PER_MILLI));
+    }
+
+    /** Returns whether the row is about one kind of work of one organisation. */
+    private static boolean isDetail(String line) {
+        return !line.startsWith("work,") && !line.contains(Group.ALL + ",");
+    }
+
+    private static String aligned(String line) {
+        StringBuilder text = new StringBuilder();
+        int column = 0;
+        for (String cell : CELLS.split(line)) {
+            String format = column < 2 ? "%-" + WIDEST_CELL + "s" : "%" + width(column) + "s";
+            text.append(String.format(Locale.ROOT, format, cell));
+            column++;
+        }
+        return text.toString();
+    }
+
+    private static int width(int column) {
+        return column <= Outcome.values().length + 2 ? NARROW_CELL : WIDEST_CELL - 3;
+    }
+
+    private GroupStatistics all() {
+        return statistics.groups().getOrDefault(new Group(Group.ALL, Group.ALL), new GroupStatistics());
+    }
+
+    /** Throws if the caller of any request did not get a whole, right answer or a refusal in time. */
+    void checkWhole() {
+        GroupStatistics all = all();
+        int faults = all.count(Outcome.CUT) + all.count(Outcome.WRONG) + all.count(Outcome.LATE);
+        if (faults > 0) {
+            throw new CommandException(ExitCode.FAILED, faults + " answers were cut, wrong or late");
+        }
+    }
+
+    void write(Path directory) throws IOException {
+        Files.createDirectories(directory);
+        Files.write(directory.resolve("summary.csv"), SummaryTable.csv(statistics));
+        Files.write(directory.resolve("seconds.csv"), statistics.series().csv());
+        Files.writeString(directory.resolve("first-token.svg"), firstTokenPlot());
+        Files.writeString(directory.resolve("work.svg"), workPlot());
+    }
+
+    private String firstTokenPlot() {
+        List<String> places = new ArrayList<>();
+        List<Double> medians = new ArrayList<>();
+        List<Double> tails = new ArrayList<>();
+        statistics.groups().forEach((group, each) -> {
+            Histogram times = each.firstToken();
+            if (group.organisation().equals(Group.ALL) && times.getTotalCount() > 0) {
+                places.add(group.work().equals(Group.ALL) ? "all" : group.work());
+                medians.add(times.getValueAtPercentile(50) / MICROS_PER_MILLI);
+                tails.add(times.getValueAtPercentile(99) / MICROS_PER_MILLI);
+            }
+        });
+        return SvgPlot.draw(
+                SvgPlot.Form.BARS,
+                "Time to first token by prompt length",
+                "length class",
+                "milliseconds",
+                ImmutableList.copyOf(places),
+                ImmutableList.of(
+                        new SvgPlot.Series("median", ImmutableList.copyOf(medians)),
+                        new SvgPlot.Series("99th percentile", ImmutableList.copyOf(tails))));
+    }
+
+    private String workPlot() {
+        WorkSeries series = statistics.series();
+        ImmutableList.Builder<String> seconds = ImmutableList.builder();
+        for (int i = 0; i < series.offered().length(); i++) {
+            seconds.add(Integer.toString(i));
+        }
+        return SvgPlot.draw(
+                SvgPlot.Form.LINES,
+                "Work offered and finished",
+                "seconds since the start",
+                "tokens per second",
+                seconds.build(),
+                ImmutableList.of(
+                        new SvgPlot.Series("offered", doubles(series.offered())),
+                        new SvgPlot.Series("of these in time", doubles(series.finishedOfOffered())),
+                        new SvgPlot.Series("finished then", doubles(series.finished()))));
+    }
+
+    private static ImmutableList<Double> doubles(ImmutableLongArray values) {
+        return values.asList().stream().map(Long::doubleValue).collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/PendingRequest.java
@@ -0,0 +1,55 @@
+package org.boragebarrow.ctl.load;
+
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.boragebarrow.ctl.caller.AnswerEnd;
+import org.boragebarrow.ctl.caller.AnswerListener;
+
+/** Records a request's answer until its end; thread-safe. */
+final class PendingRequest implements AnswerListener {
+    private final Arrival arrival;
+    private final LongSupplier clock;
+    private final Consumer<Result> onResult;
+    private final long sentNanos;
+    private final StringBuilder text = new StringBuilder();
+    private OptionalLong firstTokenNanos = OptionalLong.empty();
+    private boolean done;
+
+    /** Creates a record that starts now, by a clock that tells the time since the start of the run. */
+    PendingRequest(Arrival arrival, LongSupplier clock, Consumer<Result> onResult) {
+        this.arrival = arrival;
+        this.clock = clock;
+        this.onResult = onResult;
+        this.sentNanos = clock.getAsLong();
+    }
+
+    @Override
+    public synchronized void onToken(String token) {
+        if (done) {
+            return;
+        }
+        if (firstTokenNanos.isEmpty()) {
+            firstTokenNanos = OptionalLong.of(clock.getAsLong());
+        }
+        text.append(token);
+    }
+
+    @Override
+    public synchronized void onEnd(AnswerEnd end) {
+        if (done) {
+            return;
+        }
+        done = true;
+        onResult.accept(new Result(arrival, sentNanos, firstTokenNanos, clock.getAsLong(), end, text.toString()));
+    }
+
+    /** Gives the answer up if it has not ended. */
+    synchronized void expire(Runnable cancel) {
+        if (!done) {
+            cancel.run();
+            onEnd(new AnswerEnd.Cut(true, "no end within the time limit"));
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/PromptBodies.java
@@ -0,0 +1,74 @@
+package org.boragebarrow.ctl.load;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.model.ModelId;
+
+/**
+ * Makes the bodies of completion requests: the organisation's common prefix, the request's own mark and filling.
+ *
+ * <p>The parts are views of one shared text, so that long prompts cost no memory. Thread-safe.
+ */
+final class PromptBodies {
+    private static final int BYTES_PER_TOKEN = 4;
+    private static final int FILLING_BYTES = 1 << 16;
+    private static final int LETTERS = 26;
+    private static final int WORD_BYTES = 8;
+
+    private final Scenario.Run run;
+    private final ByteBuffer filling;
+
+    PromptBodies(Scenario.Run run) {
+        this.run = run;
+        this.filling = filling(new SplittableRandom(run.seed()));
+    }
+
+    private static ByteBuffer filling(SplittableRandom random) {
+        byte[] bytes = new byte[FILLING_BYTES];
+        for (int i = 0; i < bytes.length; i++) {
+            boolean space = i % WORD_BYTES == WORD_BYTES - 1;
+            bytes[i] = space ? (byte) ' ' : (byte) ('a' + random.nextInt(LETTERS));
+        }
+        return ByteBuffer.wrap(bytes).asReadOnlyBuffer();
+    }
+
+    ModelId model() {
+        return run.model();
+    }
+
+    ImmutableList<ByteBuffer> of(Arrival arrival, Arrival.Prompt prompt) {
+        int text = textBytes(prompt);
+        int prefix = (int) (text * arrival.organisation().prefixShare());
+        ImmutableList.Builder<ByteBuffer> parts = ImmutableList.builder();
+        parts.add(utf8("{\"model\":\"" + quoted(run.model().value()) + "\",\"stream\":true,\"prompt\":\""));
+        parts.add(utf8(quoted(arrival.organisation().name().value()) + " "));
+        fill(parts, prefix);
+        parts.add(utf8(" request " + quoted(arrival.id()) + " "));
+        fill(parts, text - prefix);
+        parts.add(utf8("\",\"max_tokens\":" + prompt.maxTokens() + "}"));
+        return parts.build();
+    }
+
+    private int textBytes(Arrival.Prompt prompt) {
+        int bytes = prompt.promptTokens() * BYTES_PER_TOKEN;
+        return run.declareTokens() ? Math.min(bytes, run.maxBodyBytes()) : bytes;
+    }
+
+    private void fill(ImmutableList.Builder<ByteBuffer> parts, int bytes) {
+        for (int left = bytes; left > 0; left -= FILLING_BYTES) {
+            parts.add(filling.slice(0, Math.min(left, FILLING_BYTES)));
+        }
+    }
+
+    private static String quoted(String text) {
+        return new String(JsonStringEncoder.getInstance().quoteAsString(text));
+    }
+
+    private static ByteBuffer utf8(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/ScenarioFile.java
@@ -0,0 +1,116 @@
+package org.boragebarrow.ctl.load;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+import com.google.common.collect.ImmutableList;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+
+/** Reads values from an INI file and gathers all problems, so that one look tells them all. */
+final class ScenarioFile {
+    private static final Function<Object, String> TEXT = String::valueOf;
+
+    private final INIConfiguration ini = new INIConfiguration();
+    private final Set<ScenarioKey> used = new HashSet<>();
+    private final Set<String> usedSections = new HashSet<>();
+    private final List<ScenarioProblem> problems = new ArrayList<>();
+
+    private record ScenarioKey(String section, String key) {}
+
+    private ScenarioFile() {}
+
+    static ScenarioFile parse(String text) {
+        ScenarioFile file = new ScenarioFile();
+        try {
+            file.ini.read(new StringReader(text));
+        } catch (ConfigurationException | IOException e) {
+            file.report("", "", "not an INI file: " + e.getMessage());
+        }
+        return file;
+    }
+
+    void report(String section, String key, String reason) {
+        problems.add(new ScenarioProblem(section, key, reason));
+    }
+
+    /** Returns the names of the sections that are called the kind, a space and a name. */
+    ImmutableList<String> named(String kind) {
+        String prefix = kind + " ";
+        ImmutableList.Builder<String> names = ImmutableList.builder();
+        for (String section : ini.getSections()) {
+            if (section != null && section.startsWith(prefix)) {
+                names.add(section.substring(prefix.length()).trim());
+            }
+        }
+        return names.build();
+    }
+
+    /** Returns the value, or the fallback after noting a problem, so that reading goes on. */
+    <T> T required(String section, String key, T fallback, Function<String, T> parser) {
+        Optional<String> text = text(section, key);
+        if (text.isEmpty()) {
+            report(section, key, "missing");
+            return fallback;
+        }
+        return parsed(section, key, text.get(), fallback, parser);
+    }
+
+    /** Returns the value, or the default if there is none. */
+    <T> T optional(String section, String key, T byDefault, Function<String, T> parser) {
+        return text(section, key)
+                .map(text -> parsed(section, key, text, byDefault, parser))
+                .orElse(byDefault);
+    }
+
+    private <T> T parsed(String section, String key, String text, T fallback, Function<String, T> parser) {
+        try {
+            return parser.apply(text);
+        } catch (IllegalArgumentException e) {
+            report(section, key, e.getMessage());
+            return fallback;
+        }
+    }
+
+    private Optional<String> text(String section, String key) {
+        used.add(new ScenarioKey(section, key));
+        usedSections.add(section);
+        List<Object> values = ini.getSection(section).getList(key);
+        if (values.size() > 1) {
+            report(section, key, "set more than once");
+        }
+        return values.stream().findFirst().map(TEXT).map(String::trim);
+    }
+
+    /** Throws if anything was wrong, counting sections and keys that nobody asked for. */
+    void finish() {
+        for (String section : ini.getSections()) {
+            checkKnown(section == null ? "" : section);
+        }
+        if (!problems.isEmpty()) {
+            throw new ScenarioException(ImmutableList.copyOf(problems));
+        }
+    }
+
+    private void checkKnown(String section) {
+        if (!usedSections.contains(section)) {
+            report(section, "", "unknown section");
+            return;
+        }
+        SubnodeConfiguration values = ini.getSection(section);
+        for (Iterator<String> keys = values.getKeys(); keys.hasNext(); ) {
+            String key = keys.next();
+            if (!used.contains(new ScenarioKey(section, key))) {
+                report(section, key, "unknown key");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/ScenarioFiles.java
@@ -0,0 +1,33 @@
+package org.boragebarrow.ctl.load;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.boragebarrow.ctl.CommandException;
+import org.boragebarrow.ctl.ExitCode;
+
+/** Static functions that read scenarios from files. */
+final class ScenarioFiles {
+    private ScenarioFiles() {}
+
+    /** Reads a scenario; throws {@link CommandException} with all that is wrong. */
+    static Scenario read(String path) {
+        try {
+            return ScenarioReader.read(Files.readString(Path.of(path)));
+        } catch (ScenarioException e) {
+            throw new CommandException(ExitCode.USAGE, path + ":\n" + e.getMessage());
+        } catch (IOException e) {
+            throw new CommandException(ExitCode.USAGE, "cannot read " + path + ": " + e);
+        }
+    }
+
+    /** Reads the key of an organisation. */
+    static String key(Scenario.Organisation organisation) {
+        try {
+            return ScenarioKeys.read(organisation.keyPlace());
+        } catch (IllegalArgumentException e) {
+            throw new CommandException(ExitCode.USAGE, "key of " + organisation.name() + ": " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/SummaryTable.java
@@ -0,0 +1,116 @@
+package org.boragebarrow.ctl.load;
+
+import java.util.Locale;
+import java.util.Map;
+
+import com.google.common.base.Joiner;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.HdrHistogram.Histogram;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** Static functions that write a run's statistics as a table and read those of an earlier run. */
+final class SummaryTable {
+    private static final ImmutableList<Double> PERCENTILES = ImmutableList.of(50.0, 90.0, 99.0);
+    private static final double MICROS_PER_MILLI = 1_000.0;
+    private static final ImmutableList<String> COMPARED =
+            ImmutableList.of("first_p50_ms", "first_p99_ms", "total_p50_ms", "total_p99_ms");
+    private static final Joiner CSV = Joiner.on(',');
+    private static final Splitter CELLS = Splitter.on(',');
+    private static final ImmutableList<String> COLUMNS = ImmutableList.of(
+            "work",
+            "organisation",
+            "requests",
+            "ok",
+            "refused",
+            "failed",
+            "cut",
+            "wrong",
+            "late",
+            "first_p50_ms",
+            "first_p90_ms",
+            "first_p99_ms",
+            "first_max_ms",
+            "total_p50_ms",
+            "total_p90_ms",
+            "total_p99_ms",
+            "total_max_ms",
+            "offered_tokens",
+            "finished_tokens");
+
+    private SummaryTable() {}
+
+    static ImmutableList<String> csv(LoadStatistics statistics) {
+        ImmutableList.Builder<String> lines = ImmutableList.builder();
+        lines.add(CSV.join(COLUMNS));
+        statistics.groups().forEach((group, each) -> lines.add(CSV.join(cells(group, each))));
+        return lines.build();
+    }
+
+    private static ImmutableList<String> cells(Group group, GroupStatistics each) {
+        ImmutableList.Builder<String> cells = ImmutableList.builder();
+        cells.add(group.work(), group.organisation(), Integer.toString(each.planned()));
+        for (Outcome outcome : Outcome.values()) {
+            cells.add(Integer.toString(each.count(outcome)));
+        }
+        addTimes(cells, each.firstToken());
+        addTimes(cells, each.total());
+        cells.add(Long.toString(each.offeredTokens()), Long.toString(each.finishedTokens()));
+        return cells.build();
+    }
+
+    private static void addTimes(ImmutableList.Builder<String> cells, Histogram times) {
+        if (times.getTotalCount() == 0) {
+            cells.add("", "", "", "");
+            return;
+        }
+        for (double percentile : PERCENTILES) {
+            cells.add(millis(times.getValueAtPercentile(percentile)));
+        }
+        cells.add(millis(times.getMaxValue()));
+    }
+
+    private static String millis(long micros) {
+        return String.format(Locale.ROOT, "%.2f", micros / MICROS_PER_MILLI);
+    }
+
+    /** Returns a column of the rows over all organisations of an earlier run's table, by kind of work. */
+    static ImmutableMap<String, Double> column(ImmutableList<String> csv, String column) {
+        checkArgument(!csv.isEmpty(), "the table is empty");
+        ImmutableList<String> head = ImmutableList.copyOf(CELLS.split(csv.get(0)));
+        int place = head.indexOf(column);
+        checkArgument(place >= 0, "the table has no column %s", column);
+        ImmutableMap.Builder<String, Double> values = ImmutableMap.builder();
+        for (String line : csv.subList(1, csv.size())) {
+            ImmutableList<String> cells = ImmutableList.copyOf(CELLS.split(line));
+            if (cells.get(1).equals(Group.ALL) && !cells.get(place).isEmpty()) {
+                values.put(cells.get(0), Double.valueOf(cells.get(place)));
+            }
+        }
+        return values.buildOrThrow();
+    }
+
+    /** Returns by how much this run's times exceed an earlier run's, one line for each kind of work. */
+    static ImmutableList<String> slowdowns(ImmutableList<String> now, ImmutableList<String> reference) {
+        ImmutableList.Builder<String> lines = ImmutableList.builder();
+        for (String column : COMPARED) {
+            Map<String, Double> before = column(reference, column);
+            column(now, column).forEach((work, value) -> {
+                Double base = before.get(work);
+                if (base != null && base > 0) {
+                    lines.add(String.format(
+                            Locale.ROOT,
+                            "slowdown %s %s: %.2f (%.2f against %.2f)",
+                            work,
+                            column,
+                            value / base,
+                            value,
+                            base));
+                }
+            });
+        }
+        return lines.build();
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/SvgPlot.java
@@ -0,0 +1,192 @@
+package org.boragebarrow.ctl.load;
+
+import javax.xml.stream.XMLOutputFactory;
+import javax.xml.stream.XMLStreamException;
+import javax.xml.stream.XMLStreamWriter;
+
+import java.io.StringWriter;
+import java.util.Locale;
+
+import com.google.common.collect.ImmutableList;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** Draws plots with two axes as SVG; the horizontal axis counts places from 0 on. */
+final class SvgPlot {
+    private static final int WIDTH = 900;
+    private static final int HEIGHT = 420;
+    private static final int LEFT = 90;
+    private static final int RIGHT = 20;
+    private static final int TOP = 50;
+    private static final int BOTTOM = 60;
+    private static final int TICKS = 5;
+    private static final int MOST_LABELS = 12;
+    private static final int LEGEND_WIDTH = 170;
+    private static final double BAR_PART = 0.8;
+    private static final ImmutableList<String> COLOURS =
+            ImmutableList.of("#1f77b4", "#ff7f0e", "#2ca02c", "#d62728", "#9467bd", "#8c564b");
+
+    private final StringWriter text = new StringWriter();
+    private final XMLStreamWriter xml;
+    private final ImmutableList<String> places;
+    private final ImmutableList<Series> series;
+    private final double top;
+
+    /** One value for each place. */
+    record Series(String name, ImmutableList<Double> values) {}
+
+    /** How values are drawn. */
+    enum Form {
+        /** One bar for each value, side by side at each place. */
+        BARS,
+        /** One line for each series. */
+        LINES
+    }
+
+    private SvgPlot(ImmutableList<String> places, ImmutableList<Series> series) throws XMLStreamException {
+        this.xml = XMLOutputFactory.newInstance().createXMLStreamWriter(text);
+        this.places = places;
+        this.series = series;
+        this.top = Math.max(
+                1e-9,
+                series.stream()
+                        .flatMap(each -> each.values().stream())
+                        .mapToDouble(Double::doubleValue)
+                        .max()
+                        .orElse(1));
+    }
+
+    /** Returns the plot as an SVG document. */
+    static String draw(
+            Form form,
+            String title,
+            String xLabel,
+            String yLabel,
+            ImmutableList<String> places,
+            ImmutableList<Series> series) {
+        for (Series each : series) {
+            checkArgument(each.values().size() == places.size(), "%s has not one value a place", each.name());
+        }
+        try {
+            SvgPlot plot = new SvgPlot(places, series);
+            plot.drawAll(form, title, xLabel, yLabel);
+            return plot.text.toString();
+        } catch (XMLStreamException e) {
+            throw new IllegalStateException("cannot write to memory", e);
+        }
+    }
+
+    private void drawAll(Form form, String title, String xLabel, String yLabel) throws XMLStreamException {
+        xml.writeStartDocument();
+        xml.writeStartElement("svg");
+        xml.writeDefaultNamespace("http://www.w3.org/2000/svg");
+        attributes("width", WIDTH, "height", HEIGHT, "font-family", "sans-serif", "font-size", 12);
+        element("rect", "width", WIDTH, "height", HEIGHT, "fill", "white");
+        label(WIDTH / 2.0, 20, "middle", title);
+        label((LEFT + WIDTH - RIGHT) / 2.0, HEIGHT - 12, "middle", xLabel);
+        label(8, TOP - 14, "start", yLabel);
+        drawAxes();
+        for (int i = 0; i < series.size(); i++) {
+            drawLegend(i);
+            if (form == Form.BARS) {
+                drawBars(i);
+            } else {
+                drawLine(i);
+            }
+        }
+        xml.writeEndElement();
+        xml.writeEndDocument();
+        xml.flush();
+    }
+
+    private void drawAxes() throws XMLStreamException {
+        line(LEFT, TOP, LEFT, HEIGHT - BOTTOM, "black");
+        line(LEFT, HEIGHT - BOTTOM, WIDTH - RIGHT, HEIGHT - BOTTOM, "black");
+        for (int i = 0; i <= TICKS; i++) {
+            double value = top * i / TICKS;
+            line(LEFT, y(value), WIDTH - RIGHT, y(value), "#dddddd");
+            label(LEFT - 6, y(value) + 4, "end", number(value));
+        }
+        int step = Math.max(1, (places.size() + MOST_LABELS - 1) / MOST_LABELS);
+        for (int i = 0; i < places.size(); i += step) {
+            label(x(i + 0.5), HEIGHT - BOTTOM + 18, "middle", places.get(i));
+        }
+    }
+
+    private void drawLegend(int index) throws XMLStreamException {
+        double x = LEFT + 10 + (double) index * LEGEND_WIDTH;
+        element("rect", "x", number(x), "y", TOP - 20, "width", 10, "height", 10, "fill", colour(index));
+        label(x + 15, TOP - 11, "start", series.get(index).name());
+    }
+
+    private void drawBars(int index) throws XMLStreamException {
+        double width = BAR_PART / series.size();
+        ImmutableList<Double> values = series.get(index).values();
+        for (int i = 0; i < values.size(); i++) {
+            double left = x(i + (1 - BAR_PART) / 2 + index * width);
+            double y = y(values.get(i));
+            element(
+                    "rect",
+                    "x",
+                    number(left),
+                    "y",
+                    number(y),
+                    "width",
+                    number(x(width) - x(0)),
+                    "height",
+                    number(HEIGHT - BOTTOM - y),
+                    "fill",
+                    colour(index));
+        }
+    }
+
+    private void drawLine(int index) throws XMLStreamException {
+        StringBuilder points = new StringBuilder();
+        ImmutableList<Double> values = series.get(index).values();
+        for (int i = 0; i < values.size(); i++) {
+            points.append(number(x(i + 0.5)))
+                    .append(',')
+                    .append(number(y(values.get(i))))
+                    .append(' ');
+        }
+        element("polyline", "points", points.toString().trim(), "fill", "none", "stroke", colour(index));
+    }
+
+    private double x(double place) {
+        return LEFT + place * (WIDTH - LEFT - RIGHT) / Math.max(1, places.size());
+    }
+
+    private double y(double value) {
+        return HEIGHT - BOTTOM - value / top * (HEIGHT - TOP - BOTTOM);
+    }
+
+    private static String colour(int index) {
+        return COLOURS.get(index % COLOURS.size());
+    }
+
+    private static String number(double value) {
+        return String.format(Locale.ROOT, value >= 1_000 ? "%.0f" : "%.2f", value);
+    }
+
+    private void line(double x1, double y1, double x2, double y2, String stroke) throws XMLStreamException {
+        element("line", "x1", number(x1), "y1", number(y1), "x2", number(x2), "y2", number(y2), "stroke", stroke);
+    }
+
+    private void label(double x, double y, String anchor, String words) throws XMLStreamException {
+        xml.writeStartElement("text");
+        attributes("x", number(x), "y", number(y), "text-anchor", anchor);
+        xml.writeCharacters(words);
+        xml.writeEndElement();
+    }
+
+    private void element(String name, Object... attributes) throws XMLStreamException {
+        xml.writeEmptyElement(name);
+        attributes(attributes);
+    }
+
+    private void attributes(Object... pairs) throws XMLStreamException {
+        for (int i = 0; i < pairs.length; i += 2) {
+            xml.writeAttribute(pairs[i].toString(), pairs[i + 1].toString());
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/TokenRange.java
@@ -0,0 +1,37 @@
+package org.boragebarrow.ctl.load;
+
+import java.util.random.RandomGenerator;
+
+import com.google.common.primitives.Ints;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** A range of token counts, both ends included. */
+public record TokenRange(int min, int max) {
+    private static final String DOTS = "..";
+
+    public TokenRange {
+        checkArgument(min > 0 && max >= min, "not a range of positive numbers: %s..%s", min, max);
+    }
+
+    /** Parses {@code MIN..MAX} or a single number. */
+    static TokenRange parse(String text) {
+        int dots = text.indexOf(DOTS);
+        if (dots < 0) {
+            return new TokenRange(number(text), number(text));
+        }
+        return new TokenRange(number(text.substring(0, dots)), number(text.substring(dots + DOTS.length())));
+    }
+
+    private static int number(String text) {
+        Integer number = Ints.tryParse(text.trim());
+        checkArgument(number != null, "not a whole number: \"%s\"", text.trim());
+        return number;
+    }
+
+    /** Draws a count whose logarithm is uniform. */
+    int draw(RandomGenerator random) {
+        double exponent = random.nextDouble() * Math.log((double) max / min);
+        return Math.clamp(Math.round(min * Math.exp(exponent)), min, max);
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/Values.java
@@ -0,0 +1,78 @@
+package org.boragebarrow.ctl.load;
+
+import java.time.Duration;
+import java.util.Locale;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.Doubles;
+import com.google.common.primitives.Ints;
+import com.google.common.primitives.Longs;
+import org.boragebarrow.model.Endpoint;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** Static functions that parse the values of scenarios; each throws {@link IllegalArgumentException} with the reason. */
+final class Values {
+    private static final Splitter LIST = Splitter.on(',').trimResults().omitEmptyStrings();
+
+    private Values() {}
+
+    static double positive(String text) {
+        double value = atLeastZero(text);
+        checkArgument(value > 0, "must be positive: %s", text);
+        return value;
+    }
+
+    static double atLeastZero(String text) {
+        Double value = Doubles.tryParse(text);
+        checkArgument(value != null && value >= 0 && Double.isFinite(value), "not a number from 0 on: \"%s\"", text);
+        return value;
+    }
+
+    static double part(String text) {
+        double value = atLeastZero(text);
+        checkArgument(value <= 1, "not within 0 to 1: %s", text);
+        return value;
+    }
+
+    static int count(String text) {
+        Integer value = Ints.tryParse(text);
+        checkArgument(value != null && value > 0, "not a positive whole number: \"%s\"", text);
+        return value;
+    }
+
+    static long whole(String text) {
+        Long value = Longs.tryParse(text);
+        checkArgument(value != null, "not a whole number: \"%s\"", text);
+        return value;
+    }
+
+    static Duration millis(String text) {
+        return Duration.ofMillis(count(text));
+    }
+
+    static Duration seconds(String text) {
+        return Duration.ofNanos(Rate.nanos(atLeastZero(text)));
+    }
+
+    static boolean flag(String text) {
+        String word = text.toLowerCase(Locale.ROOT);
+        checkArgument(word.equals("true") || word.equals("false"), "neither true nor false: \"%s\"", text);
+        return word.equals("true");
+    }
+
+    static ImmutableList<Endpoint> endpoints(String text) {
+        return LIST.splitToStream(text).map(Endpoint::parse).collect(ImmutableList.toImmutableList());
+    }
+
+    static ImmutableSet<String> names(String text) {
+        return ImmutableSet.copyOf(LIST.split(text));
+    }
+
+    static String path(String text) {
+        checkArgument(text.startsWith("/"), "must start with a slash: \"%s\"", text);
+        return text;
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/LoadCommandTest.java
@@ -0,0 +1,72 @@
+package org.boragebarrow.ctl;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import net.jqwik.api.Example;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.standins.engine.EngineSettings;
+import org.boragebarrow.standins.engine.EngineStandin;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class LoadCommandTest {
+    private static final String SCENARIO = """
+            [run]
+            seconds = 0.5
+            seed = 3
+            entry = 127.0.0.1:1
+            engines = %s
+            [rate]
+            base = 40
+            [organisation a]
+            key = trial:key-a
+            [class short]
+            prompt-tokens = 10..50
+            max-tokens = 3..5
+            """;
+
+    private final CommandLine line = new CommandLine();
+
+    private static Path scenario(String engines) throws IOException {
+        return Files.writeString(Files.createTempFile("scenario", ".ini"), SCENARIO.formatted(engines));
+    }
+
+    @Example
+    void allAnswersOfAnEngineAreRightAndReported() throws IOException {
+        Path out = Files.createTempDirectory("load");
+        EngineSettings settings = EngineSettings.defaults();
+        try (EngineStandin engine =
+                EngineStandin.start(TargetId.of("engine"), Endpoint.of("127.0.0.1", 0), settings, 1)) {
+            Path file = scenario(engine.endpoint().toString());
+            ExitCode code =
+                    line.run("load", file.toString(), "--policy", "least-load", "--strict", "--out", out.toString());
+            assertThat(line.err()).doesNotContain("error");
+            assertThat(code).isEqualTo(ExitCode.OK);
+        }
+        assertThat(line.out()).contains("1.0000 of what was offered");
+        assertThat(Files.readString(out.resolve("summary.csv"))).contains("SHORT,a,");
+        assertThat(Files.readString(out.resolve("first-token.svg"))).contains("<svg");
+    }
+
+    @Example
+    void hostsThatDoNotAnswerFailAStrictRun() throws IOException {
+        assertThat(line.run("load", scenario("").toString(), "--strict")).isEqualTo(ExitCode.FAILED);
+    }
+
+    @Example
+    void aFaultyScenarioIsAUsageErrorThatNamesEachProblem() throws IOException {
+        Path file = Files.writeString(Files.createTempFile("scenario", ".ini"), "[run]\nseed = x\n");
+        assertThat(line.run("load", file.toString())).isEqualTo(ExitCode.USAGE);
+        assertThat(line.err()).contains("[run] seconds: missing");
+        assertThat(line.err()).contains("[run] seed: not a whole number");
+    }
+
+    @Example
+    void anUnknownPolicyIsAUsageError() throws IOException {
+        assertThat(line.run("load", scenario("").toString(), "--policy", "magic"))
+                .isEqualTo(ExitCode.USAGE);
+    }
+}
--- /dev/null
+++ b/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of requests as callers send them. */
+package org.boragebarrow.ctl.caller;
--- /dev/null
+++ b/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/load/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of loads and their statistics. */
+package org.boragebarrow.ctl.load;
