Watch targets with the observer and close a killed host's connections

Cause: the host polled engines by itself and cancelled no orphans; plain services were not watched. Change: the observer runs as a duty; verdicts are shared in the zone, loads reported once a second by one observer. A probe's handler was not sharable, so that every second probe failed and desks counted as unreachable: WholePathTest failed once in 5 runs with 504; ConnectProbeTest provokes it.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -11,11 +10,14 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import org.boragebarrow.model.Endpoint;
 
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -29,7 +31,7 @@
     private final ServerLimits limits;
     private final ServerHandler handler;
     private final BodyBudget budget;
-    private final AtomicInteger connections = new AtomicInteger();
+    private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final Channel channel;
 
     private HttpServer(EventLoopGroup group, Endpoint endpoint, ServerLimits limits, ServerHandler handler) {
@@ -68,7 +70,7 @@
 
     /** Returns the number of open connections. */
     public int connections() {
-        return connections.get();
+        return accepted.size();
     }
 
     /** Returns the bytes of all request bodies that are held now. */
@@ -76,6 +78,12 @@
         return budget.held();
     }
 
+    /** Stops accepting connections and closes all that are open, whatever they carry. */
+    public void closeNow() {
+        close();
+        accepted.close().awaitUninterruptibly();
+    }
+
     /** Stops accepting connections; those that are open carry on. */
     @Override
     public void close() {
@@ -84,18 +92,18 @@
 
     private final class Initializer extends ChannelInitializer<SocketChannel> {
         @Override
-        protected void initChannel(SocketChannel accepted) {
-            if (connections.incrementAndGet() > limits.maxConnections()) {
-                connections.decrementAndGet();
-                accepted.close();
+        protected void initChannel(SocketChannel connection) {
+            if (accepted.size() >= limits.maxConnections()) {
+                connection.close();
                 return;
             }
-            accepted.closeFuture().addListener(closed -> connections.decrementAndGet());
+            accepted.add(connection);
             HttpDecoderConfig config = new HttpDecoderConfig()
                     .setMaxInitialLineLength(limits.maxHeaderBytes())
                     .setMaxHeaderSize(limits.maxHeaderBytes())
                     .setMaxChunkSize(MAX_CHUNK_BYTES);
-            accepted.pipeline()
+            connection
+                    .pipeline()
                     .addLast(new IdleStateHandler(limits.idle().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
                     .addLast(new HttpServerCodec(config))
                     .addLast(new ConnectionHandler(limits, handler, budget));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -21,6 +21,9 @@
 import org.boragebarrow.decision.member.MemberSettings;
 import org.boragebarrow.decision.member.Membership;
 import org.boragebarrow.decision.member.Self;
+import org.boragebarrow.decision.observe.ObserveEvent;
+import org.boragebarrow.decision.observe.ObserveSettings;
+import org.boragebarrow.decision.observe.Observer;
 import org.boragebarrow.http.client.HttpClient;
 import org.boragebarrow.http.engine.HttpEngineClient;
 import org.boragebarrow.http.engine.HttpEngineControl;
@@ -32,6 +35,7 @@
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.model.HostLife;
 import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.model.Target;
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.node.admin.AdminApi;
 import org.boragebarrow.node.change.ChangeDuty;
@@ -47,8 +51,9 @@
 import org.boragebarrow.node.metrics.HostMetrics;
 import org.boragebarrow.node.ring.DutyRing;
 import org.boragebarrow.node.settings.HostSettings;
+import org.boragebarrow.node.target.ConnectProbe;
+import org.boragebarrow.node.target.ObserveDuty;
 import org.boragebarrow.node.target.TargetDirectory;
-import org.boragebarrow.node.target.TargetWatch;
 import org.boragebarrow.peer.link.PeerIdentity;
 import org.boragebarrow.peer.link.PeerKey;
 import org.boragebarrow.peer.link.PeerLinks;
@@ -64,7 +69,6 @@
     private static final EventLog LOG = EventLog.of(Host.class);
     private static final long TICK_MILLIS = 100;
     private static final long RENEW_MILLIS = 1_000;
-    private static final long TARGET_POLL_MILLIS = 500;
     private static final long HOST_LIST_MILLIS = 1_000;
     private static final long DRAIN_POLL_MILLIS = 50;
     private static final Duration SETTLE_LIMIT = Duration.ofSeconds(10);
@@ -79,7 +83,7 @@
     private final ChangeDuty changes;
     private final ClaimDuty claims;
     private final Dispatching dispatching;
-    private final TargetWatch watch;
+    private final ObserveDuty observing;
     private final Front front;
     private final HttpServer callerServer;
     private final HttpServer adminServer;
@@ -132,7 +136,11 @@
                 new Dispatcher(settings.zone(), DispatchSettings.defaults()),
                 summary -> members.offer(new MemberEvent.SummaryChanged(SummaryMessages.toPayload(summary))),
                 rings);
-        this.watch = new TargetWatch(members, directory, control, new WatchReports(dispatching));
+        this.observing = new ObserveDuty(
+                new ObserveDuty.Collaborators(members, directory, control, new ConnectProbe(loops), peers, ticker),
+                new Observer(settings.id(), ObserveSettings.defaults(), incarnation.value()),
+                dispatching,
+                rings);
         Front.Collaborators collaborators = new Front.Collaborators(
                 members::self,
                 dispatching.broker(),
@@ -145,8 +153,10 @@
                 ticker,
                 new SplittableRandom(incarnation.value()));
         this.front = new Front(collaborators, settings.services(), settings.maxRequests());
-        reactions.connect(members, changes, dispatching, front, codec);
-        router.connect(new PeerRouter.Duties(members, changes, claims, dispatching, new ChangeMessages(codec)));
+        reactions.connect(
+                new Reactions.Duties(members, changes, dispatching, observing, front, new ChangeMessages(codec)));
+        router.connect(
+                new PeerRouter.Duties(members, changes, claims, dispatching, observing, new ChangeMessages(codec)));
         this.adminServer = HttpServer.start(
                 loops,
                 settings.admin(),
@@ -197,7 +207,6 @@
         members.offer(new MemberEvent.SeedsListed(MemberEvent.SeedSource.SETTINGS, seedsOfSettings()));
         every(TICK_MILLIS, this::tick);
         every(RENEW_MILLIS, dispatching::renew);
-        every(TARGET_POLL_MILLIS, watch::poll);
         every(HOST_LIST_MILLIS, this::readHostList);
     }
 
@@ -226,6 +235,7 @@
         claims.tick();
         claims.hostsListed(liveHosts());
         dispatching.tick();
+        observing.offer(new ObserveEvent.Ticked());
         boolean ready = changes.isReady() && !draining;
         if (ready != front.isReady()) {
             front.setReady(ready);
@@ -246,7 +256,9 @@
                 return;
             }
             directory.replace(listing.targets());
-            dispatching.targetsListed(directory.inZone(settings.zone()));
+            ImmutableList<Target> near = directory.inZone(settings.zone());
+            dispatching.targetsListed(near);
+            observing.offer(new ObserveEvent.TargetsListed(near));
             members.offer(new MemberEvent.SeedsListed(MemberEvent.SeedSource.HOST_LIST, seedsOf(listing)));
         });
     }
@@ -335,28 +347,15 @@
     @Override
     public void close() {
         LOG.write(LogEvent.HOST_STOPPED, front.inProgress());
-        callerServer.close();
-        adminServer.close();
+        callerServer.closeNow();
+        adminServer.closeNow();
         links.close();
         loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         members.close();
         changes.close();
         claims.close();
+        observing.close();
         dispatching.close();
         client.close();
     }
-
-    /** Brings the observer's reports to the zone's dispatcher. */
-    private record WatchReports(Dispatching dispatching) implements TargetWatch.Listener {
-        @Override
-        public void onReport(
-                TargetId engine, EngineControl.LoadReport load, Optional<EngineControl.CacheEvents> cache) {
-            dispatching.report(engine, true, Optional.of(load), cache);
-        }
-
-        @Override
-        public void onUnreachable(TargetId engine) {
-            dispatching.report(engine, false, Optional.empty(), Optional.empty());
-        }
-    }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/PeerRouter.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/PeerRouter.java
@@ -5,6 +5,7 @@
 import org.boragebarrow.decision.change.ChangeFollowerEvent;
 import org.boragebarrow.decision.member.MemberEvent;
 import org.boragebarrow.decision.member.MemberMessage;
+import org.boragebarrow.decision.observe.ObserveEvent;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.model.HostLife;
 import org.boragebarrow.node.change.ChangeDuty;
@@ -14,10 +15,12 @@
 import org.boragebarrow.node.log.LogEvent;
 import org.boragebarrow.node.member.MemberDuty;
 import org.boragebarrow.node.metrics.HostMetrics;
+import org.boragebarrow.node.target.ObserveDuty;
 import org.boragebarrow.peer.link.PeerListener;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.peer.wire.ChangeMessages;
 import org.boragebarrow.peer.wire.MemberMessages;
+import org.boragebarrow.peer.wire.ReportMessages;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
@@ -35,6 +38,7 @@
             ChangeDuty changes,
             ClaimDuty claims,
             Dispatching dispatching,
+            ObserveDuty observing,
             ChangeMessages changeMessages) {}
 
     PeerRouter(HostMetrics metrics) {
@@ -74,6 +78,10 @@
                 duties.changes()
                         .follow(new ChangeFollowerEvent.Received(
                                 from.host(), duties.changeMessages().fromBatch(message.getChangeBatch())));
+            case VERDICTS ->
+                duties.observing()
+                        .offer(new ObserveEvent.VerdictsReceived(
+                                from.host(), ReportMessages.fromVerdicts(message.getVerdicts())));
             case CLAIM_SWAP, CLAIM_SWAPPED -> duties.claims().onMessage(from, message);
             default -> duties.dispatching().onMessage(from, message);
         }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
@@ -6,7 +6,6 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Sets;
 import org.boragebarrow.decision.change.ChangeBatch;
-import org.boragebarrow.decision.change.ChangeCodec;
 import org.boragebarrow.decision.change.ChangeFollowerEvent;
 import org.boragebarrow.decision.change.ChangeState;
 import org.boragebarrow.decision.dispatch.DispatchEvent;
@@ -15,6 +14,7 @@
 import org.boragebarrow.decision.member.MemberEvent;
 import org.boragebarrow.decision.member.MemberView;
 import org.boragebarrow.decision.member.ZonesView;
+import org.boragebarrow.decision.observe.ObserveEvent;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.HostLife;
@@ -24,6 +24,7 @@
 import org.boragebarrow.node.log.EventLog;
 import org.boragebarrow.node.log.LogEvent;
 import org.boragebarrow.node.member.MemberDuty;
+import org.boragebarrow.node.target.ObserveDuty;
 import org.boragebarrow.peer.link.PeerSender;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.peer.wire.ChangeMessages;
@@ -42,10 +43,12 @@
     private MemberView lastMembers;
     private ZonesView lastZones = new ZonesView(ImmutableMap.of(), 0);
 
-    private record Duties(
+    /** The duties that hear of each other's news. */
+    record Duties(
             MemberDuty members,
             ChangeDuty changes,
             Dispatching dispatching,
+            ObserveDuty observing,
             Front front,
             ChangeMessages changeMessages) {}
 
@@ -53,8 +56,9 @@
         this.peers = checkNotNull(peers);
     }
 
-    void connect(MemberDuty members, ChangeDuty changes, Dispatching dispatching, Front front, ChangeCodec codec) {
-        duties = Optional.of(new Duties(members, changes, dispatching, front, new ChangeMessages(codec)));
+    /** Sets who hears of news; what came earlier is told again by later news. */
+    void connect(Duties connected) {
+        duties = Optional.of(connected);
     }
 
     @Override
@@ -62,6 +66,7 @@
         duties.ifPresent(connected -> {
             logMembers(view);
             reportLost(connected, view);
+            connected.observing().offer(new ObserveEvent.MembersChanged(view));
             view.applied()
                     .forEach((host, applied) ->
                             connected.changes().follow(new ChangeFollowerEvent.Learnt(host, applied, true)));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/Dispatching.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/Dispatching.java
@@ -15,6 +15,7 @@
 import org.boragebarrow.decision.dispatch.GrantRequest;
 import org.boragebarrow.decision.dispatch.ZoneSummary;
 import org.boragebarrow.decision.member.Member;
+import org.boragebarrow.decision.observe.Verdict;
 import org.boragebarrow.decision.placement.Role;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.HostId;
@@ -88,13 +89,18 @@
         duty.offer(new DispatchEvent.TargetsListed(targets));
     }
 
-    /** Tells the zone's dispatcher what this host saw of a target. */
-    public void report(TargetId target, boolean reachable, Optional<LoadReport> load, Optional<CacheEvents> cache) {
+    /** Takes the joint verdict of a target's observers. */
+    public void verdictChanged(TargetId target, Verdict verdict) {
+        duty.offer(new DispatchEvent.ReachabilityChanged(target, verdict.reachable() && verdict.accepting()));
+    }
+
+    /** Tells the zone's dispatcher what this host saw of an engine. */
+    public void report(TargetId target, LoadReport load, Optional<CacheEvents> cache) {
         Optional<Member> dispatcher = members.holder(members.zone(), new Role.Dispatcher());
         if (dispatcher.isEmpty()) {
             return;
         }
-        Envelope report = ReportMessages.report(target, reachable, load, cache);
+        Envelope report = ReportMessages.report(target, load, cache);
         if (dispatcher.get().host().equals(members.self().host())) {
             onReport(report.getTargetReport());
             return;
@@ -139,10 +145,7 @@
     private void onReport(TargetReport report) {
         TargetId target = TargetId.of(report.getTarget());
         reported.add(target);
-        duty.offer(new DispatchEvent.ReachabilityChanged(target, report.getReachable()));
-        if (report.hasLoad()) {
-            duty.offer(new DispatchEvent.LoadReported(target, ReportMessages.fromLoad(report.getLoad())));
-        }
+        duty.offer(new DispatchEvent.LoadReported(target, ReportMessages.fromLoad(report.getLoad())));
         if (report.hasCache()) {
             duty.offer(new DispatchEvent.CacheReported(target, ReportMessages.fromCache(report.getCache())));
         }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/LocalChooser.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/LocalChooser.java
@@ -62,6 +62,7 @@
         };
         return offered
                 && !target.leaving()
+                && directory.isUsable(target.id())
                 && !request.excluded().contains(target.id())
                 && configuration.get().isStarted(target.id());
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/log/LogEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/log/LogEvent.java
@@ -42,6 +42,8 @@
     STRAY_MESSAGE(4004, Level.DEBUG, "stray message for attempt {0} dropped"),
     /** Something that holds memory at an engine without an owner was cancelled. */
     ORPHAN_CANCELLED(4005, Level.INFO, "cancelled {0} at target {1}, whose owner is gone"),
+    /** The verdict of a target's observers changed. */
+    TARGET_CHANGED(4006, Level.WARNING, "target {0} reachable: {1}, accepting new work: {2}"),
     /** A keyed call's outcome is in doubt. */
     CLAIM_IN_DOUBT(5001, Level.WARNING, "claim of attempt {0} is in doubt; reading it back"),
     /** The planner's lease was gained or lost. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/target/TargetDirectory.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/target/TargetDirectory.java
@@ -1,6 +1,8 @@
 package org.boragebarrow.node.target;
 
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -13,6 +15,8 @@
 
 /** The targets that the platform or the settings name. Thread-safe; each answer is one moment's view. */
 public final class TargetDirectory {
+    private final Set<TargetId> unusable = ConcurrentHashMap.newKeySet();
+
     private volatile ImmutableMap<TargetId, Target> targets;
 
     /** Creates a directory that knows the targets of the settings until the host list has been read. */
@@ -23,6 +27,7 @@
     /** Replaces all targets. */
     public void replace(ImmutableList<Target> listed) {
         targets = Maps.uniqueIndex(checkNotNull(listed), Target::id);
+        unusable.retainAll(targets.keySet());
     }
 
     /** Returns a target of any zone. */
@@ -30,6 +35,20 @@
         return Optional.ofNullable(targets.get(checkNotNull(id)));
     }
 
+    /** Notes whether a target takes new work, as far as its observers can tell. */
+    public void setUsable(TargetId id, boolean usable) {
+        if (usable) {
+            unusable.remove(checkNotNull(id));
+        } else {
+            unusable.add(checkNotNull(id));
+        }
+    }
+
+    /** Returns whether nothing is known against a target. */
+    public boolean isUsable(TargetId id) {
+        return !unusable.contains(checkNotNull(id));
+    }
+
     /** Returns the targets of one zone. */
     public ImmutableList<Target> inZone(AvailabilityZoneId zone) {
         checkNotNull(zone);
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/ReportMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/ReportMessages.java
@@ -4,32 +4,50 @@
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.observe.Verdict;
 import org.boragebarrow.model.ModelId;
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.peer.proto.CacheEvents;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.peer.proto.Load;
 import org.boragebarrow.peer.proto.TargetReport;
+import org.boragebarrow.peer.proto.Verdicts;
 import org.boragebarrow.port.EngineControl;
 
 /** Translates what observers report of targets. */
 public final class ReportMessages {
     private ReportMessages() {}
 
-    /** Returns the message that a target is reachable or not, with an engine's load and cache events if there are any. */
+    /** Returns the message with an engine's load, and its cache events if there are any. */
     public static Envelope report(
-            TargetId target,
-            boolean reachable,
-            Optional<EngineControl.LoadReport> load,
-            Optional<EngineControl.CacheEvents> cache) {
+            TargetId target, EngineControl.LoadReport load, Optional<EngineControl.CacheEvents> cache) {
         TargetReport.Builder message =
-                TargetReport.newBuilder().setTarget(target.value()).setReachable(reachable);
-        load.ifPresent(report -> message.setLoad(toLoad(report)));
+                TargetReport.newBuilder().setTarget(target.value()).setLoad(toLoad(load));
         cache.ifPresent(events -> message.setCache(toCache(events)));
         return Envelope.newBuilder().setTargetReport(message).build();
     }
 
+    /** Returns the message with one observer's verdicts. */
+    public static Envelope verdicts(ImmutableMap<TargetId, Verdict> verdicts) {
+        Verdicts.Builder message = Verdicts.newBuilder();
+        verdicts.forEach((target, verdict) -> message.addVerdictsBuilder()
+                .setTarget(target.value())
+                .setReachable(verdict.reachable())
+                .setAccepting(verdict.accepting()));
+        return Envelope.newBuilder().setVerdicts(message).build();
+    }
+
+    /** Reads one observer's verdicts. */
+    public static ImmutableMap<TargetId, Verdict> fromVerdicts(Verdicts message) {
+        ImmutableMap.Builder<TargetId, Verdict> verdicts = ImmutableMap.builder();
+        for (Verdicts.Verdict verdict : message.getVerdictsList()) {
+            verdicts.put(TargetId.of(verdict.getTarget()), new Verdict(verdict.getReachable(), verdict.getAccepting()));
+        }
+        return verdicts.buildKeepingLast();
+    }
+
     private static Load toLoad(EngineControl.LoadReport report) {
         Load.Builder load = Load.newBuilder()
                 .setAgeMillis(report.age().toMillis())
--- a/boragebarrow-trials/src/test/java/org/boragebarrow/trials/WholePathTest.java
+++ b/boragebarrow-trials/src/test/java/org/boragebarrow/trials/WholePathTest.java
@@ -10,6 +10,7 @@
 import org.boragebarrow.standins.engine.EngineSettings;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 class WholePathTest {
     private static Deployment deployment;
@@ -62,7 +63,7 @@
     void aKeyedBookingSentThroughTwoZonesRunsOnceAndIsAnsweredTwice() {
         HttpResponse<String> first = book(deployment.hosts().get(0), "key-1", "roll-2");
         HttpResponse<String> second = book(deployment.hosts().get(3), "key-1", "roll-2");
-        assertThat(first.statusCode()).isEqualTo(200);
+        assertWithMessage(first.body()).that(first.statusCode()).isEqualTo(200);
         assertThat(second.body()).isEqualTo(first.body());
         assertThat(second.headers().firstValue("idempotent-replayed")).hasValue("true");
     }
