--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/Dispatching.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/Dispatching.java
@@ -42,6 +42,8 @@
     private final Consumer<ZoneSummary> summaries;
     private final DispatchDuty duty;
     private final Set<TargetId> reported = ConcurrentHashMap.newKeySet();
+
+    private volatile ImmutableSet<TargetId> listed = ImmutableSet.of();
     private final GrantBroker broker;
 
     /** Starts the dispatcher and its broker. */
@@ -77,14 +79,14 @@
         broker.renew();
     }
 
-    /** Returns the targets that observers have reported to this host's dispatcher. */
+    /** Returns the listed targets whose load this host's dispatcher knows. */
     public ImmutableSet<TargetId> reportedTargets() {
         return ImmutableSet.copyOf(reported);
     }
 
     /** Takes the zone's targets, replacing the earlier list. */
     public void targetsListed(ImmutableList<Target> targets) {
-        Set<TargetId> listed = targets.stream().map(Target::id).collect(ImmutableSet.toImmutableSet());
+        listed = targets.stream().map(Target::id).collect(ImmutableSet.toImmutableSet());
         reported.retainAll(listed);
         duty.offer(new DispatchEvent.TargetsListed(targets));
     }
@@ -144,7 +146,9 @@
 
     private void onReport(TargetReport report) {
         TargetId target = TargetId.of(report.getTarget());
-        reported.add(target);
+        if (listed.contains(target)) {
+            reported.add(target);
+        }
         duty.offer(new DispatchEvent.LoadReported(target, ReportMessages.fromLoad(report.getLoad())));
         if (report.hasCache()) {
             duty.offer(new DispatchEvent.CacheReported(target, ReportMessages.fromCache(report.getCache())));
