Keep long prompts off engines that shorter ones need

Cause: a short prompt that shares an engine with a long one waits for its prefill chunks and decodes at their pace, until the batch slots run out.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/allowance/AllowanceLedger.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/allowance/AllowanceLedger.java
@@ -21,6 +21,7 @@
  */
 public final class AllowanceLedger {
     private static final double SECONDS_PER_MINUTE = 60;
+    private static final Duration DEMAND_MEMORY = Duration.ofSeconds(5);
 
     private final ZoneShares shares;
     private final Duration burst;
@@ -44,9 +45,9 @@
      */
     public Optional<Duration> admit(OrganisationId organisation, Allowance allowance, long tokens, long nowNanos) {
         checkArgument(tokens >= 0, "tokens must not be negative: %s", tokens);
-        Account account = account(organisation, nowNanos);
+        Account account = account(organisation);
         account.demand.add(tokens, nowNanos);
-        double share = shares.share(organisation, account.demand.perMinute(nowNanos));
+        double share = shares.share(organisation, SECONDS_PER_MINUTE * account.demand.perSecond(nowNanos));
         TokenBucket bucket = account.bucket(allowance, share, burst, nowNanos);
         if (account.inProgress >= concurrency(allowance, share)) {
             return Optional.of(burst);
@@ -60,8 +61,8 @@
     }
 
     /** Counts a request that another dispatcher admitted. */
-    public void adopt(OrganisationId organisation, long nowNanos) {
-        account(organisation, nowNanos).inProgress++;
+    public void adopt(OrganisationId organisation) {
+        account(organisation).inProgress++;
     }
 
     /** Ends a request and gives back what it was charged but did not use. */
@@ -82,7 +83,7 @@
     public ImmutableMap<OrganisationId, Long> demand(long nowNanos) {
         ImmutableMap.Builder<OrganisationId, Long> demand = ImmutableMap.builder();
         for (Map.Entry<OrganisationId, Account> e : accounts.entrySet()) {
-            long perMinute = Math.round(e.getValue().demand.perMinute(nowNanos));
+            long perMinute = Math.round(SECONDS_PER_MINUTE * e.getValue().demand.perSecond(nowNanos));
             if (perMinute > 0) {
                 demand.put(e.getKey(), perMinute);
             }
@@ -94,19 +95,15 @@
         return Math.max(1, (int) Math.floor(allowance.maxConcurrent() * share + 1e-9));
     }
 
-    private Account account(OrganisationId organisation, long nowNanos) {
-        return accounts.computeIfAbsent(checkNotNull(organisation), o -> new Account(nowNanos));
+    private Account account(OrganisationId organisation) {
+        return accounts.computeIfAbsent(checkNotNull(organisation), o -> new Account());
     }
 
     private static final class Account {
-        private final DemandMeter demand;
+        private final RateMeter demand = new RateMeter(DEMAND_MEMORY);
         private Optional<TokenBucket> bucket = Optional.empty();
         private int inProgress;
 
-        Account(long nowNanos) {
-            demand = new DemandMeter(nowNanos);
-        }
-
         TokenBucket bucket(Allowance allowance, double share, Duration burst, long nowNanos) {
             double rate = allowance.tokensPerMinute() * share / SECONDS_PER_MINUTE;
             double most = rate * burst.toMillis() / 1e3;
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Dispatcher.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Dispatcher.java
@@ -138,7 +138,7 @@
         switch (queued.request.work()) {
             case Work.Prompt p -> {
                 ModelPool pool = targets.modelPool(p.model()).orElseThrow();
-                pool.onSubmitted(queued.lengthClass, p.promptTokens());
+                pool.onSubmitted(queued.lengthClass, p.promptTokens(), nowNanos);
                 queues.add(queued, pool, admission.queueIndex(pool, queued), weight);
                 scheduler.run(pool, configuration, nowNanos);
             }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/EngineView.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/EngineView.java
@@ -217,9 +217,10 @@
         return backlog.ahead(lengthClass) / prefillRate;
     }
 
-    boolean readsLongPrompt(long nowNanos) {
+    /** Returns how many longer classes of prompts the engine is reading. */
+    int longerClasses(LengthClass lengthClass, long nowNanos) {
         backlog.advance(prefillRate, nowNanos);
-        return backlog.hasLong();
+        return backlog.longerClasses(lengthClass);
     }
 
     private int longerSlots() {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/ModelPool.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/ModelPool.java
@@ -1,9 +1,11 @@
 package org.boragebarrow.decision.dispatch;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.allowance.RateMeter;
 import org.boragebarrow.model.LengthClass;
 import org.boragebarrow.model.ModelId;
 
@@ -15,7 +17,9 @@
     /** The number of queues. */
     static final int QUEUES = GANG_QUEUE + 1;
 
-    private static final double SHARE_MEMORY = 0.98;
+    // Long prompts are few, so that their rate shows only over a longer time.
+    private static final Duration LONG_MEMORY = Duration.ofSeconds(60);
+    private static final Duration SHORTER_MEMORY = Duration.ofSeconds(10);
 
     final ModelId model;
     private final int passLimit;
@@ -31,8 +35,8 @@
     private double prefillRate;
     private double decodeRate;
     private long grants;
-    private double longTokens;
-    private double allTokens;
+    private final RateMeter longDemand = new RateMeter(LONG_MEMORY);
+    private final RateMeter shorterDemand = new RateMeter(SHORTER_MEMORY);
     private int turn;
 
     ModelPool(ModelId model, int passLimit) {
@@ -115,19 +119,28 @@
         return open[number];
     }
 
-    /** Notes a submitted prompt, to follow the part of long ones. */
-    void onSubmitted(LengthClass lengthClass, int promptTokens) {
-        longTokens *= SHARE_MEMORY;
-        allTokens *= SHARE_MEMORY;
-        allTokens += promptTokens;
-        if (isLong(lengthClass)) {
-            longTokens += promptTokens;
-        }
+    /** Notes a submitted prompt, to follow the demand. */
+    void onSubmitted(LengthClass lengthClass, int promptTokens, long nowNanos) {
+        (isLong(lengthClass) ? longDemand : shorterDemand).add(promptTokens, nowNanos);
+    }
+
+    /** Returns the tokens a second of the long prompts that were submitted lately. */
+    double longTokensPerSecond(long nowNanos) {
+        return longDemand.perSecond(nowNanos);
     }
 
-    /** Returns the part of long prompts in the tokens that were submitted lately. */
-    double longShare() {
-        return allTokens <= 0 ? 0 : longTokens / allTokens;
+    /** Returns the tokens a second of all other prompts that were submitted lately. */
+    double shorterTokensPerSecond(long nowNanos) {
+        return shorterDemand.perSecond(nowNanos);
+    }
+
+    /** Returns the tokens of the long prompts that wait. */
+    double queuedLongTokens() {
+        double sum = queues[GANG_QUEUE].promptTokens();
+        for (LengthClass c : LengthClass.values()) {
+            sum += isLong(c) ? queues[c.ordinal()].promptTokens() : 0;
+        }
+        return sum;
     }
 
     static boolean isLong(LengthClass lengthClass) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Outcomes.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Outcomes.java
@@ -10,6 +10,8 @@
 
 /** Carries decisions out: moves requests between the queues and the grants, charges them and collects the effects. */
 final class Outcomes {
+    private static final double PRESSED_FACTOR = 4;
+
     private final DispatchSettings settings;
     private final TargetTable targets;
     private final Queues queues;
@@ -67,7 +69,7 @@
                 ids.build(),
                 choice.tokensEach(),
                 choice.prefillEach(),
-                priority(queued.lengthClass),
+                priority(queued, choice, nowNanos),
                 nowNanos,
                 nowNanos + (long) (choice.finishSeconds() * 1e9));
         if (queued.request.work() instanceof Work.Prompt p) {
@@ -108,7 +110,7 @@
             tokens = ((long) p.promptTokens() + p.maxTokens() + parts - 1) / parts;
             lengthClass = p.lengthClass();
         }
-        ledger.adopt(request.organisation(), nowNanos);
+        ledger.adopt(request.organisation());
         int priority = priority(lengthClass);
         // The engine may have read the prompt already, so that no prefill is counted.
         hold(
@@ -134,6 +136,14 @@
         ledger.settle(grant.request.organisation(), unusedTokens);
     }
 
+    /** Lets a prompt that has little slack keep up with the next shorter class, except that nothing joins short ones. */
+    private int priority(Queued queued, Choice choice, long nowNanos) {
+        int own = priority(queued.lengthClass);
+        double left = (queued.request.deadlineNanos() - nowNanos) / 1e9;
+        boolean pressed = left < PRESSED_FACTOR * choice.finishSeconds();
+        return pressed && own > LengthClass.MEDIUM.ordinal() ? own - 1 : own;
+    }
+
     private int priority(LengthClass lengthClass) {
         return settings.policy().isClassAware() ? lengthClass.ordinal() : 0;
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Placement.java
@@ -13,8 +13,10 @@
     private static final double OCCUPANCY_SECONDS = 0.05;
     private static final double LOAD_BOUND = 1.25;
     private static final int MIN_SEGREGATED = 4;
-    private static final double MIN_PART = 0.25;
-    private static final double LONG_HEADROOM = 1.2;
+    private static final double HIGH_LOAD = 0.8;
+    private static final double LOW_LOAD = 0.45;
+    private static final double FULL_LOAD = 0.9;
+    private static final double DRAIN_SECONDS = 5;
 
     private final DispatchSettings settings;
     private final PrefixIndex prefixes;
@@ -42,7 +44,7 @@
 
     private Optional<Choice> cheapest(ModelPool pool, Queued queued, long nowNanos) {
         Work.Prompt prompt = (Work.Prompt) queued.request.work();
-        int first = firstEngine(pool, queued.lengthClass);
+        int first = firstEngine(pool, queued.lengthClass, nowNanos);
         ImmutableList<EngineView> engines = pool.engines();
         double bound = LOAD_BOUND * pool.meanSequences() + 1;
         Optional<EngineView> best = Optional.empty();
@@ -68,11 +70,13 @@
 
     private double score(EngineView engine, Queued queued, Work.Prompt prompt, boolean affine, long nowNanos) {
         double cached = affine ? cachedTokens(engine, prompt) : 0;
-        double score = engine.waitSeconds(queued.lengthClass, nowNanos);
-        score += (prompt.promptTokens() - cached) / engine.prefillRate();
+        double prefill = (prompt.promptTokens() - cached) / engine.prefillRate();
+        double score = engine.waitSeconds(queued.lengthClass, nowNanos) + prefill;
         score += OCCUPANCY_SECONDS * engine.sequences() / engine.slots();
-        if (!ModelPool.isLong(queued.lengthClass) && engine.readsLongPrompt(nowNanos)) {
-            score += interferenceSeconds;
+        int delayed = engine.longerClasses(queued.lengthClass, nowNanos);
+        if (delayed > 0) {
+            // The prompt waits for the step in progress, and the longer ones wait for the prompt.
+            score += interferenceSeconds + delayed * prefill;
         }
         return score;
     }
@@ -114,14 +118,19 @@
     }
 
     /** Returns the index of the first engine that is open to the class; the ones before it read no long prompts. */
-    private static int firstEngine(ModelPool pool, LengthClass lengthClass) {
+    private static int firstEngine(ModelPool pool, LengthClass lengthClass, long nowNanos) {
         int n = pool.engines().size();
         if (!ModelPool.isLong(lengthClass) || n < MIN_SEGREGATED) {
             return 0;
         }
-        int least = Math.max(1, (int) (n * MIN_PART));
-        int open = (int) Math.ceil(n * pool.longShare() * LONG_HEADROOM);
-        return n - Math.min(n - least, Math.max(least, open));
+        double engineRate = pool.prefillRate() / n;
+        double longRate = pool.longTokensPerSecond(nowNanos);
+        double drainRate = longRate + pool.queuedLongTokens() / DRAIN_SECONDS;
+        double shorter = pool.shorterTokensPerSecond(nowNanos) / engineRate;
+        double spare = n - Math.ceil(longRate / engineRate / FULL_LOAD);
+        double kept = Math.max(Math.floor(shorter / HIGH_LOAD), Math.min(Math.floor(shorter / LOW_LOAD), spare));
+        double wanted = Math.ceil(drainRate / engineRate / HIGH_LOAD);
+        return n - (int) Math.clamp(Math.min(wanted, n - kept), 1, n - 1);
     }
 
     private Optional<Choice> nextInTurn(ModelPool pool, Queued queued, long nowNanos) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/PrefillBacklog.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/PrefillBacklog.java
@@ -48,9 +48,13 @@
         return sum;
     }
 
-    /** Returns whether a prompt is being read that delays shorter ones by its sheer length. */
-    boolean hasLong() {
-        return tokens[LengthClass.LONG.ordinal()] + tokens[LengthClass.HUGE.ordinal()] > 0;
+    /** Returns how many longer classes have unfinished prefill, which new work of the class delays. */
+    int longerClasses(LengthClass lengthClass) {
+        int classes = 0;
+        for (int i = lengthClass.ordinal() + 1; i < CLASSES; i++) {
+            classes += tokens[i] > 0 ? 1 : 0;
+        }
+        return classes;
     }
 
     /** Returns all unfinished tokens. */
