--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -42,8 +42,9 @@
 import org.boragebarrow.node.claim.ClaimDuty;
 import org.boragebarrow.node.dispatch.DispatchContext;
 import org.boragebarrow.node.dispatch.Dispatching;
-import org.boragebarrow.node.front.EngineCancels;
+import org.boragebarrow.node.front.EngineReleases;
 import org.boragebarrow.node.front.Front;
+import org.boragebarrow.node.front.GangReservations;
 import org.boragebarrow.node.log.EventLog;
 import org.boragebarrow.node.log.LogEvent;
 import org.boragebarrow.node.member.MemberDuty;
@@ -141,6 +142,7 @@
                 new Observer(settings.id(), ObserveSettings.defaults(), incarnation.value()),
                 dispatching,
                 rings);
+        EngineReleases releases = new EngineReleases(control, loops);
         Front.Collaborators collaborators = new Front.Collaborators(
                 members::self,
                 dispatching.broker(),
@@ -148,7 +150,8 @@
                 new HttpObjectStore(client, platform.objects(), platform.timeout()),
                 new HttpEngineClient(client),
                 new HttpServiceClient(client),
-                new EngineCancels(control, loops),
+                releases,
+                new GangReservations(control, releases),
                 metrics,
                 ticker,
                 new SplittableRandom(incarnation.value()));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptExchange.java
@@ -49,14 +49,23 @@
 
     private Future<?> deadline;
     private Running running;
+    private boolean submitted;
     private AttemptId queued;
     private int attempts;
     private long lastTokenNanos;
     private boolean everSent;
     private boolean done;
 
-    /** An attempt that was handed to an engine. */
-    private record Running(AttemptId attempt, Target engine, long sentNanos) {}
+    /** An attempt that has a grant; it runs at one engine, or at a gang of which the first is the head. */
+    private record Running(AttemptId attempt, ImmutableList<Target> targets) {
+        Target engine() {
+            return targets.get(0);
+        }
+
+        boolean isGang() {
+            return targets.size() > 1;
+        }
+    }
 
     private EngineClient.Handle handle;
 
@@ -100,7 +109,7 @@
         context.grants().acquire(request, response.eventLoop(), new Grants.Listener() {
             @Override
             public void onGranted(ImmutableList<Target> targets, int priority) {
-                submit(attempt, targets, priority);
+                PromptExchange.this.onGranted(attempt, targets, priority);
             }
 
             @Override
@@ -118,7 +127,7 @@
         fail(refusal);
     }
 
-    private void submit(AttemptId attempt, ImmutableList<Target> targets, int priority) {
+    private void onGranted(AttemptId attempt, ImmutableList<Target> targets, int priority) {
         if (done || !attempt.equals(queued)) {
             context.grants().withdraw(attempt);
             return;
@@ -130,13 +139,43 @@
             return;
         }
         queued = null;
-        Target engine = targets.get(0);
+        running = new Running(attempt, targets);
+        submitted = false;
         if (attempts == 1) {
-            context.retries().onFirstAttempt(admitted.organisation(), engine.id());
+            context.retries()
+                    .onFirstAttempt(admitted.organisation(), running.engine().id());
         }
-        running = new Running(attempt, engine, now);
         context.metrics().queued(admitted.organisation(), lengthClass(), now - admitted.arrivedNanos());
-        Optional<String> gang = targets.size() > 1 ? Optional.of(attempt.toString()) : Optional.empty();
+        if (running.isGang()) {
+            reserve(attempt, priority, Duration.ofNanos(remaining));
+        } else {
+            submit(priority, Duration.ofNanos(remaining));
+        }
+    }
+
+    private void reserve(AttemptId attempt, int priority, Duration remaining) {
+        ImmutableList<Target> gang = running.targets();
+        long needed = (long) promptTokens + prompt.maxTokens();
+        context.gangs()
+                .reserve(gang, attempt, needed, remaining)
+                .thenAccept(reserved -> response.eventLoop().execute(() -> {
+                    if (isStray(attempt)) {
+                        context.gangs().release(gang, attempt);
+                    } else if (reserved) {
+                        submit(
+                                priority,
+                                Duration.ofNanos(
+                                        admitted.remainingNanos(context.ticker().read())));
+                    } else {
+                        onFailure(attempt, TargetFailure.notSent("an engine of the gang has no room"));
+                    }
+                }));
+    }
+
+    private void submit(int priority, Duration remaining) {
+        AttemptId attempt = running.attempt();
+        submitted = true;
+        Optional<String> gang = running.isGang() ? Optional.of(attempt.toString()) : Optional.empty();
         EngineClient.Submission submission = new EngineClient.Submission(
                 admitted.request(),
                 attempt,
@@ -148,9 +187,9 @@
                 tokens.next(),
                 false,
                 priority,
-                Duration.ofNanos(remaining),
+                remaining,
                 gang);
-        handle = context.engines().submit(engine, submission, new EngineListener(attempt));
+        handle = context.engines().submit(running.engine(), submission, new EngineListener(attempt));
     }
 
     private LengthClass lengthClass() {
@@ -241,7 +280,7 @@
     private void breakOff(TargetFailure failure) {
         Running broken = running;
         handle.close();
-        context.cancels().cancel(broken.engine(), broken.attempt());
+        context.releases().cancel(broken.engine(), broken.attempt());
         onFailure(broken.attempt(), failure);
     }
 
@@ -253,9 +292,11 @@
         context.log().write(LogEvent.TARGET_FAILED, broken.engine().id(), attempt, failure.message());
         finishRunning(Outcome.FAILED);
         if (failure.sent() && !failure.refused()) {
-            context.cancels().cancel(broken.engine(), attempt);
+            context.releases().cancel(broken.engine(), attempt);
+        }
+        if (!broken.isGang()) {
+            failed.add(broken.engine().id());
         }
-        failed.add(broken.engine().id());
         retry(broken.engine().id(), failure);
     }
 
@@ -278,11 +319,14 @@
 
     private void finishRunning(Outcome outcome) {
         context.grants().finish(running.attempt(), running.engine(), tokens.next(), outcome);
+        if (running.isGang()) {
+            context.gangs().release(running.targets(), running.attempt());
+        }
         running = null;
     }
 
     private void onWritabilityChanged() {
-        if (running != null) {
+        if (running != null && submitted) {
             handle.setReading(response.isWritable());
         }
     }
@@ -291,7 +335,7 @@
         if (done) {
             return;
         }
-        everSent |= running != null;
+        everSent |= running != null && submitted;
         stopWork();
         ErrorKind kind = everSent ? ErrorKind.TIMED_OUT : ErrorKind.TIMED_OUT_NOT_RUN;
         fail(RequestException.of(kind, "the request's time limit passed"));
@@ -311,9 +355,11 @@
             context.grants().withdraw(queued);
             queued = null;
         }
-        if (running != null) {
+        if (running != null && submitted) {
             handle.close();
-            context.cancels().cancel(running.engine(), running.attempt());
+            context.releases().cancel(running.engine(), running.attempt());
+        }
+        if (running != null) {
             finishRunning(Outcome.CANCELLED);
         }
     }
