Bound slow senders, slow readers and refused callers of the HTTP server

Cause: a caller that sent a byte now and then held a connection for ever, one that read nothing held its answer's buffers until the request's limit, a refused caller could meet a reset instead of the error, and a body of many tiny chunks held many times its size, because each chunk's view kept a network buffer.

Change: one request may take receive-ms (30 s) to arrive, and each 64 KiB of its body add a second. A peer that takes none of the waiting bytes for idle-ms is cut off. Every connection that ends is half-closed and read for up to 2 s. Bodies are copied into blocks of their own. A repeated Content-Length, one beside Transfer-Encoding, and header bytes that are not UTF-8 are refused. New setting: [callers] receive-ms.

Latency before and after: not measured.

Conclusion: bad or slow callers get one error and cost bounded memory and time; other connections are not disturbed.

--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/BodyParts.java
@@ -0,0 +1,54 @@
+package org.boragebarrow.http.server;
+
+import java.nio.ByteBuffer;
+
+import com.google.common.collect.ImmutableList;
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Gathers one body in blocks of its own.
+ *
+ * <p>Copying keeps the memory in proportion to the bytes: a view of each received part would hold a whole network
+ * buffer, so that a body of many tiny parts could hold many times its size.
+ */
+final class BodyParts {
+    private static final int LEAST_BLOCK_BYTES = 1 << 10;
+    private static final int MOST_BLOCK_BYTES = 64 << 10;
+
+    private final ImmutableList.Builder<ByteBuffer> full = ImmutableList.builder();
+
+    private ByteBuffer block = ByteBuffer.allocate(0);
+    private int size;
+
+    int size() {
+        return size;
+    }
+
+    void add(ByteBuf bytes) {
+        while (bytes.isReadable()) {
+            if (!block.hasRemaining()) {
+                seal();
+                block = ByteBuffer.allocate(nextBlockBytes(bytes.readableBytes()));
+            }
+            int taken = Math.min(block.remaining(), bytes.readableBytes());
+            bytes.readBytes(block.array(), block.position(), taken);
+            block.position(block.position() + taken);
+            size += taken;
+        }
+    }
+
+    private int nextBlockBytes(int wanted) {
+        return Math.clamp(Math.max(wanted, size), LEAST_BLOCK_BYTES, MOST_BLOCK_BYTES);
+    }
+
+    private void seal() {
+        if (block.position() > 0) {
+            full.add(block.flip().asReadOnlyBuffer());
+        }
+    }
+
+    ImmutableList<ByteBuffer> whole() {
+        seal();
+        return full.build();
+    }
+}
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -1,18 +1,18 @@
 package org.boragebarrow.http.server;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -37,22 +37,30 @@
     /** Parts of pipelined requests that are held before the connection is no longer read. */
     private static final int MAX_QUEUED_PARTS = 64;
 
+    /** How long a connection that ends is still read, so that the caller reads its answer instead of a reset. */
+    private static final long LINGER_MILLIS = 2_000;
+
+    private static final long NANOS_PER_SECOND = 1_000_000_000;
+
     private final ServerLimits limits;
     private final ServerHandler handler;
     private final BodyBudget budget;
+    private final ReceiveClock clock;
     private final Deque<HttpObject> queued = new ArrayDeque<>();
 
     private ChannelHandlerContext context;
     private HttpRequest head;
-    private ImmutableList.Builder<ByteBuffer> body;
+    private BodyParts body;
+    private long clockedBodyBytes;
     private int bodyBytes;
     private ChannelResponse response;
     private boolean closing;
 
-    ConnectionHandler(ServerLimits limits, ServerHandler handler, BodyBudget budget) {
+    ConnectionHandler(ServerLimits limits, ServerHandler handler, BodyBudget budget, ReceiveClock clock) {
         this.limits = limits;
         this.handler = handler;
         this.budget = budget;
+        this.clock = clock;
     }
 
     @Override
@@ -86,8 +94,9 @@
         if (part instanceof HttpRequest request) {
             begin(request);
         }
-        if (!closing && part instanceof HttpContent content) {
+        if (part instanceof HttpContent content) {
             append(content);
+            content.release();
         }
     }
 
@@ -99,8 +108,14 @@
 
     private void begin(HttpRequest request) {
         head = request;
-        body = ImmutableList.builder();
+        body = new BodyParts();
         bodyBytes = 0;
+        clockedBodyBytes = 0;
+        Optional<String> fault = HeadChecks.faultOf(request);
+        if (fault.isPresent()) {
+            refuse(RequestException.of(ErrorKind.BAD_REQUEST, fault.get()));
+            return;
+        }
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
             refuse(bodyTooLarge());
             return;
@@ -111,6 +126,9 @@
     }
 
     private void append(HttpContent content) {
+        if (closing) {
+            return;
+        }
         ByteBuf bytes = content.content();
         int size = bytes.readableBytes();
         if (bodyBytes + size > limits.maxBodyBytes()) {
@@ -122,10 +140,7 @@
             return;
         }
         bodyBytes += size;
-        if (size > 0) {
-            // Unpooled heap memory: the garbage collector frees it, however long a retry keeps the view.
-            body.add(bytes.nioBuffer().asReadOnlyBuffer());
-        }
+        body.add(bytes);
         if (content instanceof LastHttpContent) {
             dispatch();
         }
@@ -137,9 +152,10 @@
     }
 
     private void dispatch() {
+        clock.stop();
         boolean keepAlive = HttpUtil.isKeepAlive(head);
         ServerRequest request =
-                new ServerRequest(head.method().name(), head.uri(), headersOf(head), body.build(), bodyBytes);
+                new ServerRequest(head.method().name(), head.uri(), headersOf(head), body.whole(), bodyBytes);
         head = null;
         body = null;
         response = new ChannelResponse(context.channel(), keepAlive, this::onAnswered);
@@ -160,6 +176,7 @@
 
     private void refuse(RequestException refusal) {
         closing = true;
+        clock.stop();
         ChannelResponse answer = new ChannelResponse(context.channel(), false, this::onAnswered);
         response = answer;
         handler.onRefused(refusal, answer);
@@ -171,13 +188,22 @@
         response = null;
         if (!keepAlive) {
             closing = true;
-            context.channel().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            context.channel().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ignored -> linger());
             return;
         }
         // Continues from the event loop, so that a long pipeline cannot overflow the stack.
         context.executor().execute(this::drain);
     }
 
+    private void linger() {
+        SocketChannel connection = (SocketChannel) context.channel();
+        queued.forEach(ReferenceCountUtil::release);
+        queued.clear();
+        connection.shutdownOutput();
+        connection.config().setAutoRead(true);
+        context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void drain() {
         while (response == null && !closing && !queued.isEmpty()) {
             accept(queued.poll());
@@ -189,15 +215,42 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ignored, Object event) {
-        boolean idle = event instanceof IdleStateEvent;
-        if (!idle || response != null) {
+        if (event instanceof ReceiveClock.Expired) {
+            onReceiveTimeOver();
+        }
+        if (event instanceof IdleStateEvent && response == null && !closing) {
+            onIdle();
+        }
+    }
+
+    private void onReceiveTimeOver() {
+        if (closing) {
+            return;
+        }
+        if (response != null) {
+            // The next request is not read while the answer before it is under way.
+            clock.restart();
             return;
         }
+        long news = bodyBytes - clockedBodyBytes;
+        if (news > 0) {
+            clockedBodyBytes = bodyBytes;
+            clock.extend(news * NANOS_PER_SECOND / ServerLimits.MIN_BODY_BYTES_PER_SECOND);
+            return;
+        }
+        refuse(late());
+    }
+
+    private void onIdle() {
         if (head == null) {
             context.close();
             return;
         }
-        refuse(RequestException.of(ErrorKind.BAD_REQUEST, "the request did not arrive whole in time"));
+        refuse(late());
+    }
+
+    private static RequestException late() {
+        return RequestException.of(ErrorKind.BAD_REQUEST, "the request did not arrive whole in time");
     }
 
     @Override
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
@@ -101,12 +101,16 @@
             HttpDecoderConfig config = new HttpDecoderConfig()
                     .setMaxInitialLineLength(limits.maxHeaderBytes())
                     .setMaxHeaderSize(limits.maxHeaderBytes())
-                    .setMaxChunkSize(MAX_CHUNK_BYTES);
+                    .setMaxChunkSize(MAX_CHUNK_BYTES)
+                    .setUseRfc9112TransferEncoding(true);
+            ReceiveClock clock = new ReceiveClock(limits);
             connection
                     .pipeline()
                     .addLast(new IdleStateHandler(limits.idle().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
+                    .addLast(new StalledReaderGuard(limits))
+                    .addLast(clock)
                     .addLast(new HttpServerCodec(config))
-                    .addLast(new ConnectionHandler(limits, handler, budget));
+                    .addLast(new ConnectionHandler(limits, handler, budget, clock));
         }
     }
 }
--- /dev/null
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/RawCaller.java
@@ -0,0 +1,67 @@
+package org.boragebarrow.http.server;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+import org.boragebarrow.model.Endpoint;
+
+/** A connection that sends bytes as they are given. */
+final class RawCaller implements AutoCloseable {
+    private static final int READ_TIMEOUT_MILLIS = 20_000;
+    private static final int BUFFER_BYTES = 64 << 10;
+
+    private final Socket socket;
+
+    RawCaller(Endpoint endpoint) throws IOException {
+        socket = new Socket(endpoint.address(), endpoint.port());
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        socket.setTcpNoDelay(true);
+    }
+
+    RawCaller send(String bytes) throws IOException {
+        return send(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    RawCaller send(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+        return this;
+    }
+
+    boolean isAnswered() throws IOException {
+        return socket.getInputStream().available() > 0;
+    }
+
+    void endOutput() throws IOException {
+        socket.shutdownOutput();
+    }
+
+    /** Reads until what was read ends so. */
+    String readTo(String end) throws IOException {
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
+        while (!read.toString(StandardCharsets.ISO_8859_1).endsWith(end)) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new IOException("closed after " + read);
+            }
+            read.write(next);
+        }
+        return read.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Reads what has come and returns its length. */
+    int skip() throws IOException {
+        return socket.getInputStream().read(new byte[BUFFER_BYTES]);
+    }
+
+    /** Reads until the server ends the connection. */
+    String readToClose() throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/ScriptedHandler.java
@@ -0,0 +1,61 @@
+package org.boragebarrow.http.server;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.common.collect.ImmutableListMultimap;
+import org.boragebarrow.model.RequestException;
+
+/** Echoes the path and the length of the body; holds {@code /hold} back and floods the caller of {@code /flood}. */
+final class ScriptedHandler implements ServerHandler {
+    static final long FLOOD_BYTES = 256L << 20;
+
+    private static final int PART_BYTES = 16 << 10;
+    private static final long WAIT_SECONDS = 20;
+
+    final BlockingQueue<ServerResponse> held = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> gone = new LinkedBlockingQueue<>();
+    final AtomicLong flooded = new AtomicLong();
+
+    @Override
+    public void onRequest(ServerRequest request, ServerResponse response) {
+        response.onClose(() -> gone.add(request.path()));
+        switch (request.path()) {
+            case "/hold" -> held.add(response);
+            case "/flood" -> {
+                response.start(200, ImmutableListMultimap.of());
+                response.onWritabilityChanged(() -> flood(response));
+                flood(response);
+            }
+            default -> answer(response, 200, request.path() + " " + request.bodyBytes());
+        }
+    }
+
+    private void flood(ServerResponse response) {
+        while (response.isOpen() && response.isWritable() && flooded.get() < FLOOD_BYTES) {
+            flooded.addAndGet(PART_BYTES);
+            response.write(ByteBuffer.allocate(PART_BYTES));
+        }
+    }
+
+    @Override
+    public void onRefused(RequestException refusal, ServerResponse response) {
+        answer(response, refusal.kind().status(), refusal.kind() + ": " + refusal.getMessage());
+    }
+
+    static void answer(ServerResponse response, int status, String text) {
+        response.send(status, ImmutableListMultimap.of(), ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    ServerResponse awaitHeld() throws InterruptedException {
+        return held.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    String awaitGone() throws InterruptedException {
+        return gone.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettingsReader.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettingsReader.java
@@ -59,7 +59,8 @@
                     file.get(SettingKeys.MAX_HEADER_BYTES, defaults.maxHeaderBytes()),
                     file.get(SettingKeys.MAX_BODY_BYTES, defaults.maxBodyBytes()),
                     file.get(SettingKeys.MAX_BUFFERED_BYTES, (int) defaults.maxBufferedBytes()),
-                    file.get(SettingKeys.IDLE, defaults.idle()));
+                    file.get(SettingKeys.IDLE, defaults.idle()),
+                    file.get(SettingKeys.RECEIVE, defaults.receive()));
         } catch (IllegalArgumentException e) {
             file.report("callers", SettingKeys.MAX_BUFFERED_BYTES.key(), e.getMessage());
             return defaults;
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
@@ -31,6 +31,13 @@
             "callers", "max-buffered-bytes", "bytes", 268_435_456, 1_024, GIBIBYTE, "All bodies held at once.");
     static final Setting<Duration> IDLE = Setting.millis(
             "callers", "idle-ms", MINUTE_MILLIS, 100, 60 * MINUTE_MILLIS, "How long a connection may stay idle.");
+    static final Setting<Duration> RECEIVE = Setting.millis(
+            "callers",
+            "receive-ms",
+            30_000,
+            100,
+            10 * MINUTE_MILLIS,
+            "How long one request may take to arrive; each 64 KiB of its body add a second.");
     static final Setting<Endpoint> ADMIN_ENDPOINT =
             Setting.required("admin", "endpoint", ENDPOINT, "Where operators connect.", Endpoint::parse);
     static final Setting<Secret> ADMIN_TOKEN =
@@ -88,6 +95,7 @@
             MAX_BODY_BYTES,
             MAX_BUFFERED_BYTES,
             IDLE,
+            RECEIVE,
             ADMIN_ENDPOINT,
             ADMIN_TOKEN,
             PEERS_ENDPOINT,
