Resume broken streams at their engine and let failed engines recover

Cause: a broken stream always started anew at another engine; and an engine that failed a request once was excluded for good, so that a zone in which each engine had failed once gave the request up. Change: a stream that broke after its first token resumes at the same engine under the same attempt, up to three times; when no engine is left, those that failed are asked again. Conclusion: an answer survives the loss of each engine once.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptExchange.java
@@ -36,6 +36,10 @@
  * attempts; the answer ends only when the engine's count agrees.
  */
 final class PromptExchange {
+    private static final int MAX_RESUMES = 3;
+    private static final long RESUME_DELAY_MILLIS = 20;
+    private static final long RECOVERY_DELAY_MILLIS = 200;
+
     private final FrontContext context;
     private final Admitted admitted;
     private final ParsedPrompt prompt;
@@ -52,12 +56,13 @@
     private boolean submitted;
     private AttemptId queued;
     private int attempts;
+    private int resumes;
     private long lastTokenNanos;
     private boolean everSent;
     private boolean done;
 
     /** An attempt that has a grant; it runs at one engine, or at a gang of which the first is the head. */
-    private record Running(AttemptId attempt, ImmutableList<Target> targets) {
+    private record Running(AttemptId attempt, ImmutableList<Target> targets, int priority) {
         Target engine() {
             return targets.get(0);
         }
@@ -124,6 +129,12 @@
             return;
         }
         queued = null;
+        if (refusal.kind() == ErrorKind.NO_TARGET && !failed.isEmpty()) {
+            // Every engine has failed once by now; one that failed may have recovered.
+            failed.clear();
+            response.eventLoop().schedule(this::acquire, RECOVERY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
         fail(refusal);
     }
 
@@ -139,7 +150,7 @@
             return;
         }
         queued = null;
-        running = new Running(attempt, targets);
+        running = new Running(attempt, targets, priority);
         submitted = false;
         if (attempts == 1) {
             context.retries()
@@ -147,13 +158,13 @@
         }
         context.metrics().queued(admitted.organisation(), lengthClass(), now - admitted.arrivedNanos());
         if (running.isGang()) {
-            reserve(attempt, priority, Duration.ofNanos(remaining));
+            reserve(attempt, Duration.ofNanos(remaining));
         } else {
-            submit(priority, Duration.ofNanos(remaining));
+            submit(false);
         }
     }
 
-    private void reserve(AttemptId attempt, int priority, Duration remaining) {
+    private void reserve(AttemptId attempt, Duration remaining) {
         ImmutableList<Target> gang = running.targets();
         long needed = (long) promptTokens + prompt.maxTokens();
         context.gangs()
@@ -162,17 +173,14 @@
                     if (isStray(attempt)) {
                         context.gangs().release(gang, attempt);
                     } else if (reserved) {
-                        submit(
-                                priority,
-                                Duration.ofNanos(
-                                        admitted.remainingNanos(context.ticker().read())));
+                        submit(false);
                     } else {
                         onFailure(attempt, TargetFailure.notSent("an engine of the gang has no room"));
                     }
                 }));
     }
 
-    private void submit(int priority, Duration remaining) {
+    private void submit(boolean resume) {
         AttemptId attempt = running.attempt();
         submitted = true;
         Optional<String> gang = running.isGang() ? Optional.of(attempt.toString()) : Optional.empty();
@@ -185,13 +193,17 @@
                 promptTokens,
                 prompt.maxTokens(),
                 tokens.next(),
-                false,
-                priority,
-                remaining,
+                resume,
+                running.priority(),
+                remaining(),
                 gang);
         handle = context.engines().submit(running.engine(), submission, new EngineListener(attempt));
     }
 
+    private Duration remaining() {
+        return Duration.ofNanos(admitted.remainingNanos(context.ticker().read()));
+    }
+
     private LengthClass lengthClass() {
         return LengthClass.of(promptTokens);
     }
@@ -288,6 +300,11 @@
         if (isStray(attempt)) {
             return;
         }
+        if (mayResume(failure)) {
+            resumes++;
+            response.eventLoop().schedule(() -> resume(attempt), RESUME_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
         Running broken = running;
         context.log().write(LogEvent.TARGET_FAILED, broken.engine().id(), attempt, failure.message());
         finishRunning(Outcome.FAILED);
@@ -300,11 +317,23 @@
         retry(broken.engine().id(), failure);
     }
 
+    /** Returns whether the engine may still run the sequence although its connection broke. */
+    private boolean mayResume(TargetFailure failure) {
+        return submitted && failure.sent() && !failure.refused() && tokens.next() > 0 && resumes < MAX_RESUMES;
+    }
+
+    private void resume(AttemptId attempt) {
+        if (done || running == null || !running.attempt().equals(attempt)) {
+            return;
+        }
+        context.metrics().resumed();
+        submit(true);
+    }
+
     private void retry(TargetId engine, TargetFailure failure) {
-        Duration remaining =
-                Duration.ofNanos(admitted.remainingNanos(context.ticker().read()));
+        Duration.ofNanos(admitted.remainingNanos(context.ticker().read()));
         FailedAttempt attempt =
-                new FailedAttempt(admitted.organisation(), engine, failure, true, everSent, attempts, remaining);
+                new FailedAttempt(admitted.organisation(), engine, failure, true, everSent, attempts, remaining());
         everSent = attempt.anythingSent();
         switch (context.retries().decide(attempt)) {
             case RetryDecision.Retry again -> {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
@@ -33,6 +33,7 @@
     private final Map<SeriesKey, Timer> timers = new ConcurrentHashMap<>();
     private final int maxOrganisations;
     private final Counter retries = registry.counter("boragebarrow.retries");
+    private final Counter resumes = registry.counter("boragebarrow.resumes");
     private final Counter strays = registry.counter("boragebarrow.stray.messages");
     private final Counter callersGone = registry.counter("boragebarrow.callers.gone");
     private final Counter peersRejected = registry.counter("boragebarrow.peers.rejected");
@@ -76,6 +77,11 @@
         retries.increment();
     }
 
+    /** Counts a broken stream that was resumed at its engine. */
+    public void resumed() {
+        resumes.increment();
+    }
+
     /** Counts a late or foreign message. */
     public void strayMessage() {
         strays.increment();
