--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/LoadReport.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/LoadReport.java
@@ -43,6 +43,7 @@
                 statistics.goodputTokens(),
                 statistics.finishedPart(),
                 statistics.jainIndex()));
+        statistics.crest().ifPresent(crest -> out.println(crest));
         out.println(String.format(
                 Locale.ROOT, "latest send: %.2f ms after its time", statistics.largestLagNanos() / NANOS_PER_MILLI));
     }
@@ -64,7 +65,7 @@
     }
 
     private static int width(int column) {
-        return column <= Outcome.values().length + 2 ? NARROW_CELL : WIDEST_CELL - 3;
+        return column <= Outcome.values().length + 2 ? NARROW_CELL : WIDEST_CELL - 1;
     }
 
     private GroupStatistics all() {
--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/LoadStatistics.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/LoadStatistics.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.TreeMap;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.primitives.ImmutableLongArray;
 import org.boragebarrow.model.LengthClass;
 
 /** What a run's results come to; requests of the warm-up don't count but in the series. */
@@ -84,6 +86,28 @@
         return all.offeredTokens() == 0 ? 1 : (double) all.finishedTokens() / all.offeredTokens();
     }
 
+    /** Returns the work from the end of the swing to the end of the run, if the rate swings. */
+    Optional<Crest> crest() {
+        Rate rate = scenario.rate();
+        if (rate.base() == rate.crest()) {
+            return Optional.empty();
+        }
+        int from = (int) Math.ceil(
+                Rate.seconds(rate.swingStart().plus(rate.swingLength()).toNanos()));
+        int seconds = series.offered().length() - from;
+        if (seconds <= 0) {
+            return Optional.empty();
+        }
+        return Optional.of(new Crest(
+                perSecond(series.offered(), from),
+                perSecond(series.finishedOfOffered(), from),
+                perSecond(series.finished(), from)));
+    }
+
+    private static double perSecond(ImmutableLongArray tokens, int from) {
+        return tokens.subArray(from, tokens.length()).stream().average().orElse(0);
+    }
+
     /** Returns Jain's index over what organisations got of their weighted max-min fair shares of the finished work. */
     double jainIndex() {
         ImmutableList<Scenario.Organisation> all = scenario.organisations();
--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/SvgPlot.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/load/SvgPlot.java
@@ -19,7 +19,6 @@
     private static final int RIGHT = 20;
     private static final int TOP = 50;
     private static final int BOTTOM = 60;
-    private static final int TICKS = 5;
     private static final int MOST_LABELS = 12;
     private static final int LEGEND_WIDTH = 170;
     private static final double BAR_PART = 0.8;
@@ -30,30 +29,29 @@
     private final XMLStreamWriter xml;
     private final ImmutableList<String> places;
     private final ImmutableList<Series> series;
-    private final double top;
+    private final ValueAxis axis;
 
     /** One value for each place. */
     record Series(String name, ImmutableList<Double> values) {}
 
     /** How values are drawn. */
     enum Form {
-        /** One bar for each value, side by side at each place. */
+        /** One bar for each value, side by side at each place, on a logarithmic axis. */
         BARS,
-        /** One line for each series. */
+        /** One line for each series, on an axis that starts at 0. */
         LINES
     }
 
-    private SvgPlot(ImmutableList<String> places, ImmutableList<Series> series) throws XMLStreamException {
+    private SvgPlot(Form form, ImmutableList<String> places, ImmutableList<Series> series) throws XMLStreamException {
         this.xml = XMLOutputFactory.newInstance().createXMLStreamWriter(text);
         this.places = places;
         this.series = series;
-        this.top = Math.max(
-                1e-9,
-                series.stream()
-                        .flatMap(each -> each.values().stream())
-                        .mapToDouble(Double::doubleValue)
-                        .max()
-                        .orElse(1));
+        double highest = series.stream()
+                .flatMap(each -> each.values().stream())
+                .mapToDouble(Double::doubleValue)
+                .max()
+                .orElse(0);
+        this.axis = form == Form.BARS ? ValueAxis.logarithmic(highest) : ValueAxis.linear(highest);
     }
 
     /** Returns the plot as an SVG document. */
@@ -68,7 +66,7 @@
             checkArgument(each.values().size() == places.size(), "%s has not one value a place", each.name());
         }
         try {
-            SvgPlot plot = new SvgPlot(places, series);
+            SvgPlot plot = new SvgPlot(form, places, series);
             plot.drawAll(form, title, xLabel, yLabel);
             return plot.text.toString();
         } catch (XMLStreamException e) {
@@ -102,10 +100,9 @@
     private void drawAxes() throws XMLStreamException {
         line(LEFT, TOP, LEFT, HEIGHT - BOTTOM, "black");
         line(LEFT, HEIGHT - BOTTOM, WIDTH - RIGHT, HEIGHT - BOTTOM, "black");
-        for (int i = 0; i <= TICKS; i++) {
-            double value = top * i / TICKS;
+        for (double value : axis.ticks()) {
             line(LEFT, y(value), WIDTH - RIGHT, y(value), "#dddddd");
-            label(LEFT - 6, y(value) + 4, "end", number(value));
+            label(LEFT - 6, y(value) + 4, "end", tick(value));
         }
         int step = Math.max(1, (places.size() + MOST_LABELS - 1) / MOST_LABELS);
         for (int i = 0; i < places.size(); i += step) {
@@ -157,7 +154,7 @@
     }
 
     private double y(double value) {
-        return HEIGHT - BOTTOM - value / top * (HEIGHT - TOP - BOTTOM);
+        return HEIGHT - BOTTOM - axis.place(value) * (HEIGHT - TOP - BOTTOM);
     }
 
     private static String colour(int index) {
@@ -165,7 +162,11 @@
     }
 
     private static String number(double value) {
-        return String.format(Locale.ROOT, value >= 1_000 ? "%.0f" : "%.2f", value);
+        return String.format(Locale.ROOT, "%.2f", value);
+    }
+
+    private static String tick(double value) {
+        return value == Math.rint(value) ? String.format(Locale.ROOT, "%.0f", value) : Double.toString(value);
     }
 
     private void line(double x1, double y1, double x2, double y2, String stroke) throws XMLStreamException {
--- a/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/load/LoadStatisticsTest.java
+++ b/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/load/LoadStatisticsTest.java
@@ -105,4 +105,14 @@
                         "slowdown SHORT first_p50_ms: 1.50 (150.00 against 100.00)",
                         "slowdown SHORT first_p99_ms: 1.10 (220.00 against 200.00)");
     }
+
+    @Example
+    void theCrestCountsTheTimeAfterTheSwing() {
+        Scenario swing = Scenarios.of(
+                "declare-tokens = true", "[rate]\nbase = 1\ncrest = 3\nswing-start-s = 40\nswing-length-s = 10\n");
+        LoadStatistics statistics =
+                LoadStatistics.of(swing, List.of(complete(arrival(45), 0, 10), complete(arrival(60), 0, 10)));
+        double tokens = prompt.tokens() / 50.0;
+        assertThat(statistics.crest()).hasValue(new Crest(tokens, tokens, tokens));
+    }
 }
