--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 import com.google.common.base.Stopwatch;
 import com.google.common.base.Ticker;
@@ -16,7 +15,6 @@
 import org.boragebarrow.decision.change.JsonChangeCodec;
 import org.boragebarrow.decision.dispatch.DispatchSettings;
 import org.boragebarrow.decision.dispatch.Dispatcher;
-import org.boragebarrow.decision.member.Member;
 import org.boragebarrow.decision.member.MemberEvent;
 import org.boragebarrow.decision.member.MemberSettings;
 import org.boragebarrow.decision.member.Membership;
@@ -68,7 +66,8 @@
 /** One host of the system with all its duties. Thread-safe. */
 public final class Host implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(Host.class);
-    private static final long TICK_MILLIS = 100;
+    private static final long DISPATCH_TICK_MILLIS = 100;
+    private static final long TICK_MILLIS = 250;
     private static final long RENEW_MILLIS = 1_000;
     private static final long HOST_LIST_MILLIS = 1_000;
     private static final long DRAIN_POLL_MILLIS = 50;
@@ -156,8 +155,8 @@
                 ticker,
                 new SplittableRandom(incarnation.value()));
         this.front = new Front(collaborators, settings.services(), settings.maxRequests());
-        reactions.connect(
-                new Reactions.Duties(members, changes, dispatching, observing, front, new ChangeMessages(codec)));
+        reactions.connect(new Reactions.Duties(
+                members, changes, claims, dispatching, observing, front, new ChangeMessages(codec)));
         router.connect(
                 new PeerRouter.Duties(members, changes, claims, dispatching, observing, new ChangeMessages(codec)));
         this.adminServer = HttpServer.start(
@@ -203,11 +202,14 @@
         metrics.gauge(
                 "boragebarrow.targets.reported",
                 () -> dispatching.reportedTargets().size());
+        metrics.gauge("boragebarrow.peer.bytes.sent", links.traffic()::sentBytes);
+        metrics.gauge("boragebarrow.peer.bytes.received", links.traffic()::receivedBytes);
         metrics.gauge("boragebarrow.members", () -> members.members().live().size());
     }
 
     private void schedule() {
         members.offer(new MemberEvent.SeedsListed(MemberEvent.SeedSource.SETTINGS, seedsOfSettings()));
+        every(DISPATCH_TICK_MILLIS, dispatching::tick);
         every(TICK_MILLIS, this::tick);
         every(RENEW_MILLIS, dispatching::renew);
         every(HOST_LIST_MILLIS, this::readHostList);
@@ -236,8 +238,6 @@
         members.offer(new MemberEvent.Ticked());
         changes.tick();
         claims.tick();
-        claims.hostsListed(liveHosts());
-        dispatching.tick();
         observing.offer(new ObserveEvent.Ticked());
         boolean ready = changes.isReady() && !draining;
         if (ready != front.isReady()) {
@@ -246,12 +246,6 @@
         }
     }
 
-    private ImmutableSet<HostLife> liveHosts() {
-        Stream<Member> near = members.members().live().values().stream();
-        Stream<Member> far = members.zones().zones().values().stream().flatMap(zone -> zone.members().stream());
-        return Stream.concat(near, far).map(Member::life).collect(ImmutableSet.toImmutableSet());
-    }
-
     private void readHostList() {
         hostList.list().whenComplete((listing, failure) -> {
             if (failure != null) {
@@ -352,13 +346,13 @@
         LOG.write(LogEvent.HOST_STOPPED, front.inProgress());
         callerServer.closeNow();
         adminServer.closeNow();
-        links.close();
-        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
-        members.close();
-        changes.close();
-        claims.close();
         observing.close();
         dispatching.close();
+        claims.close();
+        changes.close();
+        members.close();
+        links.close();
         client.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
@@ -2,8 +2,10 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import org.boragebarrow.decision.change.ChangeBatch;
 import org.boragebarrow.decision.change.ChangeFollowerEvent;
@@ -19,6 +21,7 @@
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.HostLife;
 import org.boragebarrow.node.change.ChangeDuty;
+import org.boragebarrow.node.claim.ClaimDuty;
 import org.boragebarrow.node.dispatch.Dispatching;
 import org.boragebarrow.node.front.Front;
 import org.boragebarrow.node.log.EventLog;
@@ -47,6 +50,7 @@
     record Duties(
             MemberDuty members,
             ChangeDuty changes,
+            ClaimDuty claims,
             Dispatching dispatching,
             ObserveDuty observing,
             Front front,
@@ -71,6 +75,7 @@
                     .forEach((host, applied) ->
                             connected.changes().follow(new ChangeFollowerEvent.Learnt(host, applied, true)));
             lastMembers = view;
+            listLiveHosts(connected);
         });
     }
 
@@ -97,10 +102,21 @@
         }
     }
 
+    /** Hosts of zones that are not heard count as they were last known. */
+    private static void listLiveHosts(Duties connected) {
+        Stream<Member> near = connected.members().members().live().values().stream();
+        Stream<Member> far =
+                connected.members().zones().zones().values().stream().flatMap(zone -> zone.members().stream());
+        connected
+                .claims()
+                .hostsListed(Stream.concat(near, far).map(Member::life).collect(ImmutableSet.toImmutableSet()));
+    }
+
     @Override
     public void onZones(ZonesView view) {
         duties.ifPresent(connected -> {
             logZones(view);
+            listLiveHosts(connected);
             ImmutableMap.Builder<AvailabilityZoneId, ZoneSummary> summaries = ImmutableMap.builder();
             view.zones().forEach((zone, status) -> {
                 status.summary()
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/Link.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/Link.java
@@ -26,6 +26,7 @@
     private final PeerIdentity self;
     private final PeerKey key;
     private final PeerListener listener;
+    private final PeerTraffic traffic;
     private final Bootstrap bootstrap;
 
     @GuardedBy("this") private final Deque<Envelope> waiting = new ArrayDeque<>();
@@ -36,11 +37,18 @@
 
     @GuardedBy("this") private boolean shut;
 
-    Link(Endpoint endpoint, PeerIdentity self, PeerKey key, PeerListener listener, Bootstrap bootstrap) {
+    Link(
+            Endpoint endpoint,
+            PeerIdentity self,
+            PeerKey key,
+            PeerListener listener,
+            PeerTraffic traffic,
+            Bootstrap bootstrap) {
         this.endpoint = endpoint;
         this.self = self;
         this.key = key;
         this.listener = listener;
+        this.traffic = traffic;
         this.bootstrap = bootstrap;
     }
 
@@ -73,7 +81,7 @@
         ChannelInitializer<SocketChannel> initializer = new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel created) {
-                PeerPipelines.install(created.pipeline());
+                PeerPipelines.install(created.pipeline(), traffic);
                 created.pipeline().addLast(new ConnectHandler(self, key, Link.this, listener));
             }
         };
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
@@ -27,6 +27,7 @@
     private final PeerIdentity self;
     private final PeerKey key;
     private final PeerListener listener;
+    private final PeerTraffic traffic = new PeerTraffic();
     private final Bootstrap bootstrap;
     private final Channel server;
     private final Map<Endpoint, Link> links = new ConcurrentHashMap<>();
@@ -59,7 +60,7 @@
         ChannelInitializer<SocketChannel> initializer = new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel accepted) {
-                PeerPipelines.install(accepted.pipeline());
+                PeerPipelines.install(accepted.pipeline(), traffic);
                 accepted.pipeline().addLast(new AcceptHandler(self, key, listener));
             }
         };
@@ -82,10 +83,16 @@
 
     @Override
     public boolean send(Endpoint peer, Envelope message) {
-        Link link = links.computeIfAbsent(checkNotNull(peer), at -> new Link(at, self, key, listener, bootstrap));
+        Link link =
+                links.computeIfAbsent(checkNotNull(peer), at -> new Link(at, self, key, listener, traffic, bootstrap));
         return link.send(checkNotNull(message));
     }
 
+    /** Returns what has passed over the links. */
+    public PeerTraffic traffic() {
+        return traffic;
+    }
+
     /** Closes the link to a peer that is gone for good. */
     public void forget(Endpoint peer) {
         Link link = links.remove(checkNotNull(peer));
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerPipelines.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerPipelines.java
@@ -20,7 +20,8 @@
 
     private PeerPipelines() {}
 
-    static void install(ChannelPipeline pipeline) {
+    static void install(ChannelPipeline pipeline, PeerTraffic traffic) {
+        pipeline.addLast(traffic);
         pipeline.addLast(HANDSHAKE_TIMEOUT, new ReadTimeoutHandler(HANDSHAKE_SECONDS, TimeUnit.SECONDS));
         pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
         pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
