Settle a large fleet in seconds, and measure membership against flat gossip

Change: a host tells its zone's list to each peer that it hears first; a digest that counts other members than are known makes the receiver ask; a full digest is taken also if its brief form came before. Views are built only when something changed. Membership is split by job into state, receiver and timing. Conclusion: a joiner no longer depends on the 30 s refresh.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Digests.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Digests.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -72,16 +73,16 @@
         }
     }
 
-    void tick(Situation zone, Outbox out, long now) {
+    void tick(Supplier<Situation> zone, Outbox out, long now) {
         boolean shares = summaryPending && now - nextSummaryNanos >= 0;
         if (shares) {
             nextSummaryNanos = now + settings.summary().toNanos();
             summaryPending = false;
-            shareSummary(zone, out);
+            shareSummary(zone.get(), out);
         }
         if (now - nextDigestNanos >= 0) {
             nextDigestNanos = now + settings.digest().toNanos();
-            sendDigests(zone, out, now);
+            sendDigests(zone.get(), out, now);
         }
     }
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/EndedLives.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/EndedLives.java
@@ -15,12 +15,19 @@
 /** Remembers the highest ended incarnation of each host, so that no ended life is taken for alive again. */
 final class EndedLives {
     private final Map<HostId, Entry> entries = new TreeMap<>();
+    private long revision;
+
+    /** Returns a number that grows with each change. */
+    long revision() {
+        return revision;
+    }
 
     /** Records the end of the life and returns whether that is news. */
     boolean add(HostLife life, AvailabilityZoneId zone, long now) {
         if (contains(life)) {
             return false;
         }
+        revision++;
         entries.put(life.host(), new Entry(life.incarnation(), zone, now));
         return true;
     }
@@ -47,7 +54,9 @@
     }
 
     void expire(Duration retention, long now) {
-        entries.values().removeIf(entry -> now - entry.sinceNanos > retention.toNanos());
+        if (entries.values().removeIf(entry -> now - entry.sinceNanos > retention.toNanos())) {
+            revision++;
+        }
     }
 
     ImmutableMap<HostId, Incarnation> view() {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Peers.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Peers.java
@@ -24,12 +24,18 @@
     private final Map<HostId, Peer> peers = new TreeMap<>();
     private final MemberSettings settings;
     private final EndedLives ended;
+    private long revision;
 
     Peers(MemberSettings settings, EndedLives ended) {
         this.settings = settings;
         this.ended = ended;
     }
 
+    /** Returns a number that grows with each change of the views. */
+    long revision() {
+        return revision;
+    }
+
     Collection<Peer> all() {
         return peers.values();
     }
@@ -55,10 +61,7 @@
         }
         boolean joined = peer.introduced;
         peer.heardNanos = now;
-        peer.reach();
-        if (member.refutations() >= peer.member.refutations()) {
-            peer.member = member;
-        }
+        reach(peer, member.refutations() >= peer.member.refutations() ? member : peer.member);
         return joined;
     }
 
@@ -78,9 +81,24 @@
                 && member.refutations() > peer.member.refutations()
                 && peer.askedNanos != Peer.NEVER;
         if (proof) {
-            peer.member = member;
             peer.vouchedNanos = now;
-            peer.reach();
+            reach(peer, member);
+        }
+    }
+
+    private void reach(Peer peer, Member member) {
+        if (peer.unreachable || !member.equals(peer.member)) {
+            revision++;
+        }
+        peer.member = member;
+        peer.reach();
+    }
+
+    /** Records the last change in force at the peer. */
+    void apply(Peer peer, long applied) {
+        if (applied > peer.applied) {
+            peer.applied = applied;
+            revision++;
         }
     }
 
@@ -99,6 +117,7 @@
         if (old != null) {
             ended.add(old.member.life(), old.member.zone(), now);
         }
+        revision++;
         peers.put(member.host(), new Peer(member, now));
     }
 
@@ -110,6 +129,7 @@
     void dropEnded(HostId host) {
         Peer peer = peers.get(host);
         if (peer != null && ended.contains(peer.member.life())) {
+            revision++;
             peers.remove(host);
         }
     }
@@ -144,6 +164,7 @@
                 continue;
             }
             if (isOver(peer, canJudge, now)) {
+                revision++;
                 i.remove();
                 over.add(peer.member);
                 if (!peer.introduced) {
@@ -175,6 +196,7 @@
             return false;
         }
         if (!canJudge) {
+            revision++;
             peer.unreachable = true;
             peer.graceNanos = Peer.NEVER;
             return false;
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Receiver.java
@@ -0,0 +1,211 @@
+package org.boragebarrow.decision.member;
+
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.member.MemberEffect.LifeReplaced;
+import org.boragebarrow.decision.member.MemberMessage.Alive;
+import org.boragebarrow.decision.member.MemberMessage.Ended;
+import org.boragebarrow.decision.member.MemberMessage.Heartbeat;
+import org.boragebarrow.decision.member.MemberMessage.Suspect;
+import org.boragebarrow.decision.member.MemberMessage.ZoneDigest;
+import org.boragebarrow.model.HostLife;
+
+/** Acts on messages of other hosts. */
+final class Receiver {
+    private final MemberState state;
+
+    Receiver(MemberState state) {
+        this.state = state;
+    }
+
+    void receive(MemberEvent.MessageReceived received, Outbox out, long now) {
+        HostLife from = received.from();
+        if (from.host().equals(state.self().host())) {
+            return;
+        }
+        switch (received.message()) {
+            case Heartbeat heartbeat -> onHeartbeat(heartbeat, out, now);
+            case Suspect suspect -> onSuspect(from, suspect, out, now);
+            case Alive alive -> onAlive(from, alive.member(), out, now);
+            case Ended over -> onEnded(from, over.subject(), out, now);
+            case ZoneDigest digest -> onDigest(from, digest, out, now);
+        }
+    }
+
+    private void onHeartbeat(Heartbeat heartbeat, Outbox out, long now) {
+        Member member = heartbeat.member();
+        state.learn(heartbeat.applied(), now);
+        if (state.ended.contains(member.life())) {
+            out.send(member, new Ended(state.ended.latest(member.life())));
+            return;
+        }
+        if (!member.zone().equals(state.self().zone())) {
+            Zone zone = state.zones.get(member.zone());
+            zone.meet(member);
+            answer(heartbeat, out, now);
+            if (heartbeat.answerWanted()) {
+                zone.full().ifPresent(known -> out.send(member, known.relay(false)));
+            }
+            return;
+        }
+        hear(member, out, now);
+        state.peers
+                .find(member.host())
+                .filter(peer -> peer.member.life().equals(member.life()))
+                .ifPresent(peer -> state.peers.apply(peer, heartbeat.applied()));
+        answer(heartbeat, out, now);
+        if (heartbeat.answerWanted()) {
+            state.digests.welcome(member, state.situation(now), out, now);
+        }
+    }
+
+    private void answer(Heartbeat heartbeat, Outbox out, long now) {
+        if (heartbeat.answerWanted()) {
+            out.send(heartbeat.member(), state.digests.introduction(state.situation(now), now));
+        }
+    }
+
+    private void hear(Member member, Outbox out, long now) {
+        boolean joined = state.peers.hear(member, now);
+        if (joined) {
+            out.send(member, state.heartbeat(false));
+            out.send(member, state.digests.introduction(state.situation(now), now));
+            state.digests.welcome(member, state.situation(now), out, now);
+        }
+    }
+
+    private void onSuspect(HostLife from, Suspect suspect, Outbox out, long now) {
+        HostLife subject = suspect.subject();
+        if (subject.equals(state.self().life())) {
+            refute(suspect.refutations(), out);
+            return;
+        }
+        Optional<Member> asker = state.peers.find(from.host()).map(peer -> peer.member);
+        if (asker.isEmpty()) {
+            return;
+        }
+        if (state.ended.contains(subject)) {
+            out.send(asker.get(), new Ended(state.ended.latest(subject)));
+            return;
+        }
+        Optional<Peer> witness = state.peers
+                .find(subject.host())
+                .filter(peer -> peer.member.life().equals(subject))
+                .filter(peer -> state.peers.isHeard(peer, now));
+        if (witness.isEmpty()) {
+            return;
+        }
+        Member member = witness.get().member;
+        // Only a refutation that is newer than the question proves that the subject was alive after it.
+        out.send(
+                member.refutations() > suspect.refutations() ? asker.get() : member,
+                member.refutations() > suspect.refutations() ? new Alive(member) : suspect);
+    }
+
+    private void refute(int suspected, Outbox out) {
+        if (suspected >= state.self().refutations()) {
+            state.become(state.self().withRefutations(suspected + 1));
+        }
+        for (Peer peer : state.peers.all()) {
+            out.send(peer.member, new Alive(state.self()));
+        }
+    }
+
+    private void onAlive(HostLife from, Member member, Outbox out, long now) {
+        boolean foreign = member.host().equals(state.self().host())
+                || !member.zone().equals(state.self().zone());
+        if (foreign) {
+            return;
+        }
+        if (!from.equals(member.life())) {
+            state.peers.vouch(member, now);
+            return;
+        }
+        if (state.ended.contains(member.life())) {
+            out.send(member, new Ended(state.ended.latest(member.life())));
+            return;
+        }
+        hear(member, out, now);
+    }
+
+    private void onEnded(HostLife from, HostLife subject, Outbox out, long now) {
+        if (subject.host().equals(state.self().host())) {
+            replaceLife(subject, out, now);
+            return;
+        }
+        Optional<Peer> peer = state.peers.find(subject.host());
+        boolean ownWord = from.equals(subject);
+        boolean known = peer.filter(
+                        p -> subject.incarnation().compareTo(p.member.life().incarnation()) >= 0)
+                .isPresent();
+        boolean contradicted = !ownWord && known && state.peers.isHeard(peer.get(), now);
+        if (contradicted) {
+            return;
+        }
+        state.ended.add(subject, state.self().zone(), now);
+        dropEnded(subject, now);
+    }
+
+    private void dropEnded(HostLife subject, long now) {
+        state.peers.find(subject.host()).ifPresent(peer -> state.contacts.remember(peer.member, now));
+        state.peers.dropEnded(subject.host());
+    }
+
+    private void replaceLife(HostLife subject, Outbox out, long now) {
+        if (subject.incarnation().compareTo(state.self().life().incarnation()) < 0) {
+            return;
+        }
+        HostLife before = state.self().life();
+        HostLife next = HostLife.of(state.self().host(), subject.incarnation().next());
+        state.become(state.self().withLife(next));
+        state.ended.add(subject, state.self().zone(), now);
+        out.add(new LifeReplaced(before, next));
+        state.sendHeartbeats(out, now);
+    }
+
+    private void onDigest(HostLife from, ZoneDigest digest, Outbox out, long now) {
+        state.learn(digest.highestKnown(), now);
+        boolean own = digest.zone().equals(state.self().zone());
+        for (HostLife life : digest.ended()) {
+            if (own) {
+                onEnded(from, life, out, now);
+            } else if (!life.host().equals(state.self().host())
+                    && state.peers.find(life.host()).isEmpty()) {
+                state.ended.add(life, digest.zone(), now);
+            }
+        }
+        if (own) {
+            digest.members().stream()
+                    .filter(member -> !member.host().equals(state.self().host()))
+                    .forEach(member -> state.peers.introduce(member, now));
+            digest.summary().ifPresent(state.digests::adopt);
+            return;
+        }
+        Zone zone = state.zones.get(digest.zone());
+        zone.supersededBy(digest.members()).forEach(life -> state.ended.add(life, digest.zone(), now));
+        boolean news = zone.accept(digest, state.ended, now);
+        if (news) {
+            tellEnded(digest.members(), out);
+        }
+        if (news && !digest.relayed()) {
+            state.digests.relay(digest, state.situation(now), out);
+        }
+        // Only a digest that comes by itself raises the question, so that two hosts that both lack members do not loop.
+        if (news && digest.members().isEmpty() && zone.lacksMembers()) {
+            Optional<Member> teller = digest.relayed()
+                    ? state.peers.find(from.host()).map(peer -> peer.member)
+                    : zone.find(from.host()).or(zone::nextMember);
+            teller.ifPresent(member -> out.send(member, state.heartbeat(true)));
+        }
+    }
+
+    /** Tells members of another zone that their life was ended by a host that did not live to tell its own zone. */
+    private void tellEnded(ImmutableList<Member> members, Outbox out) {
+        for (Member member : members) {
+            if (state.ended.contains(member.life())) {
+                out.send(member, new Ended(state.ended.latest(member.life())));
+            }
+        }
+    }
+}
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Zone.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Zone.java
@@ -23,30 +23,56 @@
     private long toldNanos = NEVER;
     private Optional<Summary> toldSummary = Optional.empty();
     private int rotation;
+    private long revision;
 
     Zone(AvailabilityZoneId id) {
         this.id = id;
     }
 
+    /** Returns a number that grows with each change of what the zone told. */
+    long revision() {
+        return revision;
+    }
+
     /** Takes a digest and returns whether it is news; one that was overtaken by a later one is dropped. */
     boolean accept(ZoneDigest digest, EndedLives ended, long now) {
         if (last.filter(earlier -> overtakes(earlier, digest)).isPresent()) {
             return false;
         }
+        if (heardNanos == NEVER
+                || last.filter(earlier -> isSameCount(earlier, digest)).isEmpty()) {
+            revision++;
+        }
         last = Optional.of(digest);
         heardNanos = now;
-        if (!digest.members().isEmpty()) {
-            members = digest.members();
-        }
-        members = members.stream()
-                .filter(member -> !ended.contains(member.life()))
-                .collect(ImmutableList.toImmutableList());
+        takeMembers(digest.members().isEmpty() ? members : digest.members(), ended);
         digest.summary()
                 .filter(offered -> summary.isEmpty() || offered.replaces(summary.get()))
-                .ifPresent(offered -> summary = digest.summary());
+                .ifPresent(offered -> {
+                    revision++;
+                    summary = digest.summary();
+                });
         return true;
     }
 
+    private void takeMembers(ImmutableList<Member> told, EndedLives ended) {
+        boolean clean = told.stream().noneMatch(member -> ended.contains(member.life()));
+        ImmutableList<Member> live = clean
+                ? told
+                : told.stream()
+                        .filter(member -> !ended.contains(member.life()))
+                        .collect(ImmutableList.toImmutableList());
+        if (!live.equals(members)) {
+            revision++;
+            members = live;
+        }
+    }
+
+    /** Returns whether the last digest counted other members than are known. */
+    boolean lacksMembers() {
+        return last.filter(digest -> digest.memberCount() != members.size()).isPresent();
+    }
+
     /** Returns the known lives of hosts that the list names with a later life. */
     ImmutableList<HostLife> supersededBy(ImmutableList<Member> later) {
         ImmutableList.Builder<HostLife> superseded = ImmutableList.builder();
@@ -59,8 +85,14 @@
         return superseded.build();
     }
 
+    private static boolean isSameCount(ZoneDigest earlier, ZoneDigest digest) {
+        return earlier.lowestApplied() == digest.lowestApplied() && earlier.memberCount() == digest.memberCount();
+    }
+
     private static boolean overtakes(ZoneDigest earlier, ZoneDigest digest) {
-        return earlier.origin().equals(digest.origin()) && earlier.sequence() >= digest.sequence();
+        // A repeat may be the full form of a digest that came without members before.
+        long least = digest.members().isEmpty() ? earlier.sequence() + 1 : earlier.sequence();
+        return earlier.origin().equals(digest.origin()) && digest.sequence() < least;
     }
 
     /** Adds a member that introduced itself before any digest named it. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Zones.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/member/Zones.java
@@ -29,6 +29,15 @@
         return zones.values();
     }
 
+    /** Returns a number that grows with each change but that a zone is no longer heard. */
+    long revision() {
+        long sum = zones.size();
+        for (Zone zone : zones.values()) {
+            sum += zone.revision();
+        }
+        return sum;
+    }
+
     boolean isAnyHeard(long withinNanos, long now) {
         return zones.values().stream().anyMatch(zone -> zone.isHeard(withinNanos, now));
     }
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/MeasuredFleet.java
@@ -0,0 +1,229 @@
+package org.boragebarrow.decision.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.member.MemberEvent.Seed;
+import org.boragebarrow.decision.member.MemberEvent.SeedSource;
+import org.boragebarrow.decision.member.MemberEvent.SeedsListed;
+import org.boragebarrow.decision.placement.Role;
+import org.boragebarrow.decision.placement.Roles;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+
+/** One fleet of one size whose costs and delays are measured. */
+final class MeasuredFleet {
+    /** Bytes of a zone's summary: 46 organisations of 16 bytes each. */
+    static final int SUMMARY_BYTES = 736;
+
+    private static final long SECOND = 1_000 * SimulatedNetwork.MILLI;
+    private static final long STEP = 20 * SimulatedNetwork.MILLI;
+    private static final long SETTLE = 10 * SECOND;
+    private static final long MEASURED = 20 * SECOND;
+    private static final long MEASURED_FLAT = 5 * SECOND;
+    private static final long LONGEST_WAIT = 60 * SECOND;
+    private static final long INCARNATION = 1_796_300_000_000L;
+
+    /** The ways that are compared. */
+    enum Way {
+        ZONE_TIERED("zone-tiered", 0),
+        ALL_TO_ALL("all-to-all heartbeats", 0),
+        FLAT_FAST("flat gossip, 1.5 s timeout", 1_500),
+        FLAT_CUSTOMARY("flat gossip, 15 s timeout", 15_000);
+
+        private final String label;
+        private final long timeoutMillis;
+
+        Way(String label, long timeoutMillis) {
+            this.label = label;
+            this.timeoutMillis = timeoutMillis;
+        }
+
+        String label() {
+            return label;
+        }
+
+        boolean isFlat() {
+            return timeoutMillis > 0;
+        }
+
+        int zones(int size) {
+            if (this == ALL_TO_ALL) {
+                return 1;
+            }
+            return switch (size) {
+                case 9 -> 3;
+                case 50 -> 5;
+                case 100 -> 8;
+                case 200 -> 12;
+                default -> 19;
+            };
+        }
+    }
+
+    /** What was measured; rates are a second and node. */
+    record Result(
+            long messages,
+            long meanOut,
+            long worstOut,
+            long worstIn,
+            long meanCpuNanos,
+            long worstCpuNanos,
+            long stateBytes,
+            long seenInZoneNanos,
+            long seenEverywhereNanos,
+            long changeNanos) {}
+
+    private final Way way;
+    private final SimulatedNetwork network;
+    private final List<Member> members = new ArrayList<>();
+    private final List<SimulatedHost> hosts = new ArrayList<>();
+    private final List<FlatGossip> gossips = new ArrayList<>();
+
+    private MeasuredFleet(Way way, int size, long seed) {
+        this.way = way;
+        this.network = new SimulatedNetwork(seed, way.isFlat() ? FlatGossip::sizeOf : MessageSizes::sizeOf);
+        int zones = way.zones(size);
+        for (int i = 0; i < size; i++) {
+            int zone = i % zones;
+            HostLife life = HostLife.of(HostId.of("host-" + (1_000 + i)), Incarnation.of(INCARNATION + i));
+            Endpoint at = Endpoint.of("10.0." + zone + "." + (1 + i / zones % 250), 7_000 + i / zones / 250);
+            members.add(new Member(life, 0, AvailabilityZoneId.of("zone-" + (10 + zone)), at, false));
+        }
+        for (int i = 0; i < size; i++) {
+            start(members.get(i), seed * 1_000 + i);
+        }
+    }
+
+    private void start(Member member, long seed) {
+        if (way.isFlat()) {
+            FlatGossip gossip = new FlatGossip(member, way.timeoutMillis * SimulatedNetwork.MILLI, seed);
+            members.forEach(other -> gossip.meet(other, 0));
+            gossips.add(gossip);
+            network.start(member.endpoint(), gossip);
+            return;
+        }
+        SimulatedHost host = new SimulatedHost(
+                member.host().value(),
+                member.life().incarnation().value(),
+                member.zone().value(),
+                member.endpoint(),
+                MemberSettings.defaults(),
+                seed);
+        host.copies = true;
+        hosts.add(host);
+        network.start(member.endpoint(), host);
+        ImmutableList<Seed> seeds = members.stream()
+                .limit(way.zones(members.size()))
+                .map(first -> new Seed(first.endpoint(), Optional.of(first.zone())))
+                .collect(ImmutableList.toImmutableList());
+        tell(host, new SeedsListed(SeedSource.SETTINGS, seeds));
+    }
+
+    private void tell(SimulatedHost host, MemberEvent event) {
+        network.send(host.endpoint, host.apply(event, network.now()));
+    }
+
+    static void warmUp() {
+        for (Way way : Way.values()) {
+            measure(way, 50, 99);
+        }
+    }
+
+    static Result measure(Way way, int size, long seed) {
+        long heapBefore = usedHeap();
+        MeasuredFleet fleet = new MeasuredFleet(way, size, seed);
+        fleet.runWithSummaries(way.isFlat() ? MEASURED_FLAT : SETTLE);
+        long state = (usedHeap() - heapBefore) / size;
+        fleet.network.clearTraffic();
+        long measured = way.isFlat() ? MEASURED_FLAT : MEASURED;
+        fleet.runWithSummaries(measured);
+        Collection<SimulatedNetwork.Traffic> traffic = fleet.network.traffic().values();
+        long seconds = measured / SECOND;
+        long messages = traffic.stream().mapToLong(t -> t.messages).sum() / size / seconds;
+        long out = traffic.stream().mapToLong(t -> t.sentBytes).sum() / size / seconds;
+        long worstOut = traffic.stream().mapToLong(t -> t.sentBytes).max().orElse(0) / seconds;
+        long worstIn = traffic.stream().mapToLong(t -> t.receivedBytes).max().orElse(0) / seconds;
+        long cpu = traffic.stream().mapToLong(t -> t.cpuNanos).sum() / size / seconds;
+        long worstCpu = traffic.stream().mapToLong(t -> t.cpuNanos).max().orElse(0) / seconds;
+        long change = fleet.changeDelay();
+        Member killed = fleet.members.get(size / 2);
+        fleet.network.kill(killed.endpoint());
+        long since = fleet.network.now();
+        long inZone = fleet.waitFor(() -> fleet.isGone(killed, m -> m.zone().equals(killed.zone())), since);
+        long everywhere = fleet.waitFor(() -> fleet.isGone(killed, m -> true), since);
+        return new Result(messages, out, worstOut, worstIn, cpu, worstCpu, state, inZone, everywhere, change);
+    }
+
+    /** Runs while each zone's dispatcher makes a summary every second. */
+    private void runWithSummaries(long nanos) {
+        for (long passed = 0; passed < nanos; passed += SECOND) {
+            byte[] bytes = new byte[SUMMARY_BYTES];
+            bytes[0] = (byte) (network.now() / SECOND);
+            for (SimulatedHost host : hosts) {
+                boolean dispatches =
+                        host.members != null && Roles.holds(host.id(), new Role.Dispatcher(), host.members.eligible());
+                if (dispatches) {
+                    tell(host, new MemberEvent.SummaryChanged(Payload.copyOf(bytes)));
+                }
+            }
+            network.run(SECOND);
+        }
+    }
+
+    private long changeDelay() {
+        long since = network.now();
+        if (way.isFlat()) {
+            gossips.get(0).applied = 7;
+            gossips.get(0).highestKnown = 7;
+            return waitFor(() -> gossips.stream().allMatch(gossip -> gossip.highestKnown == 7), since);
+        }
+        tell(hosts.get(0), new MemberEvent.AppliedChange(7));
+        return waitFor(() -> hosts.stream().allMatch(host -> host.zones.highestKnown() == 7), since);
+    }
+
+    private boolean isGone(Member killed, Predicate<Member> among) {
+        for (int i = 0; i < members.size(); i++) {
+            Member member = members.get(i);
+            if (member.equals(killed) || !among.test(member)) {
+                continue;
+            }
+            boolean gone = way.isFlat()
+                    ? gossips.get(i).holdsFailed(killed.endpoint())
+                    : hosts.get(i).members.isEnded(killed.life());
+            if (!gone) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the time since the given moment at which the condition held, or -1 if it never did. */
+    private long waitFor(BooleanSupplier condition, long since) {
+        while (!condition.getAsBoolean()) {
+            if (network.now() - since > LONGEST_WAIT) {
+                return -1;
+            }
+            network.run(STEP);
+        }
+        return network.now() - since;
+    }
+
+    private static long usedHeap() {
+        Runtime runtime = Runtime.getRuntime();
+        long least = Long.MAX_VALUE;
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+            least = Math.min(least, runtime.totalMemory() - runtime.freeMemory());
+        }
+        return least;
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/MembershipMeasurement.java
@@ -0,0 +1,97 @@
+package org.boragebarrow.decision.member;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.LongSummaryStatistics;
+import java.util.function.ToLongFunction;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.math.LinearTransformation;
+import com.google.common.math.PairedStatsAccumulator;
+
+/**
+ * Prints, as Markdown, what membership costs a node and how fast it is, for the zone-tiered way, all-to-all heartbeats and
+ * flat gossip.
+ *
+ * <p>State machines alone in a simulated network: no codec, sockets or links. The seeds are the arguments, by default 1.
+ */
+public final class MembershipMeasurement {
+    private static final ImmutableList<Integer> SIZES = ImmutableList.of(9, 50, 100, 200, 390);
+    private static final int LARGEST = 390;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private MembershipMeasurement() {}
+
+    /** Runs the measurement. */
+    public static void main(String[] args) {
+        List<Long> seeds = new ArrayList<>();
+        for (String arg : args) {
+            seeds.add(Long.parseLong(arg));
+        }
+        if (seeds.isEmpty()) {
+            seeds.add(1L);
+        }
+        MeasuredFleet.warmUp();
+        System.out.println("Seeds " + seeds + "; ranges are over seeds.\n");
+        System.out.println("| way | hosts | zones | messages/s a node | B/s out, mean | B/s out, worst node"
+                + " | B/s in, worst node | µs CPU a second, mean | µs CPU a second, worst node | state, kB a node"
+                + " | killed host seen in its zone, s | seen everywhere, s | change number known everywhere, s |");
+        System.out.println("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+        for (MeasuredFleet.Way way : MeasuredFleet.Way.values()) {
+            PairedStatsAccumulator bytes = new PairedStatsAccumulator();
+            PairedStatsAccumulator cpu = new PairedStatsAccumulator();
+            for (int size : SIZES) {
+                List<MeasuredFleet.Result> results = new ArrayList<>();
+                for (long seed : seeds) {
+                    results.add(MeasuredFleet.measure(way, size, seed));
+                }
+                print(way, size, results);
+                if (size < LARGEST) {
+                    results.forEach(result -> bytes.add(size, result.worstOut()));
+                    results.forEach(result -> cpu.add(size, result.worstCpuNanos() / 1e3));
+                }
+            }
+            printFit(way, "B/s out of the worst node", bytes);
+            printFit(way, "µs CPU a second of the worst node", cpu);
+        }
+        FITS.forEach(System.out::println);
+    }
+
+    private static final List<String> FITS = new ArrayList<>(List.of(
+            "", "| way | measure | line through 9 to 200 hosts | r² | worked out for 390 |", "|---|---|---|---|---|"));
+
+    private static void printFit(MeasuredFleet.Way way, String measure, PairedStatsAccumulator points) {
+        LinearTransformation line = points.leastSquaresFit();
+        double r = points.pearsonsCorrelationCoefficient();
+        FITS.add(String.format(
+                "| %s | %s | %.1f + %.2f n | %.3f | %.0f |",
+                way.label(), measure, line.transform(0), line.slope(), r * r, line.transform(LARGEST)));
+    }
+
+    private static void print(MeasuredFleet.Way way, int size, List<MeasuredFleet.Result> results) {
+        System.out.println("| " + way.label() + " | " + size + " | " + way.zones(size)
+                + " | " + range(results, r -> r.messages(), 1)
+                + " | " + range(results, r -> r.meanOut(), 1)
+                + " | " + range(results, r -> r.worstOut(), 1)
+                + " | " + range(results, r -> r.worstIn(), 1)
+                + " | " + range(results, r -> r.meanCpuNanos(), 1e3)
+                + " | " + range(results, r -> r.worstCpuNanos(), 1e3)
+                + " | " + range(results, r -> r.stateBytes(), 1e3)
+                + " | " + range(results, r -> r.seenInZoneNanos(), NANOS_PER_SECOND)
+                + " | " + range(results, r -> r.seenEverywhereNanos(), NANOS_PER_SECOND)
+                + " | " + range(results, r -> r.changeNanos(), NANOS_PER_SECOND) + " |");
+        System.out.flush();
+    }
+
+    private static String range(
+            List<MeasuredFleet.Result> results, ToLongFunction<MeasuredFleet.Result> get, double unit) {
+        LongSummaryStatistics values = results.stream().mapToLong(get).summaryStatistics();
+        String low = format(values.getMin() / unit);
+        String high = format(values.getMax() / unit);
+        return low.equals(high) ? low : low + "–" + high;
+    }
+
+    private static String format(double value) {
+        return value < 0 ? "—" : value < 10 ? String.format("%.2f", value) : String.format("%,.0f", value);
+    }
+}
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/MembershipTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/MembershipTest.java
@@ -37,6 +37,13 @@
         assertThat(fleet.agrees()).isTrue();
     }
 
+    @Example
+    void aLargeFleetThatStartsAtOnceAgreesWithinSixSeconds() {
+        SimulatedFleet large = SimulatedFleet.start(12, 8, SEED);
+        large.runSeconds(6);
+        assertThat(large.agrees()).isTrue();
+    }
+
     @Example
     void aKilledHostIsGoneFromTheViewsOfItsZoneWithinThreeSeconds() {
         HostLife killed = fleet.host("a1").life();
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/MessageSizes.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/MessageSizes.java
@@ -14,7 +14,7 @@
  * numbers as four bytes, and a frame of a length and the sender's life. TCP and IP headers are not counted.
  */
 final class MessageSizes {
-    private static final int FRAME_BYTES = 4;
+    static final int FRAME_BYTES = 4;
     private static final int TAG_BYTES = 1;
     private static final int LENGTH_BYTES = 1;
     private static final int PORT_BYTES = 3;
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/SimulatedHost.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/SimulatedHost.java
@@ -23,6 +23,7 @@
     MemberView members;
     ZonesView zones;
     boolean recordsSent;
+    boolean copies;
 
     SimulatedHost(String id, long incarnation, String zone, Endpoint endpoint, MemberSettings settings, long seed) {
         this.endpoint = endpoint;
@@ -64,6 +65,12 @@
         return apply(new MessageReceived(envelope.from, envelope.message), now);
     }
 
+    @Override
+    public Object decode(Object message) {
+        Envelope envelope = (Envelope) message;
+        return copies ? new Envelope(envelope.from, MessageCopies.copy(envelope.message)) : message;
+    }
+
     @Override
     public List<SimulatedNetwork.Sent> tick(long now) {
         return apply(new MemberEvent.Ticked(), now);
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/SimulatedNetwork.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/member/SimulatedNetwork.java
@@ -23,12 +23,17 @@
         List<Sent> receive(Object message, long now);
 
         List<Sent> tick(long now);
+
+        /** Makes the message that arrives out of the one that was sent. */
+        default Object decode(Object message) {
+            return message;
+        }
     }
 
     /** A message on its way. */
     record Sent(Endpoint to, Object message) {}
 
-    private record Due(long time, long order, Endpoint from, Endpoint to, Object message) {}
+    private record Due(long time, long order, Endpoint from, Endpoint to, Object message, long bytes) {}
 
     /** What went out of and into one address. */
     static final class Traffic {
@@ -66,7 +71,7 @@
         paused.remove(at);
         traffic.computeIfAbsent(at, a -> new Traffic());
         if (ticking.add(at)) {
-            schedule(now + random.nextLong(TICK_NANOS), at, at, null);
+            schedule(now + random.nextLong(TICK_NANOS), at, at, null, 0);
         }
     }
 
@@ -81,7 +86,7 @@
     void resume(Endpoint at) {
         List<Due> held = paused.remove(at);
         if (held != null) {
-            held.forEach(due -> schedule(now, due.from, due.to, due.message));
+            held.forEach(due -> schedule(now, due.from, due.to, due.message, due.bytes));
         }
     }
 
@@ -115,24 +120,25 @@
     void send(Endpoint from, List<Sent> sent) {
         Traffic out = traffic.get(from);
         for (Sent one : sent) {
-            out.sentBytes += size.applyAsLong(one.message);
+            long bytes = size.applyAsLong(one.message);
+            out.sentBytes += bytes;
             out.messages++;
             boolean dropped = cut.test(from, one.to) || (loss > 0 && random.nextDouble() < loss);
             if (!dropped) {
                 long latency = MILLI / 2 + random.nextLong(MILLI);
-                schedule(now + latency, from, one.to, one.message);
+                schedule(now + latency, from, one.to, one.message, bytes);
             }
         }
     }
 
-    private void schedule(long time, Endpoint from, Endpoint to, Object message) {
-        queue.add(new Due(time, order++, from, to, message));
+    private void schedule(long time, Endpoint from, Endpoint to, Object message, long bytes) {
+        queue.add(new Due(time, order++, from, to, message, bytes));
     }
 
     private void deliver(Due due) {
         boolean tick = due.message == null;
         if (tick) {
-            schedule(now + TICK_NANOS, due.to, due.to, null);
+            schedule(now + TICK_NANOS, due.to, due.to, null, 0);
         }
         Node node = nodes.get(due.to);
         if (node == null) {
@@ -146,9 +152,10 @@
             return;
         }
         Traffic in = traffic.get(due.to);
-        in.receivedBytes += tick ? 0 : size.applyAsLong(due.message);
+        in.receivedBytes += due.bytes;
+        Object message = tick ? null : node.decode(due.message);
         long before = System.nanoTime();
-        List<Sent> sent = tick ? node.tick(now) : node.receive(due.message, now);
+        List<Sent> sent = tick ? node.tick(now) : node.receive(message, now);
         in.cpuNanos += System.nanoTime() - before;
         send(due.to, sent);
     }
