Release claims whose swap was doubled, and resend no order during its call

A swap that was sent twice may be told of a conflict although its first copy took effect; an attempt that then ran out of time left its claim behind, and the key stayed taken. Change: a conflict counts as unsure until a read shows another attempt's row beyond it; an order expires only after its call has ended.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/claim/ClaimAttempt.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/claim/ClaimAttempt.java
@@ -40,11 +40,18 @@
         return highestAwaited;
     }
 
-    /** Notes that a swap may take effect without anybody being told. */
-    void swapLost() {
+    /** Notes that a swap may have taken effect or may still do so. */
+    void swapUnsure() {
         uncertain = true;
     }
 
+    /** Notes what the row showed: another attempt's claim beyond all versions that swaps waited for settles them. */
+    void seen(ClaimGoal.Seen row) {
+        if (!row.claim().attempt().equals(id) && row.version() > highestAwaited) {
+            uncertain = false;
+        }
+    }
+
     /** Returns whether the row may hold the attempt's claim now or later. */
     boolean mayHoldClaim() {
         return phase == Phase.HELD || uncertain || (call != NO_CALL && highestAwaited != NONE_AWAITED);
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/claim/ClaimKeeper.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/claim/ClaimKeeper.java
@@ -27,6 +27,7 @@
 import org.boragebarrow.model.HostLife;
 import org.boragebarrow.port.TableService;
 import org.boragebarrow.port.TableService.CommitResult;
+import org.boragebarrow.port.TableService.Row;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkState;
@@ -135,11 +136,7 @@
             }
             attempt.call = ClaimAttempt.NO_CALL;
             switch (answered.answer()) {
-                case TableAnswer.Found found ->
-                    act(
-                            attempt,
-                            attempt.goal.seen(found.row()
-                                    .map(row -> new ClaimGoal.Seen(row.version(), ClaimRows.decode(row.value())))));
+                case TableAnswer.Found found -> seen(attempt, found.row());
                 case TableAnswer.Finished finished -> swapped(attempt, finished.result());
                 case TableAnswer.ReadFailed failed -> act(attempt, new ClaimAction.ReadLater());
                 case TableAnswer.Scanned scanned -> throw new IllegalStateException("no scan was asked for");
@@ -169,13 +166,24 @@
             act(attempt, new ClaimAction.Read());
         }
 
+        private void seen(ClaimAttempt attempt, Optional<Row> row) {
+            Optional<ClaimGoal.Seen> seen =
+                    row.map(found -> new ClaimGoal.Seen(found.version(), ClaimRows.decode(found.value())));
+            seen.ifPresent(attempt::seen);
+            act(attempt, attempt.goal.seen(seen));
+        }
+
         private void swapped(ClaimAttempt attempt, CommitResult result) {
             switch (result) {
                 case TableService.Committed committed -> act(attempt, attempt.goal.committed());
-                case TableService.Conflict conflict -> act(attempt, new ClaimAction.Read());
+                case TableService.Conflict conflict -> {
+                    // The row may have moved by an earlier copy of the same swap.
+                    attempt.swapUnsure();
+                    act(attempt, new ClaimAction.Read());
+                }
                 case TableService.Unavailable unavailable -> act(attempt, new ClaimAction.ReadLater());
                 case TableService.Unknown unknown -> {
-                    attempt.swapLost();
+                    attempt.swapUnsure();
                     act(attempt, new ClaimAction.ReadLater());
                 }
             }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/claim/ClaimKeeperEvent.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/claim/ClaimKeeperEvent.java
@@ -37,7 +37,8 @@
     /**
      * A read or a swap ended; each call must end once, a lost one as a failed read or an unknown result.
      *
-     * <p>An unavailable result promises that no copy of the swap takes effect, however often it was sent.
+     * <p>An unavailable result promises that no copy of the swap takes effect, however often it was sent; a conflict
+     * promises nothing of the kind for swaps that were sent more than once.
      */
     record Answered(long call, TableAnswer answer) implements ClaimKeeperEvent {}
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/plan/EngineState.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/plan/EngineState.java
@@ -61,7 +61,7 @@
 
     /** Forgets an order that should long have taken effect, so that it is sent again. */
     void expire(long nowNanos, long longestOrderNanos) {
-        if (sent.isPresent() && nowNanos - sent.get().sentNanos >= longestOrderNanos) {
+        if (sent.isPresent() && sent.get().ended && nowNanos - sent.get().sentNanos >= longestOrderNanos) {
             sent = Optional.empty();
         }
     }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/plan/PlannerTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/plan/PlannerTest.java
@@ -67,6 +67,19 @@
                 .containsExactly(new PlannerEffect.Send(ENGINE, load, 7, notAfter));
     }
 
+    @Example
+    void anOrderIsNotSentAgainWhileItsCallLasts() {
+        start(true);
+        long later = Duration.ofHours(1).toNanos();
+        apply(new PlannerEvent.LeaseHeld(7, 2 * later), 1);
+        apply(new PlannerEvent.LoadsAllowed(1), 1);
+        assertThat(apply(report(), 1)).hasSize(1);
+        apply(new PlannerEvent.LoadsAllowed(1), later);
+        assertThat(apply(report(), later)).isEmpty();
+        assertThat(apply(new PlannerEvent.OrderEnded(ENGINE, PlannerEvent.Result.FAILED), later))
+                .hasSize(1);
+    }
+
     @Example
     void aSwingOfDemandMovesAnEngineOnlyAfterItHasLasted() {
         PlannerWorld world = new PlannerWorld();
