Read the head of the change log on two hosts of each zone

Cause: hosts learnt of changes only from peers, so that a change whose writer died before it told anybody stayed unknown until the next start of a host. Conclusion: an accepted change comes into force whoever dies.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
@@ -17,6 +17,7 @@
 import org.boragebarrow.decision.member.MemberView;
 import org.boragebarrow.decision.member.ZonesView;
 import org.boragebarrow.decision.observe.ObserveEvent;
+import org.boragebarrow.decision.placement.Role;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.HostLife;
@@ -74,6 +75,7 @@
             view.applied()
                     .forEach((host, applied) ->
                             connected.changes().follow(new ChangeFollowerEvent.Learnt(host, applied, true)));
+            pollHead(connected);
             lastMembers = view;
             listLiveHosts(connected);
         });
@@ -102,6 +104,13 @@
         }
     }
 
+    /** Two roles of each zone read the head of the log, so that a change is found whose writer died before it told. */
+    private static void pollHead(Duties connected) {
+        MemberDuty members = connected.members();
+        boolean polls = members.holds(new Role.Dispatcher()) || members.holds(new Role.ClaimWriter());
+        connected.changes().follow(new ChangeFollowerEvent.PollingChanged(polls));
+    }
+
     /** Hosts of zones that are not heard count as they were last known. */
     private static void listLiveHosts(Duties connected) {
         Stream<Member> near = connected.members().members().live().values().stream();
