Learn the pace of answers

Cause: engines report the token rate of a lone sequence; in full batches and beside long prefills answers take several times longer, so that admission promised ends that could not be kept. Change: each pool learns a factor by length class from whole answers and uses it in its forecasts.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Dispatcher.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Dispatcher.java
@@ -184,11 +184,20 @@
             unused = unusedTokens(p, event);
             if (event.outcome() == DispatchEvent.Outcome.COMPLETED) {
                 answers.onAnswer(g.request.organisation(), p, event.answerTokens());
+                notePace(g, p, event, nowNanos);
             }
         }
         release(g, unused, nowNanos);
     }
 
+    private void notePace(Grant grant, Work.Prompt prompt, DispatchEvent.Finished event, long nowNanos) {
+        Optional<EngineView> engine = targets.engine(event.target()).filter(EngineView::isReported);
+        Optional<ModelPool> pool = targets.modelPool(prompt.model());
+        if (grant.targets.size() == 1 && engine.isPresent() && pool.isPresent()) {
+            pool.get().pace.onAnswer(engine.get(), grant, event.answerTokens(), nowNanos);
+        }
+    }
+
     private static long unusedTokens(Work.Prompt prompt, DispatchEvent.Finished event) {
         long unanswered = Math.max(0, prompt.maxTokens() - event.answerTokens());
         // A failed attempt is tried again elsewhere and charged there.
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Forecast.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Forecast.java
@@ -5,6 +5,8 @@
 /** Predicts how long a prompt that is queued now waits and runs. */
 final class Forecast {
     private static final int SHORTEST_CLASS = 0;
+    private static final LengthClass[] CLASSES = LengthClass.values();
+    private static final int LAST_CLASS = CLASSES.length - 1;
 
     private Forecast() {}
 
@@ -21,7 +23,7 @@
                     ? queue.shareAhead(queued.request.organisation(), queued.cost(), weight)
                     : 1;
             promptTokens += share * queue.promptTokens();
-            answerTokens += share * queue.answerTokens();
+            answerTokens += share * queue.answerTokens() * pool.pace.factor(CLASSES[Math.min(i, LAST_CLASS)]);
         }
         if (pool.prefillRate() == 0 || pool.decodeRate() == 0) {
             return 0;
@@ -37,7 +39,7 @@
             if (!Placement.isCandidate(e, queued, nowNanos)) {
                 continue;
             }
-            double seconds = serviceSeconds(e, queued, gangSize);
+            double seconds = serviceSeconds(pool, e, queued, gangSize);
             if (gangSize == 1) {
                 seconds += e.waitSeconds(queued.lengthClass, nowNanos);
             }
@@ -46,10 +48,14 @@
         return best == Double.MAX_VALUE ? 0 : best;
     }
 
-    /** Returns the time that an idle engine takes for the prompt, in seconds. */
-    static double serviceSeconds(EngineView engine, Queued queued, int gangSize) {
-        return queued.promptTokens() / engine.prefillRate() / gangSize
-                + queued.expectedAnswerTokens / engine.decodeRate();
+    /** Returns the time from the start of the prefill to the last token, in seconds. */
+    static double serviceSeconds(ModelPool pool, EngineView engine, Queued queued, int gangSize) {
+        return queued.promptTokens() / engine.prefillRate() / gangSize + answerSeconds(pool, engine, queued);
+    }
+
+    /** Returns the time that the answer is expected to take, in seconds. */
+    static double answerSeconds(ModelPool pool, EngineView engine, Queued queued) {
+        return queued.expectedAnswerTokens / engine.decodeRate() * pool.pace.factor(queued.lengthClass);
     }
 
     /** Returns the predicted wait of a short prompt that is queued now, in seconds. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/ModelPool.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/ModelPool.java
@@ -22,6 +22,7 @@
     private static final Duration SHORTER_MEMORY = Duration.ofSeconds(10);
 
     final ModelId model;
+    final Pace pace = new Pace();
     private final int passLimit;
     private final FairQueue[] queues = new FairQueue[QUEUES];
     private final boolean[] blocked = new boolean[QUEUES];
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Placement.java
@@ -65,7 +65,7 @@
                 least = score;
             }
         }
-        return best.map(e -> choice(e, queued, prompt, nowNanos));
+        return best.map(e -> choice(pool, e, queued, prompt, nowNanos));
     }
 
     private double score(EngineView engine, Queued queued, Work.Prompt prompt, boolean affine, long nowNanos) {
@@ -88,10 +88,10 @@
                 most, prefixes.cachedBlocks(engine.id) * settings.cache().blockTokens());
     }
 
-    private Choice choice(EngineView engine, Queued queued, Work.Prompt prompt, long nowNanos) {
+    private Choice choice(ModelPool pool, EngineView engine, Queued queued, Work.Prompt prompt, long nowNanos) {
         double prefill = prompt.promptTokens() - cachedTokens(engine, prompt);
         double start = engine.waitSeconds(queued.lengthClass, nowNanos) + prefill / engine.prefillRate();
-        double finish = start + queued.expectedAnswerTokens / engine.decodeRate();
+        double finish = start + Forecast.answerSeconds(pool, engine, queued);
         return new Choice(ImmutableList.of(engine), queued.tokens, prefill, start, finish);
     }
 
@@ -144,7 +144,7 @@
             EngineView e = engines.get((turn + i) % engines.size());
             if (isCandidate(e, queued, nowNanos) && hasRoom(e, queued)) {
                 prefixes.match(prompt.prefix());
-                return Optional.of(choice(e, queued, prompt, nowNanos));
+                return Optional.of(choice(pool, e, queued, prompt, nowNanos));
             }
         }
         return Optional.empty();
@@ -164,7 +164,7 @@
             }
         }
         prefixes.match(prompt.prefix());
-        return best.map(e -> choice(e, queued, prompt, nowNanos));
+        return best.map(e -> choice(pool, e, queued, prompt, nowNanos));
     }
 
     private static boolean hasRoom(EngineView engine, Queued queued) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Scheduler.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/Scheduler.java
@@ -90,7 +90,7 @@
         double left = (queued.request.deadlineNanos() - nowNanos) / 1e9;
         return pool.engines().isEmpty()
                 ? left
-                : left - Forecast.serviceSeconds(pool.engines().get(0), queued, 1);
+                : left - Forecast.serviceSeconds(pool, pool.engines().get(0), queued, 1);
     }
 
     private boolean serve(ModelPool pool, int index, Configuration configuration, long nowNanos) {
