--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -22,12 +23,14 @@
 import org.boragebarrow.decision.observe.ObserveEvent;
 import org.boragebarrow.decision.observe.ObserveSettings;
 import org.boragebarrow.decision.observe.Observer;
+import org.boragebarrow.decision.placement.Role;
 import org.boragebarrow.http.client.HttpClient;
 import org.boragebarrow.http.engine.HttpEngineClient;
 import org.boragebarrow.http.engine.HttpEngineControl;
 import org.boragebarrow.http.platform.HttpHostList;
 import org.boragebarrow.http.platform.HttpObjectStore;
 import org.boragebarrow.http.platform.HttpTableService;
+import org.boragebarrow.http.platform.HttpWeightStore;
 import org.boragebarrow.http.server.HttpServer;
 import org.boragebarrow.http.service.HttpServiceClient;
 import org.boragebarrow.model.Endpoint;
@@ -48,6 +51,7 @@
 import org.boragebarrow.node.member.MemberDuty;
 import org.boragebarrow.node.member.Members;
 import org.boragebarrow.node.metrics.HostMetrics;
+import org.boragebarrow.node.plan.PlanDuty;
 import org.boragebarrow.node.ring.DutyRing;
 import org.boragebarrow.node.settings.HostSettings;
 import org.boragebarrow.node.target.ConnectProbe;
@@ -61,6 +65,7 @@
 import org.boragebarrow.peer.wire.SummaryMessages;
 import org.boragebarrow.port.EngineControl;
 import org.boragebarrow.port.HostList;
+import org.boragebarrow.port.ObjectStore;
 import org.boragebarrow.port.TableService;
 
 /** One host of the system with all its duties. Thread-safe. */
@@ -84,6 +89,7 @@
     private final ClaimDuty claims;
     private final Dispatching dispatching;
     private final ObserveDuty observing;
+    private final PlanDuty planning;
     private final Front front;
     private final HttpServer callerServer;
     private final HttpServer adminServer;
@@ -121,7 +127,8 @@
         JsonChangeCodec codec = new JsonChangeCodec();
         TableService table = surroundings.table(new HttpTableService(client, platform.table(), platform.timeout()));
         this.changes = new ChangeDuty(codec, table, ticker, reactions, rings);
-        this.claims = new ClaimDuty(new ClaimDuty.Collaborators(members, peers, table, ticker, loops), rings);
+        ObjectStore objects = new HttpObjectStore(client, platform.objects(), platform.timeout());
+        this.claims = new ClaimDuty(new ClaimDuty.Collaborators(members, peers, table, objects, ticker, loops), rings);
         DispatchContext context = new DispatchContext(
                 members,
                 peers,
@@ -141,12 +148,23 @@
                 new Observer(settings.id(), ObserveSettings.defaults(), incarnation.value()),
                 dispatching,
                 rings);
+        this.planning = new PlanDuty(
+                new PlanDuty.Collaborators(
+                        members,
+                        directory,
+                        () -> changes.state().configuration(),
+                        control,
+                        table,
+                        new HttpWeightStore(client, platform.weights(), platform.timeout()),
+                        ticker),
+                settings.planning(),
+                rings);
         EngineReleases releases = new EngineReleases(control, loops);
         Front.Collaborators collaborators = new Front.Collaborators(
                 members::self,
                 dispatching.broker(),
                 claims,
-                new HttpObjectStore(client, platform.objects(), platform.timeout()),
+                objects,
                 new HttpEngineClient(client),
                 new HttpServiceClient(client),
                 releases,
@@ -236,8 +254,9 @@
 
     private void tick() {
         members.offer(new MemberEvent.Ticked());
-        changes.tick();
-        claims.tick();
+        changes.tick(members.holds(new Role.ClaimWriter()));
+        claims.tick(changes.state().configuration().plans().keySet());
+        planning.tick();
         observing.offer(new ObserveEvent.Ticked());
         boolean ready = changes.isReady() && !draining;
         if (ready != front.isReady()) {
@@ -301,6 +320,11 @@
         return dispatching.reportedTargets();
     }
 
+    /** Returns the fencing number of the orders that this host sends, if it holds its zone's planner's lease. */
+    public OptionalLong plannerFencingNumber() {
+        return planning.fencingNumber();
+    }
+
     /** Returns whether the host is ready. */
     public boolean isReady() {
         return front.isReady();
@@ -346,6 +370,7 @@
         LOG.write(LogEvent.HOST_STOPPED, front.inProgress());
         callerServer.closeNow();
         adminServer.closeNow();
+        planning.close();
         observing.close();
         dispatching.close();
         claims.close();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/change/ChangeDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/change/ChangeDuty.java
@@ -19,6 +19,9 @@
 import org.boragebarrow.decision.change.ChangeWriter;
 import org.boragebarrow.decision.change.ChangeWriterEffect;
 import org.boragebarrow.decision.change.ChangeWriterEvent;
+import org.boragebarrow.decision.change.SnapshotEffect;
+import org.boragebarrow.decision.change.SnapshotEvent;
+import org.boragebarrow.decision.change.SnapshotWriter;
 import org.boragebarrow.decision.table.TableCalls;
 import org.boragebarrow.model.ErrorKind;
 import org.boragebarrow.model.HostId;
@@ -30,7 +33,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-/** The thread that runs {@link ChangeFollower} and {@link ChangeWriter}. */
+/** The thread that runs {@link ChangeFollower}, {@link ChangeWriter} and {@link SnapshotWriter}. */
 public final class ChangeDuty implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(ChangeDuty.class);
     private static final int MAX_BATCH = 256;
@@ -55,10 +58,13 @@
 
     private record Write(ChangeWriterEvent event) implements Input {}
 
+    private record Snapshot(SnapshotEvent event) implements Input {}
+
     private record Serve(HostId peer, long after, int limit) implements Input {}
 
     private final ChangeFollower follower;
     private final ChangeWriter writer;
+    private final SnapshotWriter snapshots;
     private final TableService table;
     private final Ticker ticker;
     private final Listener listener;
@@ -73,6 +79,7 @@
     public ChangeDuty(ChangeCodec codec, TableService table, Ticker ticker, Listener listener, DutyRing.Factory rings) {
         this.follower = new ChangeFollower(codec);
         this.writer = new ChangeWriter(codec);
+        this.snapshots = new SnapshotWriter(codec);
         this.table = checkNotNull(table);
         this.ticker = checkNotNull(ticker);
         this.listener = checkNotNull(listener);
@@ -99,10 +106,12 @@
         ring.offer(new Serve(peer, after, Math.min(limit, MAX_BATCH)));
     }
 
-    /** Lets time pass. */
-    public void tick() {
+    /** Lets time pass; the host writes snapshots only while {@code writesSnapshots}. */
+    public void tick(boolean writesSnapshots) {
         ring.offer(new Follow(new ChangeFollowerEvent.Ticked()));
         ring.offer(new Write(new ChangeWriterEvent.Ticked()));
+        ring.offer(new Snapshot(new SnapshotEvent.RoleChanged(writesSnapshots)));
+        ring.offer(new Snapshot(new SnapshotEvent.Ticked()));
     }
 
     /**
@@ -126,6 +135,7 @@
         switch (input) {
             case Follow follow -> follower.apply(follow.event(), ticker.read()).forEach(this::handle);
             case Write write -> writer.apply(write.event(), ticker.read()).forEach(this::handle);
+            case Snapshot snapshot -> apply(snapshot.event());
             case Serve serve -> listener.deliver(serve.peer(), follower.changesAfter(serve.after(), serve.limit()));
         }
     }
@@ -144,6 +154,7 @@
 
     private void configure(ChangeState later) {
         state = later;
+        apply(new SnapshotEvent.Configured(later));
         LOG.write(LogEvent.CHANGE_APPLIED, later.number());
         listener.onConfigured(later);
     }
@@ -159,6 +170,17 @@
         }
     }
 
+    private void apply(SnapshotEvent event) {
+        for (SnapshotEffect effect : snapshots.apply(event, ticker.read())) {
+            switch (effect) {
+                case SnapshotEffect.Call call ->
+                    TableCalls.make(call.table(), table)
+                            .thenAccept(answer ->
+                                    retryOffer(new Snapshot(new SnapshotEvent.Answered(call.call(), answer))));
+            }
+        }
+    }
+
     private void accept(ChangeWriterEffect.Accepted accepted) {
         LOG.write(
                 LogEvent.CHANGE_ACCEPTED,
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimDuty.java
@@ -15,18 +15,21 @@
 import org.boragebarrow.decision.claim.ClaimKeeperEffect;
 import org.boragebarrow.decision.claim.ClaimKeeperEvent;
 import org.boragebarrow.decision.claim.ClaimKey;
+import org.boragebarrow.decision.placement.Role;
 import org.boragebarrow.decision.table.TableAnswer;
 import org.boragebarrow.decision.table.TableCall;
 import org.boragebarrow.decision.table.TableCalls;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.ErrorKind;
 import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.RequestException;
 import org.boragebarrow.node.front.Claims;
 import org.boragebarrow.node.member.Members;
 import org.boragebarrow.node.ring.DutyRing;
 import org.boragebarrow.peer.link.PeerSender;
 import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.port.ObjectStore;
 import org.boragebarrow.port.TableService;
 
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -38,7 +41,9 @@
     private final ClaimKeeper keeper = new ClaimKeeper();
     private final TableService table;
     private final Ticker ticker;
+    private final Members members;
     private final ClaimWriting writing;
+    private final ClaimPurging purging;
     private final SwapRoute route;
     private final DutyRing<ClaimKeeperEvent> ring;
     private final Map<AttemptId, Waiting> waiting = new ConcurrentHashMap<>();
@@ -49,13 +54,20 @@
 
     /** What the duty uses. */
     public record Collaborators(
-            Members members, PeerSender peers, TableService table, Ticker ticker, EventLoopGroup timers) {}
-
-    /** Starts the duty and the host's claim writer. */
+            Members members,
+            PeerSender peers,
+            TableService table,
+            ObjectStore objects,
+            Ticker ticker,
+            EventLoopGroup timers) {}
+
+    /** Starts the duty, the host's claim writer and its claim purger. */
     public ClaimDuty(Collaborators collaborators, DutyRing.Factory rings) {
         this.table = checkNotNull(collaborators.table());
         this.ticker = checkNotNull(collaborators.ticker());
+        this.members = checkNotNull(collaborators.members());
         this.writing = new ClaimWriting(table, ticker, rings);
+        this.purging = new ClaimPurging(table, collaborators.objects(), ticker, rings);
         this.route = new SwapRoute(collaborators.members(), collaborators.peers(), writing, collaborators.timers());
         this.ring = rings.start("claim", this::handle);
     }
@@ -98,9 +110,10 @@
         ring.offer(new ClaimKeeperEvent.HostsListed(live));
     }
 
-    /** Lets time pass. */
-    public void tick() {
+    /** Lets time pass; the zone's claim writer also purges the organisations' old claims. */
+    public void tick(ImmutableSet<OrganisationId> organisations) {
         ring.offer(new ClaimKeeperEvent.Ticked());
+        purging.tick(members.holds(new Role.ClaimWriter()), organisations);
     }
 
     /** Takes a peer's message if it belongs here; returns whether it did. */
@@ -170,5 +183,6 @@
     public void close() {
         ring.close();
         writing.close();
+        purging.close();
     }
 }
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimPurging.java
@@ -0,0 +1,82 @@
+package org.boragebarrow.node.claim;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.claim.ClaimPurger;
+import org.boragebarrow.decision.claim.ClaimPurgerEffect;
+import org.boragebarrow.decision.claim.ClaimPurgerEvent;
+import org.boragebarrow.decision.table.TableCalls;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.node.ring.DutyRing;
+import org.boragebarrow.port.ObjectStore;
+import org.boragebarrow.port.TableService;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** The thread that runs {@link ClaimPurger}. */
+final class ClaimPurging implements AutoCloseable {
+    private static final long RETRY_MILLIS = 10;
+
+    private final ClaimPurger purger = new ClaimPurger();
+    private final TableService table;
+    private final ObjectStore objects;
+    private final Ticker ticker;
+    private final DutyRing<Input> ring;
+
+    /** What reaches the duty's thread. */
+    private sealed interface Input {}
+
+    private record Tick(boolean held, ImmutableSet<OrganisationId> organisations) implements Input {}
+
+    private record Answer(ClaimPurgerEvent.Answered event) implements Input {}
+
+    ClaimPurging(TableService table, ObjectStore objects, Ticker ticker, DutyRing.Factory rings) {
+        this.table = checkNotNull(table);
+        this.objects = checkNotNull(objects);
+        this.ticker = checkNotNull(ticker);
+        this.ring = rings.start("claim-purger", this::handle);
+    }
+
+    /** Lets time pass; the purger works only while {@code held} and looks through these organisations' claims. */
+    void tick(boolean held, ImmutableSet<OrganisationId> organisations) {
+        ring.offer(new Tick(held, organisations));
+    }
+
+    private void handle(Input input) {
+        switch (input) {
+            case Tick tick -> {
+                apply(new ClaimPurgerEvent.OrganisationsListed(tick.organisations()));
+                apply(new ClaimPurgerEvent.RoleChanged(tick.held()));
+            }
+            case Answer answer -> apply(answer.event());
+        }
+    }
+
+    private void apply(ClaimPurgerEvent event) {
+        for (ClaimPurgerEffect effect : purger.apply(event, ticker.read())) {
+            switch (effect) {
+                case ClaimPurgerEffect.Call call ->
+                    TableCalls.make(call.table(), table)
+                            .thenAccept(answer -> answered(new ClaimPurgerEvent.Answered(call.call(), answer)));
+                // A body whose deletion fails stays in the store.
+                case ClaimPurgerEffect.DeleteObject deletion -> objects.delete(deletion.objectKey());
+            }
+        }
+    }
+
+    /** An answer must not be lost, as the machine waits for it; a full ring is tried again without blocking. */
+    private void answered(ClaimPurgerEvent.Answered event) {
+        if (!ring.offer(new Answer(event))) {
+            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
+                    .execute(() -> answered(event));
+        }
+    }
+
+    @Override
+    public void close() {
+        ring.close();
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/log/LogEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/log/LogEvent.java
@@ -49,7 +49,13 @@
     /** The planner's lease was gained or lost. */
     LEASE_CHANGED(6001, Level.INFO, "planner lease held: {0}, fencing number {1}"),
     /** An order was sent to an engine. */
-    ORDER_SENT(6002, Level.INFO, "order {0} sent to {1} with fencing number {2}");
+    ORDER_SENT(6002, Level.INFO, "order {0} sent to {1} with fencing number {2}"),
+    /** The weight store could not be read. */
+    WEIGHT_STORE_UNREACHABLE(6003, Level.WARNING, "weight store unreachable, no model is loaded meanwhile: {0}"),
+    /** An engine refused an order because it has seen a higher fencing number. */
+    ORDER_REFUSED(6004, Level.WARNING, "order {0} refused by {1}: fencing number {2} is old"),
+    /** Nothing is known of an order. */
+    ORDER_FAILED(6005, Level.WARNING, "order {0} to {1} failed, its outcome is unknown: {2}");
 
     private final int number;
     private final Level level;
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/plan/EngineListing.java
@@ -0,0 +1,37 @@
+package org.boragebarrow.node.plan;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.plan.PlannerEvent.Engine;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.TargetKind;
+
+/**
+ * The zone's engines at one moment.
+ *
+ * @param usable the engines that take new work
+ */
+record EngineListing(ImmutableList<Engine> engines, ImmutableList<Target> usable) {
+    static EngineListing of(PlanDuty.Collaborators context, ImmutableSet<TargetId> unfenced) {
+        ImmutableList.Builder<Engine> engines = ImmutableList.builder();
+        ImmutableList.Builder<Target> usable = ImmutableList.builder();
+        for (Target target : context.directory().inZone(context.members().zone())) {
+            if (target.kind() != TargetKind.ENGINE) {
+                continue;
+            }
+            boolean takesWork = takesWork(context, target);
+            engines.add(new Engine(target.id(), !unfenced.contains(target.id()), takesWork));
+            if (takesWork) {
+                usable.add(target);
+            }
+        }
+        return new EngineListing(engines.build(), usable.build());
+    }
+
+    private static boolean takesWork(PlanDuty.Collaborators context, Target engine) {
+        return !engine.leaving()
+                && context.directory().isUsable(engine.id())
+                && context.configuration().get().isStarted(engine.id());
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/plan/PlanDuty.java
@@ -0,0 +1,224 @@
+package org.boragebarrow.node.plan;
+
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.google.common.base.Ticker;
+import org.boragebarrow.decision.lease.LeaseEffect;
+import org.boragebarrow.decision.lease.LeaseEvent;
+import org.boragebarrow.decision.lease.LeaseMachine;
+import org.boragebarrow.decision.placement.Role;
+import org.boragebarrow.decision.plan.Planner;
+import org.boragebarrow.decision.plan.PlannerEffect;
+import org.boragebarrow.decision.plan.PlannerEvent;
+import org.boragebarrow.decision.table.TableCalls;
+import org.boragebarrow.model.Configuration;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.node.log.EventLog;
+import org.boragebarrow.node.log.LogEvent;
+import org.boragebarrow.node.member.Members;
+import org.boragebarrow.node.ring.DutyRing;
+import org.boragebarrow.node.settings.HostSettings.Planning;
+import org.boragebarrow.node.target.TargetDirectory;
+import org.boragebarrow.port.EngineControl;
+import org.boragebarrow.port.TableService;
+import org.boragebarrow.port.WeightStore;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * The thread that runs {@link Planner} and the {@link LeaseMachine} of the zone's planner.
+ *
+ * <p>Does nothing at all while the settings name no models.
+ */
+public final class PlanDuty implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(PlanDuty.class);
+    private static final long RETRY_MILLIS = 10;
+
+    private final Collaborators context;
+    private final Planning settings;
+    private final LeaseMachine lease;
+    private final Planner planner;
+    private final EnginePolls polls;
+    private final DutyRing<Input> ring;
+
+    private boolean wanted;
+    private OptionalLong heldEpoch = OptionalLong.empty();
+
+    private volatile OptionalLong fencingNumber = OptionalLong.empty();
+
+    /** What the duty uses. */
+    public record Collaborators(
+            Members members,
+            TargetDirectory directory,
+            Supplier<Configuration> configuration,
+            EngineControl control,
+            TableService table,
+            WeightStore weights,
+            Ticker ticker) {}
+
+    /** What reaches the duty's thread. */
+    private sealed interface Input {}
+
+    private record Lease(LeaseEvent event) implements Input {}
+
+    private record Plan(PlannerEvent event) implements Input {}
+
+    private record Polled(EnginePolls.Answer answer) implements Input {}
+
+    private record Tick() implements Input {}
+
+    /** Starts the duty. */
+    public PlanDuty(Collaborators context, Planning settings, DutyRing.Factory rings) {
+        this.context = checkNotNull(context);
+        this.settings = checkNotNull(settings);
+        String name = "planner/" + context.members().zone();
+        this.lease = new LeaseMachine(name, context.members().self(), settings.lease());
+        this.planner = new Planner(settings.planner());
+        this.polls = new EnginePolls(
+                context.control(), context.ticker(), settings.planner().models());
+        this.ring = rings.start("plan", this::handle);
+    }
+
+    /** Lets time pass. */
+    public void tick() {
+        if (!settings.planner().models().isEmpty()) {
+            ring.offer(new Tick());
+        }
+    }
+
+    /** Returns the fencing number of the orders that this host sends, if it holds the planner's lease. */
+    public OptionalLong fencingNumber() {
+        return fencingNumber;
+    }
+
+    private void handle(Input input) {
+        switch (input) {
+            case Tick tick -> handleTick();
+            case Lease event -> apply(event.event());
+            case Plan event -> apply(event.event());
+            case Polled polled -> {
+                apply(polled.answer().report());
+                apply(polls.answered(polled.answer()));
+            }
+        }
+    }
+
+    private void handleTick() {
+        boolean nowWanted = context.members().holds(new Role.Planner());
+        if (nowWanted != wanted) {
+            wanted = nowWanted;
+            apply(new LeaseEvent.WantedChanged(wanted));
+        }
+        apply(new LeaseEvent.Ticked());
+        if (heldEpoch.isEmpty()) {
+            return;
+        }
+        EngineListing engines = EngineListing.of(context, settings.unfencedEngines());
+        apply(new PlannerEvent.EnginesListed(engines.engines()));
+        polls.poll(engines.usable(), answer -> ring.offer(new Polled(answer)));
+    }
+
+    private void apply(LeaseEvent event) {
+        for (LeaseEffect effect : lease.apply(event, context.ticker().read())) {
+            switch (effect) {
+                case LeaseEffect.Call call ->
+                    TableCalls.make(call.table(), context.table())
+                            .thenAccept(answer -> offerSurely(new Lease(new LeaseEvent.Answered(call.call(), answer))));
+                case LeaseEffect.Held held -> hold(held);
+                case LeaseEffect.Lost lost -> lose(lost.epoch());
+            }
+        }
+    }
+
+    private void hold(LeaseEffect.Held held) {
+        OptionalLong epoch = OptionalLong.of(held.epoch());
+        if (!epoch.equals(heldEpoch)) {
+            LOG.write(LogEvent.LEASE_CHANGED, true, held.epoch());
+            polls.restart();
+            setHeld(epoch);
+        }
+        apply(new PlannerEvent.LeaseHeld(held.epoch(), held.untilNanos()));
+    }
+
+    private void lose(long epoch) {
+        LOG.write(LogEvent.LEASE_CHANGED, false, epoch);
+        setHeld(OptionalLong.empty());
+        apply(new PlannerEvent.LeaseLost());
+    }
+
+    private void setHeld(OptionalLong epoch) {
+        heldEpoch = epoch;
+        fencingNumber = epoch;
+    }
+
+    private void apply(PlannerEvent event) {
+        for (PlannerEffect effect : planner.apply(event, context.ticker().read())) {
+            switch (effect) {
+                case PlannerEffect.Send send -> send(send);
+                case PlannerEffect.AskWeightStore ask -> askWeightStore();
+            }
+        }
+    }
+
+    private void send(PlannerEffect.Send send) {
+        boolean late = context.ticker().read() - send.notAfterNanos() >= 0;
+        if (late) {
+            // Nothing was sent, so it may be sent anew once the lease is renewed.
+            orderEnded(send.engine(), PlannerEvent.Result.REFUSED);
+            return;
+        }
+        context.directory()
+                .find(send.engine())
+                .ifPresentOrElse(
+                        engine -> {
+                            polls.orderSent();
+                            LOG.write(LogEvent.ORDER_SENT, send.order(), engine.id(), send.fencingNumber());
+                            context.control()
+                                    .order(engine, send.order(), send.fencingNumber())
+                                    .whenComplete((taken, failure) -> ended(send, taken, failure));
+                        },
+                        () -> orderEnded(send.engine(), PlannerEvent.Result.FAILED));
+    }
+
+    private void ended(PlannerEffect.Send send, Boolean taken, Throwable failure) {
+        if (failure != null) {
+            LOG.write(LogEvent.ORDER_FAILED, send.order(), send.engine(), failure.getMessage());
+            orderEnded(send.engine(), PlannerEvent.Result.FAILED);
+        } else if (taken) {
+            orderEnded(send.engine(), PlannerEvent.Result.ACCEPTED);
+        } else {
+            LOG.write(LogEvent.ORDER_REFUSED, send.order(), send.engine(), send.fencingNumber());
+            orderEnded(send.engine(), PlannerEvent.Result.REFUSED);
+        }
+    }
+
+    private void orderEnded(TargetId engine, PlannerEvent.Result result) {
+        offerSurely(new Plan(new PlannerEvent.OrderEnded(engine, result)));
+    }
+
+    private void askWeightStore() {
+        context.weights().remainingLoads().whenComplete((loads, failure) -> {
+            if (failure == null) {
+                ring.offer(new Plan(new PlannerEvent.LoadsAllowed(loads)));
+            } else {
+                LOG.write(LogEvent.WEIGHT_STORE_UNREACHABLE, failure.getMessage());
+            }
+        });
+    }
+
+    /** Hands over what must not be lost; a full ring is tried again without blocking. */
+    private void offerSurely(Input input) {
+        if (!ring.offer(input)) {
+            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
+                    .execute(() -> offerSurely(input));
+        }
+    }
+
+    @Override
+    public void close() {
+        ring.close();
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettings.java
@@ -6,12 +6,15 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.plan.PlannerSettings;
 import org.boragebarrow.http.server.ServerLimits;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
 
 /**
  * The checked settings of one host.
@@ -30,6 +33,7 @@
         Secret peerKey,
         ImmutableList<Seed> seeds,
         Platform platform,
+        Planning planning,
         int maxRequests,
         int ringCapacity,
         Duration grantTimeout,
@@ -40,6 +44,14 @@
     /** Where the platform's services listen. */
     public record Platform(Endpoint table, Endpoint objects, Endpoint hostList, Endpoint weights, Duration timeout) {}
 
+    /**
+     * What the zone's planner is told.
+     *
+     * @param lease the length of the planner's lease
+     * @param unfencedEngines the engines that ignore fencing numbers
+     */
+    public record Planning(PlannerSettings planner, Duration lease, ImmutableSet<TargetId> unfencedEngines) {}
+
     /**
      * Reads and checks a settings file.
      *
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettingsReader.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettingsReader.java
@@ -1,9 +1,12 @@
 package org.boragebarrow.node.settings;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.plan.PlannerSettings;
 import org.boragebarrow.http.server.ServerLimits;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Endpoint;
@@ -16,6 +19,7 @@
 /** Assembles {@link HostSettings} from a file. */
 final class HostSettingsReader {
     private static final Endpoint NO_ENDPOINT = Endpoint.of("127.0.0.1", 0);
+    private static final Duration DEFAULT_LEASE = Duration.ofSeconds(10);
 
     private final SettingsFile file;
 
@@ -42,6 +46,7 @@
                 file.get(SettingKeys.PEERS_KEY, null),
                 file.get(SettingKeys.PEERS_SEEDS, ImmutableList.of()),
                 platform(),
+                planning(),
                 file.get(SettingKeys.MAX_REQUESTS, 1),
                 ringCapacity(),
                 file.get(SettingKeys.GRANT_TIMEOUT, null),
@@ -84,6 +89,21 @@
                 file.get(SettingKeys.PLATFORM_TIMEOUT, null));
     }
 
+    private HostSettings.Planning planning() {
+        PlannerSettings defaults = PlannerSettings.of(ImmutableSet.of());
+        PlannerSettings planner = new PlannerSettings(
+                ImmutableSet.copyOf(file.get(SettingKeys.PLANNER_MODELS, ImmutableList.of())),
+                file.get(SettingKeys.MODELS_PER_ENGINE, defaults.modelsPerEngine()),
+                file.get(SettingKeys.ENGINE_ROLE, defaults.role()),
+                file.get(SettingKeys.PLATFORM_TIMEOUT, defaults.longestCall()),
+                defaults.longestOrder(),
+                file.get(SettingKeys.PLANNER_DWELL, defaults.dwell()));
+        return new HostSettings.Planning(
+                planner,
+                file.get(SettingKeys.PLANNER_LEASE, DEFAULT_LEASE),
+                ImmutableSet.copyOf(file.get(SettingKeys.UNFENCED_ENGINES, ImmutableList.of())));
+    }
+
     private ImmutableMap<ServiceName, ServiceSettings> services() {
         ImmutableMap.Builder<ServiceName, ServiceSettings> services = ImmutableMap.builder();
         for (String name : file.named("service")) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
@@ -7,11 +7,16 @@
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.base.Preconditions.checkArgument;
 
 /** Every key that a settings file may hold. */
 public final class SettingKeys {
     private static final String ENDPOINT = "IP number and port";
     private static final String SECRET = "file:PATH or env:NAME";
+    private static final ImmutableList<String> ENGINE_ROLES = ImmutableList.of("prefill", "decode", "both");
     private static final int GIBIBYTE = 1 << 30;
     private static final int MINUTE_MILLIS = 60_000;
 
@@ -73,6 +78,41 @@
             "requests", "drain-grace-ms", 5_000, 0, 10 * MINUTE_MILLIS, "How long a draining host keeps accepting.");
     static final Setting<Integer> MAX_ORGANISATIONS = Setting.integer(
             "metrics", "max-organisations", "organisations", 300, 1, 10_000, "Organisations with own series.");
+    static final Setting<ImmutableList<ModelId>> PLANNER_MODELS = Setting.list(
+            "planner",
+            "models",
+            "list of ids",
+            "The models that the zone's engines should hold; empty leaves engines as they are.",
+            ModelId::of);
+    static final Setting<Integer> MODELS_PER_ENGINE = Setting.integer(
+            "planner", "models-per-engine", "models", 1, 1, 100, "How many models an engine may hold at once.");
+    static final Setting<String> ENGINE_ROLE = Setting.of(
+            "planner",
+            "role",
+            "prefill, decode or both",
+            "both",
+            "The role that every engine should have.",
+            SettingKeys::engineRole);
+    static final Setting<Duration> PLANNER_DWELL = Setting.millis(
+            "planner",
+            "dwell-ms",
+            MINUTE_MILLIS,
+            0,
+            60 * MINUTE_MILLIS,
+            "How long a model must lack engines before one is moved to it.");
+    static final Setting<Duration> PLANNER_LEASE = Setting.millis(
+            "planner",
+            "lease-ms",
+            10_000,
+            1_000,
+            10 * MINUTE_MILLIS,
+            "How long the planner's lease lasts; to be the same on all hosts of a zone.");
+    static final Setting<ImmutableList<TargetId>> UNFENCED_ENGINES = Setting.list(
+            "planner",
+            "unfenced-engines",
+            "list of target ids",
+            "Engines that ignore the fencing number of an order.",
+            TargetId::of);
     static final Setting<ImmutableList<RepeatableCall>> REPEATABLE = Setting.list(
             "service NAME",
             "repeatable",
@@ -111,6 +151,12 @@
             GRANT_TIMEOUT,
             DRAIN_GRACE,
             MAX_ORGANISATIONS,
+            PLANNER_MODELS,
+            MODELS_PER_ENGINE,
+            ENGINE_ROLE,
+            PLANNER_DWELL,
+            PLANNER_LEASE,
+            UNFENCED_ENGINES,
             REPEATABLE,
             TARGET_ENDPOINT,
             TARGET_ZONE,
@@ -118,6 +164,11 @@
 
     private SettingKeys() {}
 
+    private static String engineRole(String text) {
+        checkArgument(ENGINE_ROLES.contains(text), "not one of %s: \"%s\"", ENGINE_ROLES, text);
+        return text;
+    }
+
     /** Returns all keys in the order in which they are printed. */
     public static ImmutableList<Setting<?>> all() {
         return ALL;
--- a/boragebarrow-trials/src/main/java/org/boragebarrow/trials/Deployment.java
+++ b/boragebarrow-trials/src/main/java/org/boragebarrow/trials/Deployment.java
@@ -54,6 +54,7 @@
     private static final long READY_SECONDS = 60;
 
     private final Shape shape;
+    private final String moreSettings;
     private final EventLoopGroup standinLoops;
     private final PlatformStandin platform;
     private final Path secrets;
@@ -66,8 +67,9 @@
     /** A host that runs. */
     private record Member(Host host, AvailabilityZoneId zone) {}
 
-    private Deployment(Shape shape) throws IOException {
+    private Deployment(Shape shape, String moreSettings) throws IOException {
         this.shape = shape;
+        this.moreSettings = moreSettings;
         this.standinLoops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
         this.secrets = Files.createTempDirectory("boragebarrow-trials");
         Files.writeString(secrets.resolve("admin"), ADMIN_TOKEN);
@@ -84,8 +86,13 @@
 
     /** Starts a deployment whose hosts reach each other and the platform through the network. */
     public static Deployment start(Shape shape, Network network) {
+        return start(shape, network, "");
+    }
+
+    /** Starts a deployment whose hosts have more sections in their settings files. */
+    public static Deployment start(Shape shape, Network network, String moreSettings) {
         try {
-            Deployment deployment = new Deployment(shape);
+            Deployment deployment = new Deployment(shape, moreSettings);
             deployment.startTargets();
             for (AvailabilityZoneId zone : shape.zoneIds()) {
                 for (int number = 1; number <= shape.hostsPerZone(); number++) {
@@ -157,7 +164,7 @@
                 drain-grace-ms = 300
                 [service desk]
                 repeatable = GET /stock
-                """.formatted(id, zone, secrets, seeds, platform.endpoint());
+                """.formatted(id, zone, secrets, seeds, platform.endpoint()) + moreSettings;
     }
 
     /** Tells the platform which hosts and targets there are now. */
