--- a/boragebarrow-trials/src/main/java/org/boragebarrow/trials/soak/PromptCaller.java
+++ b/boragebarrow-trials/src/main/java/org/boragebarrow/trials/soak/PromptCaller.java
@@ -17,6 +17,8 @@
     private static final int SHORT_TOKENS = 2_000;
     private static final int LONG_TOKENS = 60_000;
     private static final int LONG_ONE_IN = 10;
+    private static final int GANG_TOKENS = 200_000;
+    private static final int GANG_ONE_IN = 40;
     private static final int MOST_ANSWER_TOKENS = 40;
     private static final Duration LIMIT = Duration.ofSeconds(8);
     private static final Duration SLACK = Duration.ofSeconds(3);
@@ -40,7 +42,7 @@
     private void send(Host host) {
         String id = "prompt-" + world.ids().incrementAndGet();
         int answerTokens = random.nextInt(1, MOST_ANSWER_TOKENS);
-        int promptTokens = random.nextInt(LONG_ONE_IN) == 0 ? LONG_TOKENS : random.nextInt(10, SHORT_TOKENS);
+        int promptTokens = promptTokens();
         boolean stream = random.nextBoolean();
         String body = "{\"model\":\"model\",\"prompt\":\"%s of %d\",\"max_tokens\":%d,\"stream\":%b}"
                 .formatted(id, random.nextInt(), answerTokens, stream);
@@ -64,6 +66,13 @@
         }
     }
 
+    private int promptTokens() {
+        if (random.nextInt(GANG_ONE_IN) == 0) {
+            return GANG_TOKENS;
+        }
+        return random.nextInt(LONG_ONE_IN) == 0 ? LONG_TOKENS : random.nextInt(10, SHORT_TOKENS);
+    }
+
     private static long hash(String body) {
         return TokenTexts.bodyHash(body.getBytes(StandardCharsets.UTF_8));
     }
--- a/boragebarrow-trials/src/main/java/org/boragebarrow/trials/soak/Soak.java
+++ b/boragebarrow-trials/src/main/java/org/boragebarrow/trials/soak/Soak.java
@@ -31,6 +31,8 @@
     private static final int ZONES = 3;
     private static final int HOSTS_PER_ZONE = 2;
     private static final int ENGINES_PER_ZONE = 2;
+    private static final long ENGINE_TOKENS = 150_000;
+    private static final double PREFILL_TOKENS_PER_SECOND = 100_000;
     private static final int PROMPT_CALLERS = 12;
     private static final int BOOKING_CALLERS = 6;
     private static final int OPERATORS = 2;
@@ -56,7 +58,11 @@
     /** Runs once and returns what was found. */
     public static Report run(long seed, Duration length) {
         Network network = Network.direct();
-        Shape shape = new Shape(ZONES, HOSTS_PER_ZONE, ENGINES_PER_ZONE, EngineSettings.defaults(), seed);
+        EngineSettings engine = EngineSettings.builder()
+                .capacityTokens(ENGINE_TOKENS)
+                .prefillTokensPerSecond(PREFILL_TOKENS_PER_SECOND)
+                .build();
+        Shape shape = new Shape(ZONES, HOSTS_PER_ZONE, ENGINES_PER_ZONE, engine, seed);
         try (Deployment deployment = Deployment.start(shape, network)) {
             Host host = deployment.hosts().get(0);
             Operators.setAllowance(host, "standard", TOKENS_PER_MINUTE, MAX_CONCURRENT);
@@ -74,6 +80,7 @@
         start(threads, OPERATORS, () -> new ChangeCaller(world, highestAccepted, random.split()));
         start(threads, FAULT_SOURCES, () -> new Faults(world, random.split()));
         start(threads, 1, () -> new ChangeWatch(world));
+        start(threads, 1, () -> new TargetStopper(world, random.split()));
         Pause.millis(length.toMillis());
         world.stopped().set(true);
         threads.forEach(Soak::join);
