Tick the dispatcher every 20 ms and count zones that told nothing

Cause: the dispatcher drains its forecasts by ticks and expects one every 20 ms, not 100; a zone without a summary was left out, so that the others took its share of the allowances. Change: the zone's dispatcher is ticked every 20 ms, the other hosts' every 240 ms; every known zone is summarised.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/ZoneSummary.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/ZoneSummary.java
@@ -20,4 +20,9 @@
         long longestPromptTokens,
         double queuedSeconds,
         ImmutableSet<ModelId> models,
-        boolean heard) {}
+        boolean heard) {
+    /** Returns the summary of a zone that has told nothing yet. */
+    public static ZoneSummary untold(boolean heard) {
+        return new ZoneSummary(ImmutableMap.of(), 0, 0, 0, ImmutableSet.of(), heard);
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -71,7 +71,7 @@
 /** One host of the system with all its duties. Thread-safe. */
 public final class Host implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(Host.class);
-    private static final long DISPATCH_TICK_MILLIS = 100;
+    private static final long DISPATCH_TICK_MILLIS = 20;
     private static final long TICK_MILLIS = 250;
     private static final long RENEW_MILLIS = 1_000;
     private static final long HOST_LIST_MILLIS = 1_000;
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
@@ -126,22 +126,28 @@
         duties.ifPresent(connected -> {
             logZones(view);
             listLiveHosts(connected);
+            view.zones().values().forEach(status -> learn(connected, status));
             ImmutableMap.Builder<AvailabilityZoneId, ZoneSummary> summaries = ImmutableMap.builder();
-            view.zones().forEach((zone, status) -> {
-                status.summary()
-                        .ifPresent(
-                                payload -> summaries.put(zone, SummaryMessages.fromPayload(payload, status.heard())));
-                status.members().stream()
-                        .findFirst()
-                        .filter(member -> status.heard())
-                        .ifPresent(member -> connected
-                                .changes()
-                                .follow(new ChangeFollowerEvent.Learnt(member.host(), status.lowestApplied(), true)));
-            });
+            view.zones().forEach((zone, status) -> summaries.put(zone, summaryOf(status)));
             connected.dispatching().duty().offer(new DispatchEvent.ZonesSummarised(summaries.buildOrThrow()));
         });
     }
 
+    private static void learn(Duties connected, ZonesView.ZoneStatus status) {
+        if (!status.heard() || status.members().isEmpty()) {
+            return;
+        }
+        HostId told = status.members().get(0).host();
+        connected.changes().follow(new ChangeFollowerEvent.Learnt(told, status.lowestApplied(), true));
+    }
+
+    /** A zone that never told anything still counts, so that nobody takes its share of the allowances. */
+    private static ZoneSummary summaryOf(ZonesView.ZoneStatus status) {
+        return status.summary()
+                .map(payload -> SummaryMessages.fromPayload(payload, status.heard()))
+                .orElseGet(() -> ZoneSummary.untold(status.heard()));
+    }
+
     private void logZones(ZonesView view) {
         view.zones().forEach((zone, status) -> {
             ZonesView.ZoneStatus before = lastZones.zones().get(zone);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/Dispatching.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/Dispatching.java
@@ -36,6 +36,9 @@
 
 /** Joins this host's broker and dispatcher with those of its peers. */
 public final class Dispatching implements DispatchDuty.Outlet, AutoCloseable {
+    private static final Role DISPATCHER = new Role.Dispatcher();
+    private static final long IDLE_TICKS = 12;
+
     private final Members members;
     private final PeerSender peers;
     private final Ticker ticker;
@@ -44,6 +47,7 @@
     private final Set<TargetId> reported = ConcurrentHashMap.newKeySet();
 
     private volatile ImmutableSet<TargetId> listed = ImmutableSet.of();
+    private long ticks;
     private final GrantBroker broker;
 
     /** Starts the dispatcher and its broker. */
@@ -69,9 +73,16 @@
         return duty;
     }
 
-    /** Renews the grants in use and lets time pass for the dispatcher. */
+    /**
+     * Lets time pass; called every few milliseconds.
+     *
+     * <p>Only the zone's dispatcher needs time that fine; a host that is not asked lets most ticks go.
+     */
     public void tick() {
-        duty.offer(new DispatchEvent.Ticked());
+        ticks++;
+        if (members.holds(DISPATCHER) || ticks % IDLE_TICKS == 0) {
+            duty.offer(new DispatchEvent.Ticked());
+        }
     }
 
     /** Renews the grants in use. */
@@ -98,7 +109,7 @@
 
     /** Tells the zone's dispatcher what this host saw of an engine. */
     public void report(TargetId target, LoadReport load, Optional<CacheEvents> cache) {
-        Optional<Member> dispatcher = members.holder(members.zone(), new Role.Dispatcher());
+        Optional<Member> dispatcher = members.holder(members.zone(), DISPATCHER);
         if (dispatcher.isEmpty()) {
             return;
         }
@@ -191,14 +202,14 @@
                 request.deadlineNanos(),
                 request.excluded(),
                 true);
-        members.holder(spilled.zone(), new Role.Dispatcher())
+        members.holder(spilled.zone(), DISPATCHER)
                 .ifPresent(
                         dispatcher -> peers.send(dispatcher.endpoint(), GrantMessages.submit(passedOn, ticker.read())));
     }
 
     @Override
     public void summarised(ZoneSummary summary) {
-        if (members.holds(new Role.Dispatcher())) {
+        if (members.holds(DISPATCHER)) {
             summaries.accept(summary);
         }
     }
