Split the prompt exchange and correct token estimates

Change: the request and the listener of an attempt are types of their own; a stream that was broken off fails over at once; finished requests without declared tokens correct the ratio. Conclusion: behaviour as before but for the two mends.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/Front.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/Front.java
@@ -173,13 +173,28 @@
         if (!allowance.allows(prompt.model())) {
             throw RequestException.of(ErrorKind.NOT_ALLOWED, "the plan does not allow model " + prompt.model());
         }
-        int tokens = RequestHeaders.promptTokens(request)
-                .orElseGet(() -> estimator.estimate(admitted.organisation(), prompt.model(), prompt.textBytes()));
+        Optional<Integer> declared = RequestHeaders.promptTokens(request);
+        int tokens = declared.orElseGet(
+                () -> estimator.estimate(admitted.organisation(), prompt.model(), prompt.textBytes()));
         if (tokens > Math.min(allowance.maxPromptTokens(), LengthClass.HUGE.maxTokens())) {
             throw RequestException.of(ErrorKind.PROMPT_TOO_LONG, "the prompt has about " + tokens + " tokens");
         }
         begin();
-        new PromptExchange(context, admitted, prompt, tokens, request.body(), response, inProgress::decrementAndGet)
+        PromptRequest sent = new PromptRequest(prompt, tokens, request.body());
+        new PromptExchange(context, admitted, sent, response, new PromptExchange.Listener() {
+                    @Override
+                    public void onPromptCounted(int promptTokens) {
+                        if (declared.isEmpty()) {
+                            estimator.correct(
+                                    admitted.organisation(), prompt.model(), prompt.textBytes(), promptTokens);
+                        }
+                    }
+
+                    @Override
+                    public void onDone() {
+                        inProgress.decrementAndGet();
+                    }
+                })
                 .start();
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptExchange.java
@@ -13,14 +13,12 @@
 import io.netty.util.concurrent.Future;
 import org.boragebarrow.decision.dispatch.DispatchEvent.Outcome;
 import org.boragebarrow.decision.dispatch.GrantRequest;
-import org.boragebarrow.decision.dispatch.Work;
 import org.boragebarrow.decision.retry.FailedAttempt;
 import org.boragebarrow.decision.retry.RetryDecision;
 import org.boragebarrow.decision.retry.TokenSequencer;
 import org.boragebarrow.http.server.ServerResponse;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.ErrorKind;
-import org.boragebarrow.model.LengthClass;
 import org.boragebarrow.model.Ran;
 import org.boragebarrow.model.RequestException;
 import org.boragebarrow.model.Target;
@@ -35,21 +33,19 @@
  * <p>Confined to the event loop of the caller's connection. Each token index reaches the caller exactly once, over all
  * attempts; the answer ends only when the engine's count agrees.
  */
-final class PromptExchange {
+final class PromptExchange implements AttemptListener.Events {
     private static final int MAX_RESUMES = 3;
     private static final long RESUME_DELAY_MILLIS = 20;
     private static final long RECOVERY_DELAY_MILLIS = 200;
 
     private final FrontContext context;
     private final Admitted admitted;
-    private final ParsedPrompt prompt;
-    private final int promptTokens;
-    private final ImmutableList<ByteBuffer> body;
+    private final PromptRequest request;
     private final ServerResponse response;
+    private final Listener listener;
     private final CompletionWriter writer;
     private final TokenSequencer tokens;
     private final Set<TargetId> failed = new LinkedHashSet<>();
-    private final Runnable onDone;
 
     private Future<?> deadline;
     private Running running;
@@ -74,23 +70,28 @@
 
     private EngineClient.Handle handle;
 
+    /** Receives the end of the exchange. */
+    interface Listener {
+        /** Receives how many tokens the engine counted in the prompt. */
+        void onPromptCounted(int promptTokens);
+
+        /** Receives that the request has ended, whatever became of it. */
+        void onDone();
+    }
+
     PromptExchange(
             FrontContext context,
             Admitted admitted,
-            ParsedPrompt prompt,
-            int promptTokens,
-            ImmutableList<ByteBuffer> body,
+            PromptRequest request,
             ServerResponse response,
-            Runnable onDone) {
+            Listener listener) {
         this.context = context;
         this.admitted = admitted;
-        this.prompt = prompt;
-        this.promptTokens = promptTokens;
-        this.body = body;
+        this.request = request;
         this.response = response;
-        this.tokens = new TokenSequencer(prompt.maxTokens());
-        this.writer = new CompletionWriter(response, admitted.request(), prompt);
-        this.onDone = onDone;
+        this.listener = listener;
+        this.tokens = new TokenSequencer(request.parsed().maxTokens());
+        this.writer = new CompletionWriter(response, admitted.request(), request.parsed());
     }
 
     void start() {
@@ -108,10 +109,14 @@
         attempts++;
         queued = context.nextAttempt();
         AttemptId attempt = queued;
-        Work.Prompt work = new Work.Prompt(prompt.model(), promptTokens, prompt.maxTokens(), prompt.prefix());
-        GrantRequest request = new GrantRequest(
-                attempt, admitted.organisation(), work, admitted.deadlineNanos(), ImmutableSet.copyOf(failed), false);
-        context.grants().acquire(request, response.eventLoop(), new Grants.Listener() {
+        GrantRequest demand = new GrantRequest(
+                attempt,
+                admitted.organisation(),
+                request.work(),
+                admitted.deadlineNanos(),
+                ImmutableSet.copyOf(failed),
+                false);
+        context.grants().acquire(demand, response.eventLoop(), new Grants.Listener() {
             @Override
             public void onGranted(ImmutableList<Target> targets, int priority) {
                 PromptExchange.this.onGranted(attempt, targets, priority);
@@ -156,7 +161,7 @@
             context.retries()
                     .onFirstAttempt(admitted.organisation(), running.engine().id());
         }
-        context.metrics().queued(admitted.organisation(), lengthClass(), now - admitted.arrivedNanos());
+        context.metrics().queued(admitted.organisation(), request.lengthClass(), now - admitted.arrivedNanos());
         if (running.isGang()) {
             reserve(attempt, Duration.ofNanos(remaining));
         } else {
@@ -166,9 +171,8 @@
 
     private void reserve(AttemptId attempt, Duration remaining) {
         ImmutableList<Target> gang = running.targets();
-        long needed = (long) promptTokens + prompt.maxTokens();
         context.gangs()
-                .reserve(gang, attempt, needed, remaining)
+                .reserve(gang, attempt, request.neededTokens(), remaining)
                 .thenAccept(reserved -> response.eventLoop().execute(() -> {
                     if (isStray(attempt)) {
                         context.gangs().release(gang, attempt);
@@ -187,59 +191,24 @@
         EngineClient.Submission submission = new EngineClient.Submission(
                 admitted.request(),
                 attempt,
-                prompt.model(),
-                body,
+                request.parsed().model(),
+                request.body(),
                 ByteBuffer.wrap(tokens.delivered().getBytes(StandardCharsets.UTF_8)),
-                promptTokens,
-                prompt.maxTokens(),
+                request.promptTokens(),
+                request.parsed().maxTokens(),
                 tokens.next(),
                 resume,
                 running.priority(),
                 remaining(),
                 gang);
-        handle = context.engines().submit(running.engine(), submission, new EngineListener(attempt));
+        handle = context.engines()
+                .submit(running.engine(), submission, new AttemptListener(attempt, response.eventLoop(), this));
     }
 
     private Duration remaining() {
         return Duration.ofNanos(admitted.remainingNanos(context.ticker().read()));
     }
 
-    private LengthClass lengthClass() {
-        return LengthClass.of(promptTokens);
-    }
-
-    /** Brings the events of one attempt to the exchange's event loop. */
-    private final class EngineListener implements EngineClient.Listener {
-        private final AttemptId attempt;
-
-        EngineListener(AttemptId attempt) {
-            this.attempt = attempt;
-        }
-
-        @Override
-        public void onToken(int index, String text) {
-            run(() -> PromptExchange.this.onToken(attempt, index, text));
-        }
-
-        @Override
-        public void onEnd(int count, int promptCount, String finishReason) {
-            run(() -> PromptExchange.this.onEnd(attempt, count, promptCount, finishReason));
-        }
-
-        @Override
-        public void onFailure(TargetFailure failure) {
-            run(() -> PromptExchange.this.onFailure(attempt, failure));
-        }
-
-        private void run(Runnable action) {
-            if (response.eventLoop().inEventLoop()) {
-                action.run();
-                return;
-            }
-            response.eventLoop().execute(action);
-        }
-    }
-
     private boolean isStray(AttemptId attempt) {
         boolean stray = done || running == null || !running.attempt().equals(attempt);
         if (stray) {
@@ -249,7 +218,8 @@
         return stray;
     }
 
-    private void onToken(AttemptId attempt, int index, String text) {
+    @Override
+    public void onToken(AttemptId attempt, int index, String text) {
         if (isStray(attempt)) {
             return;
         }
@@ -263,9 +233,9 @@
     private void deliver(String text) {
         long now = context.ticker().read();
         if (tokens.next() == 1) {
-            context.metrics().firstToken(admitted.organisation(), lengthClass(), now - admitted.arrivedNanos());
+            context.metrics().firstToken(admitted.organisation(), request.lengthClass(), now - admitted.arrivedNanos());
         } else {
-            context.metrics().betweenTokens(admitted.organisation(), lengthClass(), now - lastTokenNanos);
+            context.metrics().betweenTokens(admitted.organisation(), request.lengthClass(), now - lastTokenNanos);
         }
         lastTokenNanos = now;
         writer.token(text);
@@ -274,7 +244,8 @@
         }
     }
 
-    private void onEnd(AttemptId attempt, int count, int promptCount, String finishReason) {
+    @Override
+    public void onEnd(AttemptId attempt, int count, int promptCount, String finishReason) {
         if (isStray(attempt)) {
             return;
         }
@@ -284,7 +255,8 @@
         }
         finishRunning(Outcome.COMPLETED);
         long elapsed = context.ticker().read() - admitted.arrivedNanos();
-        context.metrics().completed(admitted.organisation(), lengthClass(), elapsed);
+        listener.onPromptCounted(promptCount);
+        context.metrics().completed(admitted.organisation(), request.lengthClass(), elapsed);
         writer.end(count, promptCount, finishReason);
         close();
     }
@@ -293,10 +265,11 @@
         Running broken = running;
         handle.close();
         context.releases().cancel(broken.engine(), broken.attempt());
-        onFailure(broken.attempt(), failure);
+        failOver(failure);
     }
 
-    private void onFailure(AttemptId attempt, TargetFailure failure) {
+    @Override
+    public void onFailure(AttemptId attempt, TargetFailure failure) {
         if (isStray(attempt)) {
             return;
         }
@@ -305,7 +278,12 @@
             response.eventLoop().schedule(() -> resume(attempt), RESUME_DELAY_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
+        failOver(failure);
+    }
+
+    private void failOver(TargetFailure failure) {
         Running broken = running;
+        AttemptId attempt = broken.attempt();
         context.log().write(LogEvent.TARGET_FAILED, broken.engine().id(), attempt, failure.message());
         finishRunning(Outcome.FAILED);
         if (failure.sent() && !failure.refused()) {
@@ -409,6 +387,6 @@
     private void close() {
         done = true;
         deadline.cancel(false);
-        onDone.run();
+        listener.onDone();
     }
 }
