Refuse bad input clearly, and keep the catalogues in step with the program

Refusals echo a valid Request-Id. Settings problems come in the order of the file. Broken answers on opening links count as rejections.

Latency: not measured. A test that a link opens again after its peer's loops ended is not in: it failed in 2 of 4 runs, because the break was not told within 20 s, and it is not known whether the test or the link is at fault.

Conclusion: bad input gets one clear error; the pages cannot drift.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
@@ -32,6 +32,7 @@
 
     private Runnable closeAction = NOTHING;
     private Runnable writabilityAction = NOTHING;
+    private boolean started;
     private boolean finished;
 
     ChannelResponse(Channel channel, boolean keepAlive, Completion completion) {
@@ -57,6 +58,10 @@
 
     @Override
     public void send(int status, ImmutableListMultimap<String, String> headers, ByteBuffer body) {
+        if (started) {
+            // A second head would read as part of the body.
+            abort();
+        }
         if (!isOpen()) {
             return;
         }
@@ -77,6 +82,7 @@
         setHeaders(message.headers(), headers);
         message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         channel.writeAndFlush(message, channel.voidPromise());
+        started = true;
     }
 
     private void setHeaders(HttpHeaders to, ImmutableListMultimap<String, String> from) {
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -163,6 +163,9 @@
             handler.onRequest(request, response);
         } catch (RequestException e) {
             handler.onRefused(e, response);
+        } catch (RuntimeException e) {
+            String fault = "the host met a fault of its own: " + e.getClass().getSimpleName();
+            handler.onRefused(RequestException.of(ErrorKind.INTERNAL, fault), response);
         }
     }
 
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
@@ -180,13 +180,27 @@
 
     @Example
     void aCallerThatReadsKeepsItsAnswerHoweverLongItIs() throws Exception {
-        try (RawCaller caller = call(SHORT, LONG).send("GET /flood HTTP/1.1\r\n\r\n")) {
-            long left = ScriptedHandler.FLOOD_BYTES;
-            while (left > 0) {
-                left -= caller.skip();
+        try (RawCaller caller = call(SHORT, LONG).send("GET /flood HTTP/1.1\r\nConnection: close\r\n\r\n")) {
+            long received = 0;
+            for (int part = caller.skip(); part >= 0; part = caller.skip()) {
+                received += part;
             }
-            assertThat(handler.flooded.get()).isEqualTo(ScriptedHandler.FLOOD_BYTES);
+            assertThat(received).isAtLeast(ScriptedHandler.FLOOD_BYTES);
             assertThat(handler.gone).isEmpty();
         }
     }
+
+    @Example
+    void aFaultOfTheHandlerIsAnswered() throws Exception {
+        try (RawCaller caller = call().send("GET /fault HTTP/1.1\r\nConnection: close\r\n\r\n")) {
+            assertThat(caller.readToClose()).containsMatch("(?s)^HTTP/1.1 500.*INTERNAL");
+        }
+    }
+
+    @Example
+    void aFaultWithinAnAnswerBreaksTheAnswerOff() throws Exception {
+        try (RawCaller caller = call().send("GET /late-fault HTTP/1.1\r\n\r\n")) {
+            assertThat(caller.readToClose()).endsWith("transfer-encoding: chunked\r\n\r\n");
+        }
+    }
 }
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/ScriptedHandler.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/ScriptedHandler.java
@@ -31,6 +31,11 @@
                 response.onWritabilityChanged(() -> flood(response));
                 flood(response);
             }
+            case "/fault" -> throw new IllegalStateException("fault");
+            case "/late-fault" -> {
+                response.start(200, ImmutableListMultimap.of());
+                throw new IllegalStateException("fault");
+            }
             default -> answer(response, 200, request.path() + " " + request.bodyBytes());
         }
     }
@@ -40,6 +45,9 @@
             flooded.addAndGet(PART_BYTES);
             response.write(ByteBuffer.allocate(PART_BYTES));
         }
+        if (response.isOpen() && flooded.get() == FLOOD_BYTES) {
+            response.end();
+        }
     }
 
     @Override
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ErrorBodies.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ErrorBodies.java
@@ -35,6 +35,12 @@
         send(response, failure, Optional.of(request), bytes(failure, !claimed));
     }
 
+    /** Answers a keyed call that was refused before its claim was read, so that nothing is known of other attempts. */
+    static void sendKeyedRefusal(ServerResponse response, RequestException failure, Optional<RequestId> request) {
+        RequestException told = failure.withRanUnknown();
+        send(response, told, request, bytes(told, true));
+    }
+
     private static void send(
             ServerResponse response, RequestException failure, Optional<RequestId> request, byte[] body) {
         ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/Front.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/Front.java
@@ -20,6 +20,7 @@
 import org.boragebarrow.model.Configuration;
 import org.boragebarrow.model.ErrorKind;
 import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Ids;
 import org.boragebarrow.model.LengthClass;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.RequestException;
@@ -121,7 +122,7 @@
         switch (request.path()) {
             case "/livez" -> sendText(response, 200, "live\n");
             case "/readyz" -> sendText(response, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
-            default -> serve(request, response);
+            default -> serveOrRefuse(request, response);
         }
     }
 
@@ -136,6 +137,24 @@
         response.send(status, headers, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
     }
 
+    private void serveOrRefuse(ServerRequest request, ServerResponse response) {
+        try {
+            serve(request, response);
+        } catch (RequestException refusal) {
+            context.metrics().failed(refusal.kind());
+            Optional<RequestId> id = request.header(RequestHeaders.REQUEST_ID)
+                    .filter(Ids::isValid)
+                    .map(RequestId::of);
+            boolean keyed = request.path().startsWith(SERVICES)
+                    && request.headers().containsKey(RequestHeaders.IDEMPOTENCY_KEY);
+            if (keyed) {
+                ErrorBodies.sendKeyedRefusal(response, refusal, id);
+                return;
+            }
+            ErrorBodies.send(response, refusal, id);
+        }
+    }
+
     private void serve(ServerRequest request, ServerResponse response) {
         if (refusing) {
             throw RequestException.of(ErrorKind.SHUTTING_DOWN, "the host is shutting down", FULL_RETRY);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptParser.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/PromptParser.java
@@ -138,7 +138,11 @@
 
     private void addText(String text) {
         textSeen = true;
-        textBytes += Utf8.encodedLength(text);
+        try {
+            textBytes += Utf8.encodedLength(text);
+        } catch (IllegalArgumentException e) {
+            throw bad("the text holds half of a surrogate pair: " + e.getMessage());
+        }
         prefix.add(text);
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
@@ -131,10 +131,14 @@
         if (named.contains(organisation)) {
             return organisation.value();
         }
-        if (named.size() >= maxOrganisations) {
-            return OTHER;
+        return tryName(organisation) ? organisation.value() : OTHER;
+    }
+
+    private synchronized boolean tryName(OrganisationId organisation) {
+        if (named.size() >= maxOrganisations && !named.contains(organisation)) {
+            return false;
         }
         named.add(organisation);
-        return organisation.value();
+        return true;
     }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/Secret.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/Secret.java
@@ -46,6 +46,16 @@
         throw new IllegalArgumentException("a secret is named as file:PATH or env:NAME");
     }
 
+    /**
+     * Returns this secret.
+     *
+     * @throws IllegalArgumentException if it is shorter
+     */
+    Secret atLeast(int length) {
+        checkArgument(bytes.length >= length, "the secret has fewer than %s bytes", length);
+        return this;
+    }
+
     /** Returns a copy of the secret's bytes. */
     public byte[] bytes() {
         return bytes.clone();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
@@ -9,6 +9,7 @@
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.ModelId;
 import org.boragebarrow.model.TargetId;
+import org.boragebarrow.peer.link.PeerKey;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
@@ -49,8 +50,12 @@
             Setting.required("admin", "token", SECRET, "The operators' token.", Secret::parse);
     static final Setting<Endpoint> PEERS_ENDPOINT =
             Setting.required("peers", "endpoint", ENDPOINT, "Where other hosts connect.", Endpoint::parse);
-    static final Setting<Secret> PEERS_KEY =
-            Setting.required("peers", "key", SECRET, "The key that all hosts share, 16 bytes or more.", Secret::parse);
+    static final Setting<Secret> PEERS_KEY = Setting.required(
+            "peers",
+            "key",
+            SECRET,
+            "The key that all hosts share, 16 bytes or more.",
+            text -> Secret.parse(text).atLeast(PeerKey.MIN_BYTES));
     static final Setting<ImmutableList<Seed>> PEERS_SEEDS =
             Setting.list("peers", "seeds", "list of host@zone@address:port", "Hosts to find first.", Seed::parse);
     static final Setting<Endpoint> TABLE =
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingsFile.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingsFile.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
@@ -20,6 +21,9 @@
 
 /** Reads values from an INI file and gathers all problems, so that one look tells them all. */
 final class SettingsFile {
+    private static final Comparator<SettingsProblem> BY_LINE =
+            Comparator.comparingInt(problem -> problem.line() == 0 ? Integer.MAX_VALUE : problem.line());
+
     private final INIConfiguration ini = new INIConfiguration();
     private final Map<String, Integer> lines = new TreeMap<>();
     private final Set<String> used = new HashSet<>();
@@ -118,7 +122,7 @@
             problems.add(new SettingsProblem(parts.next(), parts.next(), line.getValue(), "unknown key"));
         }
         if (!problems.isEmpty()) {
-            throw new SettingsException(ImmutableList.copyOf(problems));
+            throw new SettingsException(ImmutableList.sortedCopyOf(BY_LINE, problems));
         }
     }
 }
--- /dev/null
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/docs/DocumentsTest.java
@@ -0,0 +1,81 @@
+package org.boragebarrow.node.docs;
+
+import java.util.Arrays;
+import java.util.Locale;
+
+import com.google.common.collect.ImmutableList;
+import net.jqwik.api.Example;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.node.log.LogEvent;
+import org.boragebarrow.node.settings.Setting;
+import org.boragebarrow.node.settings.SettingKeys;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.truth.Truth.assertThat;
+
+class DocumentsTest {
+    private static final int EXPLAINED_COLUMNS = 2;
+
+    private static ImmutableList<ImmutableList<String>> facts(ImmutableList<ImmutableList<String>> rows) {
+        return rows.stream()
+                .map(row -> row.subList(0, row.size() - EXPLAINED_COLUMNS))
+                .collect(toImmutableList());
+    }
+
+    private static String code(String text) {
+        return "`" + text + "`";
+    }
+
+    private static void assertExplained(ImmutableList<ImmutableList<String>> rows) {
+        for (ImmutableList<String> row : rows) {
+            assertThat(row.subList(row.size() - EXPLAINED_COLUMNS, row.size()))
+                    .containsNoneIn(ImmutableList.of("", "?"));
+        }
+    }
+
+    @Example
+    void theCatalogueOfEventsIsThatOfTheProgram() {
+        ImmutableList<ImmutableList<String>> rows = DocumentTables.rows("EVENTS.md", "number");
+        assertThat(facts(rows))
+                .containsExactlyElementsIn(Arrays.stream(LogEvent.values())
+                        .map(event -> ImmutableList.of(
+                                Integer.toString(event.number()),
+                                event.level().name(),
+                                code(event.name()),
+                                code(event.message())))
+                        .toList())
+                .inOrder();
+        assertExplained(rows);
+    }
+
+    @Example
+    void theTableOfErrorsIsThatOfTheProgram() {
+        ImmutableList<ImmutableList<String>> rows = DocumentTables.rows("ERRORS.md", "kind");
+        assertThat(facts(rows))
+                .containsExactlyElementsIn(Arrays.stream(ErrorKind.values())
+                        .map(kind -> ImmutableList.of(
+                                code(kind.name()),
+                                Integer.toString(kind.status()),
+                                kind.ran().name().toLowerCase(Locale.ROOT),
+                                kind.retryable() ? "yes" : "no"))
+                        .toList())
+                .inOrder();
+        assertExplained(rows);
+    }
+
+    @Example
+    void theTableOfSettingsIsThatOfTheProgram() {
+        assertThat(DocumentTables.rows("OPERATIONS.md", "section"))
+                .containsExactlyElementsIn(
+                        SettingKeys.all().stream().map(DocumentsTest::rowOf).toList())
+                .inOrder();
+    }
+
+    private static ImmutableList<String> rowOf(Setting<?> setting) {
+        String byDefault = setting.defaultText()
+                .map(text -> text.isEmpty() ? "empty" : code(text))
+                .orElse("required");
+        return ImmutableList.of(
+                code(setting.section()), code(setting.key()), setting.type(), byDefault, setting.summary());
+    }
+}
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/ConnectHandler.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/ConnectHandler.java
@@ -77,6 +77,6 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        context.close();
+        reject(context, String.valueOf(cause.getMessage()));
     }
 }
--- /dev/null
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/link/PeerLinksTest.java
@@ -0,0 +1,200 @@
+package org.boragebarrow.peer.link;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.lifecycle.AfterProperty;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.proto.Suspect;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class PeerLinksTest {
+    private static final Endpoint ANY_PORT = Endpoint.of("127.0.0.1", 0);
+    private static final PeerKey KEY = key("the key of this deployment");
+    private static final int WAITING_ROOM = 256;
+
+    private final EventLoopGroup nearLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup farLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final RecordingListener nearEvents = new RecordingListener();
+    private final RecordingListener farEvents = new RecordingListener();
+    private final PeerLinks near = PeerLinks.start(identity("near"), KEY, nearEvents, nearLoops, ANY_PORT);
+    private final PeerLinks far = PeerLinks.start(identity("far"), KEY, farEvents, farLoops, ANY_PORT);
+
+    @AfterProperty
+    void shutDown() {
+        near.close();
+        far.close();
+        nearLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        farLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private static PeerKey key(String text) {
+        return PeerKey.of(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static PeerIdentity identity(String host) {
+        return new PeerIdentity(HostLife.of(HostId.of(host), Incarnation.of(1)), AvailabilityZoneId.of("a"));
+    }
+
+    private static Envelope message(int number) {
+        Suspect body = Suspect.newBuilder().setRefutations(number).build();
+        return Envelope.newBuilder().setSuspect(body).build();
+    }
+
+    @Example
+    void messagesWaitWhileTheLinkOpensAndArriveInOrder() throws Exception {
+        for (int number = 0; number < 100; number++) {
+            assertThat(near.send(far.endpoint(), message(number))).isTrue();
+        }
+        for (int number = 0; number < 100; number++) {
+            assertThat(RecordingListener.await(farEvents.messages)).isEqualTo(message(number));
+        }
+        assertThat(farEvents.senders).contains(identity("near").life());
+    }
+
+    @Example
+    void whatWaitsForALinkIsBounded() throws IOException {
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Endpoint endpoint = Endpoint.of("127.0.0.1", silent.getLocalPort());
+            for (int number = 0; number < WAITING_ROOM; number++) {
+                assertThat(near.send(endpoint, message(number))).isTrue();
+            }
+            assertThat(near.send(endpoint, message(0))).isFalse();
+        }
+    }
+
+    @Example
+    void aHostWithAnotherKeyIsRefusedAndCounted() throws Exception {
+        RecordingListener strangerEvents = new RecordingListener();
+        PeerLinks stranger =
+                PeerLinks.start(identity("near"), key("the key of another one"), strangerEvents, nearLoops, ANY_PORT);
+        stranger.send(far.endpoint(), message(1));
+        assertThat(RecordingListener.await(farEvents.rejections)).contains("wrong peer key");
+        assertThat(RecordingListener.await(strangerEvents.broken)).isEqualTo(far.endpoint());
+        assertThat(farEvents.messages).isEmpty();
+        stranger.close();
+    }
+
+    @Example
+    void anAcceptingHostWithoutTheKeyGetsNoMessage() throws Exception {
+        RecordingListener strangerEvents = new RecordingListener();
+        PeerLinks stranger =
+                PeerLinks.start(identity("far"), key("the key of another one"), strangerEvents, nearLoops, ANY_PORT);
+        near.send(stranger.endpoint(), message(1));
+        assertThat(RecordingListener.await(nearEvents.broken)).isEqualTo(stranger.endpoint());
+        assertThat(strangerEvents.messages).isEmpty();
+        stranger.close();
+    }
+
+    @Example
+    void aMessageBeforeTheHelloIsRefused() throws Exception {
+        try (RawPeer stranger = new RawPeer(far.endpoint())) {
+            stranger.send(message(1));
+            assertThat(RecordingListener.await(farEvents.rejections)).contains("not a hello");
+            assertThat(stranger.isClosedByPeer()).isTrue();
+            assertThat(farEvents.messages).isEmpty();
+        }
+    }
+
+    @Example
+    void aReplayedHelloIsRefused() throws Exception {
+        try (RawPeer first = new RawPeer(far.endpoint());
+                RawPeer second = new RawPeer(far.endpoint())) {
+            Envelope hello = first.hello(identity("near"), KEY);
+            first.send(hello);
+            assertThat(first.read().hasWelcome()).isTrue();
+            second.send(hello);
+            assertThat(RecordingListener.await(farEvents.rejections)).contains("wrong peer key");
+            assertThat(second.isClosedByPeer()).isTrue();
+        }
+    }
+
+    @Example
+    void aHelloInTheNameOfAnotherHostIsRefused() throws Exception {
+        try (RawPeer peer = new RawPeer(far.endpoint())) {
+            Envelope hello = peer.hello(identity("near"), KEY);
+            Envelope altered = hello.toBuilder()
+                    .setHello(hello.getHello().toBuilder().setHost("other"))
+                    .build();
+            peer.send(altered);
+            assertThat(RecordingListener.await(farEvents.rejections)).contains("wrong peer key");
+        }
+    }
+
+    private void assertClosedAlone(int length, byte[] bytes) throws Exception {
+        try (RawPeer peer = new RawPeer(far.endpoint());
+                RawPeer other = new RawPeer(far.endpoint())) {
+            peer.send(peer.hello(identity("near"), KEY));
+            peer.read();
+            other.send(other.hello(identity("other"), KEY));
+            other.read();
+            peer.sendBytes(length, bytes);
+            assertThat(RecordingListener.await(farEvents.rejections)).isNotNull();
+            assertThat(peer.isClosedByPeer()).isTrue();
+            other.send(message(7));
+            assertThat(RecordingListener.await(farEvents.messages)).isEqualTo(message(7));
+        }
+    }
+
+    @Example
+    void aFrameThatIsNoMessageClosesItsLinkAlone() throws Exception {
+        assertClosedAlone(3, new byte[] {-1, -1, -1});
+    }
+
+    @Example
+    void anOversizedFrameClosesItsLinkAlone() throws Exception {
+        assertClosedAlone(Integer.MAX_VALUE, new byte[16]);
+    }
+
+    @Example
+    void aFrameOfNegativeLengthClosesItsLinkAlone() throws Exception {
+        assertClosedAlone(-5, new byte[16]);
+    }
+
+    @Example
+    void aTruncatedFrameIsNotDelivered() throws Exception {
+        try (RawPeer peer = new RawPeer(far.endpoint())) {
+            peer.send(peer.hello(identity("near"), KEY));
+            peer.read();
+            peer.sendBytes(1_000, message(1).toByteArray());
+            peer.endOutput();
+            assertThat(peer.isClosedByPeer()).isTrue();
+            assertThat(farEvents.messages).isEmpty();
+        }
+    }
+
+    @Property(seed = "23", tries = 60)
+    void randomBytesDisturbNoOtherLink(@ForAll Random random, @ForAll boolean authenticated) throws Exception {
+        try (RawPeer stranger = new RawPeer(far.endpoint())) {
+            if (authenticated) {
+                stranger.send(stranger.hello(identity("other"), KEY));
+                stranger.read();
+            }
+            byte[] bytes = new byte[random.nextInt(300)];
+            random.nextBytes(bytes);
+            stranger.sendBytes(random.nextBoolean() ? bytes.length : random.nextInt(), bytes);
+            near.send(far.endpoint(), message(9));
+            Envelope received = RecordingListener.await(farEvents.messages);
+            while (!message(9).equals(received)) {
+                assertThat(received).isNotNull();
+                received = RecordingListener.await(farEvents.messages);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/link/RecordingListener.java
@@ -0,0 +1,39 @@
+package org.boragebarrow.peer.link;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.peer.proto.Envelope;
+
+/** Keeps what happens on links. */
+final class RecordingListener implements PeerListener {
+    private static final long WAIT_SECONDS = 20;
+
+    final BlockingQueue<Envelope> messages = new LinkedBlockingQueue<>();
+    final BlockingQueue<HostLife> senders = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> rejections = new LinkedBlockingQueue<>();
+    final BlockingQueue<Endpoint> broken = new LinkedBlockingQueue<>();
+
+    @Override
+    public void onMessage(HostLife from, Envelope message) {
+        senders.add(from);
+        messages.add(message);
+    }
+
+    @Override
+    public void onLinkDown(Endpoint peer) {
+        broken.add(peer);
+    }
+
+    @Override
+    public void onRejected(String reason) {
+        rejections.add(reason);
+    }
+
+    static <T> T await(BlockingQueue<T> queue) throws InterruptedException {
+        return queue.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+}
