--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/plan/EnginePolls.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/plan/EnginePolls.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
@@ -14,7 +16,6 @@
 import org.boragebarrow.model.ModelId;
 import org.boragebarrow.model.Target;
 import org.boragebarrow.model.TargetId;
-import org.boragebarrow.port.EngineControl;
 import org.boragebarrow.port.EngineControl.LoadReport;
 
 /**
@@ -28,7 +29,7 @@
     private static final long HURRIED_POLL_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long HURRY_NANOS = Duration.ofSeconds(30).toNanos();
 
-    private final EngineControl control;
+    private final Function<Target, CompletableFuture<LoadReport>> load;
     private final Ticker ticker;
     private final ImmutableSet<ModelId> models;
     private final Map<TargetId, LoadReport> latest = new TreeMap<>();
@@ -47,8 +48,8 @@
         }
     }
 
-    EnginePolls(EngineControl control, Ticker ticker, ImmutableSet<ModelId> models) {
-        this.control = control;
+    EnginePolls(Function<Target, CompletableFuture<LoadReport>> load, Ticker ticker, ImmutableSet<ModelId> models) {
+        this.load = load;
         this.ticker = ticker;
         this.models = models;
     }
@@ -76,7 +77,8 @@
         polledNanos = now;
         latest.keySet().retainAll(engines.stream().map(Target::id).toList());
         for (Target engine : engines) {
-            control.load(engine).thenAccept(load -> listener.accept(new Answer(engine.id(), load, now, ticker.read())));
+            load.apply(engine)
+                    .thenAccept(report -> listener.accept(new Answer(engine.id(), report, now, ticker.read())));
         }
     }
 
@@ -84,10 +86,10 @@
     PlannerEvent.DemandReported answered(Answer answer) {
         latest.put(answer.engine(), answer.load());
         Map<ModelId, Double> demand = new HashMap<>();
-        for (LoadReport load : latest.values()) {
-            double each = (double) (load.running() + load.queued())
-                    / Math.max(1, load.models().size());
-            load.models().stream().filter(models::contains).forEach(model -> demand.merge(model, each, Double::sum));
+        for (LoadReport report : latest.values()) {
+            double each = (double) (report.running() + report.queued())
+                    / Math.max(1, report.models().size());
+            report.models().stream().filter(models::contains).forEach(model -> demand.merge(model, each, Double::sum));
         }
         return new PlannerEvent.DemandReported(ImmutableMap.copyOf(demand));
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/plan/PlanDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/plan/PlanDuty.java
@@ -78,7 +78,7 @@
         this.lease = new LeaseMachine(name, context.members().self(), settings.lease());
         this.planner = new Planner(settings.planner());
         this.polls = new EnginePolls(
-                context.control(), context.ticker(), settings.planner().models());
+                context.control()::load, context.ticker(), settings.planner().models());
         this.ring = rings.start("plan", this::handle);
     }
 
--- /dev/null
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/plan/EnginePollsTest.java
@@ -0,0 +1,99 @@
+package org.boragebarrow.node.plan;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import net.jqwik.api.Example;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.ModelId;
+import org.boragebarrow.model.Target;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.TargetKind;
+import org.boragebarrow.port.EngineControl.LoadReport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class EnginePollsTest {
+    private static final ModelId SCRIBE = ModelId.of("scribe");
+    private static final ModelId DRAFTER = ModelId.of("drafter");
+    private static final ModelId FOREIGN = ModelId.of("foreign");
+    private static final Target ENGINE = new Target(
+            TargetId.of("engine"),
+            TargetKind.ENGINE,
+            AvailabilityZoneId.of("a"),
+            Endpoint.of("127.0.0.1", 1),
+            Optional.empty(),
+            false);
+
+    private final AtomicLong nanos = new AtomicLong();
+    private final List<Target> asked = new ArrayList<>();
+    private final EnginePolls polls = new EnginePolls(
+            engine -> {
+                asked.add(engine);
+                return new CompletableFuture<>();
+            },
+            new Ticker() {
+                @Override
+                public long read() {
+                    return nanos.get();
+                }
+            },
+            ImmutableSet.of(SCRIBE, DRAFTER));
+
+    private static EnginePolls.Answer answer(String engine, int running, int queued, ModelId... models) {
+        LoadReport load = new LoadReport(
+                Duration.ofMillis(300), 1, 0, 1, running, queued, 1, 1, ImmutableSet.copyOf(models), "both", true);
+        return new EnginePolls.Answer(TargetId.of(engine), load, 1_000_000, 3_000_000);
+    }
+
+    private void pollAfter(Duration time) {
+        nanos.addAndGet(time.toNanos());
+        polls.poll(ImmutableList.of(ENGINE), answer -> {});
+    }
+
+    @Example
+    void demandSumsOverEnginesAndIsSharedByTheModelsOfOne() {
+        polls.answered(answer("first", 3, 2, SCRIBE));
+        var demand = polls.answered(answer("second", 4, 0, SCRIBE, DRAFTER)).tokensPerSecond();
+        assertThat(demand).containsExactly(SCRIBE, 7.0, DRAFTER, 2.0);
+    }
+
+    @Example
+    void demandForModelsThatAreNotPlannedDoesNotCount() {
+        assertThat(polls.answered(answer("first", 3, 2, FOREIGN)).tokensPerSecond())
+                .isEmpty();
+    }
+
+    @Example
+    void theTimeOfTheCallCountsAsTheReportsAge() {
+        assertThat(answer("first", 0, 0, SCRIBE).report().age()).isEqualTo(Duration.ofMillis(302));
+    }
+
+    @Example
+    void enginesAreAskedEveryFiveSeconds() {
+        pollAfter(Duration.ZERO);
+        pollAfter(Duration.ofMillis(4_999));
+        assertThat(asked).hasSize(1);
+        pollAfter(Duration.ofMillis(1));
+        assertThat(asked).hasSize(2);
+    }
+
+    @Example
+    void enginesAreAskedEverySecondForAWhileAfterAnOrder() {
+        pollAfter(Duration.ZERO);
+        polls.orderSent();
+        pollAfter(Duration.ofSeconds(1));
+        assertThat(asked).hasSize(2);
+        pollAfter(Duration.ofSeconds(30));
+        pollAfter(Duration.ofSeconds(1));
+        assertThat(asked).hasSize(3);
+    }
+}
