--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -99,7 +99,7 @@
 
     private Host(HostSettings settings, Incarnation incarnation, Surroundings surroundings) {
         this.settings = settings;
-        this.loops = new MultiThreadIoEventLoopGroup(NioIoHandler.newFactory());
+        this.loops = new MultiThreadIoEventLoopGroup(settings.ioThreads(), NioIoHandler.newFactory());
         this.metrics = new HostMetrics(settings.maxOrganisationSeries());
         this.directory = new TargetDirectory(settings.targets());
         this.client = new HttpClient(loops);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettings.java
@@ -25,6 +25,7 @@
 public record HostSettings(
         HostId id,
         AvailabilityZoneId zone,
+        int ioThreads,
         Endpoint callers,
         ServerLimits callerLimits,
         Endpoint admin,
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettingsReader.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettingsReader.java
@@ -38,6 +38,7 @@
         return new HostSettings(
                 file.get(SettingKeys.HOST_ID, HostId.of("unknown")),
                 file.get(SettingKeys.HOST_ZONE, AvailabilityZoneId.of("unknown")),
+                file.get(SettingKeys.IO_THREADS, 1),
                 file.get(SettingKeys.CALLERS_ENDPOINT, NO_ENDPOINT),
                 limits(),
                 file.get(SettingKeys.ADMIN_ENDPOINT, NO_ENDPOINT),
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
@@ -25,6 +25,8 @@
             Setting.required("host", "id", "id", "The host's name, unique in the deployment.", HostId::of);
     static final Setting<AvailabilityZoneId> HOST_ZONE =
             Setting.required("host", "zone", "id", "The host's availability zone.", AvailabilityZoneId::of);
+    static final Setting<Integer> IO_THREADS =
+            Setting.integer("host", "io-threads", "threads", 4, 1, 256, "Threads that read and write all connections.");
     static final Setting<Endpoint> CALLERS_ENDPOINT =
             Setting.required("callers", "endpoint", ENDPOINT, "Where callers connect.", Endpoint::parse);
     static final Setting<Integer> MAX_CONNECTIONS = Setting.integer(
@@ -134,6 +136,7 @@
     private static final ImmutableList<Setting<?>> ALL = ImmutableList.of(
             HOST_ID,
             HOST_ZONE,
+            IO_THREADS,
             CALLERS_ENDPOINT,
             MAX_CONNECTIONS,
             MAX_HEADER_BYTES,
