Reopen links, write all listed events, and test drains and stopped targets

Cause: closing a host's links left accepted ones open, so that nobody proved that a link opens again; a stranger who trickled bytes could hold a peer connection; three events were listed but never written; drains and stopped targets had no end-to-end test. Change: closing closes accepted links; the handshake has a total limit of 5 s; events 2005, 3002 and 5001 are written; DrainTest drains a host with a stream in progress while the table is down.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Reactions.java
@@ -45,6 +45,7 @@
 
     private volatile Optional<Duties> duties = Optional.empty();
     private MemberView lastMembers;
+    private Optional<HostId> lastDispatcher = Optional.empty();
     private ZonesView lastZones = new ZonesView(ImmutableMap.of(), 0);
 
     /** The duties that hear of each other's news. */
@@ -76,6 +77,7 @@
                     .forEach((host, applied) ->
                             connected.changes().follow(new ChangeFollowerEvent.Learnt(host, applied, true)));
             pollHead(connected);
+            logDispatcher(connected.members());
             lastMembers = view;
             listLiveHosts(connected);
         });
@@ -104,6 +106,15 @@
         }
     }
 
+    private void logDispatcher(MemberDuty members) {
+        Optional<HostId> now =
+                members.holder(members.zone(), new Role.Dispatcher()).map(Member::host);
+        if (!now.equals(lastDispatcher)) {
+            lastDispatcher = now;
+            LOG.write(LogEvent.DISPATCHER_CHANGED, now.map(HostId::value).orElse("nobody"));
+        }
+    }
+
     /** Two roles of each zone read the head of the log, so that a change is found whose writer died before it told. */
     private static void pollHead(Duties connected) {
         MemberDuty members = connected.members();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/change/ChangeDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/change/ChangeDuty.java
@@ -22,6 +22,7 @@
 import org.boragebarrow.decision.change.SnapshotEffect;
 import org.boragebarrow.decision.change.SnapshotEvent;
 import org.boragebarrow.decision.change.SnapshotWriter;
+import org.boragebarrow.decision.table.TableAnswer;
 import org.boragebarrow.decision.table.TableCalls;
 import org.boragebarrow.model.ErrorKind;
 import org.boragebarrow.model.HostId;
@@ -74,6 +75,7 @@
 
     private volatile ChangeState state = ChangeState.empty();
     private volatile boolean ready;
+    private volatile boolean unreachable;
 
     /** Starts the duty. */
     public ChangeDuty(ChangeCodec codec, TableService table, Ticker ticker, Listener listener, DutyRing.Factory rings) {
@@ -143,15 +145,22 @@
     private void handle(ChangeFollowerEffect effect) {
         switch (effect) {
             case ChangeFollowerEffect.Call call ->
-                TableCalls.make(call.table(), table)
-                        .thenAccept(answer ->
-                                retryOffer(new Follow(new ChangeFollowerEvent.Answered(call.call(), answer))));
+                TableCalls.make(call.table(), table).thenAccept(answer -> followed(call.call(), answer));
             case ChangeFollowerEffect.Fetch fetch -> listener.fetch(fetch.peer(), fetch.after());
             case ChangeFollowerEffect.Configured configured -> configure(configured.state());
             case ChangeFollowerEffect.BecameReady becameReady -> ready = true;
         }
     }
 
+    private void followed(long call, TableAnswer answer) {
+        boolean failed = answer instanceof TableAnswer.ReadFailed;
+        if (failed && !unreachable) {
+            LOG.write(LogEvent.CHANGE_LOG_UNREACHABLE, "the table service does not answer");
+        }
+        unreachable = failed;
+        retryOffer(new Follow(new ChangeFollowerEvent.Answered(call, answer)));
+    }
+
     private void configure(ChangeState later) {
         state = later;
         apply(new SnapshotEvent.Configured(later));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimDuty.java
@@ -25,17 +25,21 @@
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.RequestException;
 import org.boragebarrow.node.front.Claims;
+import org.boragebarrow.node.log.EventLog;
+import org.boragebarrow.node.log.LogEvent;
 import org.boragebarrow.node.member.Members;
 import org.boragebarrow.node.ring.DutyRing;
 import org.boragebarrow.peer.link.PeerSender;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.port.ObjectStore;
 import org.boragebarrow.port.TableService;
+import org.boragebarrow.port.TableService.CommitResult;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
 /** The thread that runs {@link ClaimKeeper}. */
 public final class ClaimDuty implements Claims, AutoCloseable {
+    private static final EventLog LOG = EventLog.of(ClaimDuty.class);
     private static final long RETRY_MILLIS = 10;
 
     private final ClaimKeeper keeper = new ClaimKeeper();
@@ -139,7 +143,8 @@
                 TableCalls.make(new TableCall.Get(read.key()), table)
                         .thenAccept(answer -> answered(read.call(), answer));
             case ClaimKeeperEffect.Swap swap ->
-                route.write(swap.swap(), result -> answered(swap.call(), new TableAnswer.Finished(result)));
+                route.write(
+                        swap.swap(), result -> swapped(swap.call(), swap.swap().key(), result));
             case ClaimKeeperEffect.Granted granted -> grant(granted.attempt());
             case ClaimKeeperEffect.Refused refused ->
                 answer(
@@ -167,6 +172,13 @@
         return true;
     }
 
+    private void swapped(long call, String key, CommitResult result) {
+        if (result instanceof TableService.Unknown) {
+            LOG.write(LogEvent.CLAIM_IN_DOUBT, key);
+        }
+        answered(call, new TableAnswer.Finished(result));
+    }
+
     private void answered(long call, TableAnswer answer) {
         offerSurely(new ClaimKeeperEvent.Answered(call, answer));
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/log/LogEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/log/LogEvent.java
@@ -45,7 +45,7 @@
     /** The verdict of a target's observers changed. */
     TARGET_CHANGED(4006, Level.WARNING, "target {0} reachable: {1}, accepting new work: {2}"),
     /** A keyed call's outcome is in doubt. */
-    CLAIM_IN_DOUBT(5001, Level.WARNING, "claim of attempt {0} is in doubt; reading it back"),
+    CLAIM_IN_DOUBT(5001, Level.WARNING, "claim {0} is in doubt; reading it back"),
     /** The planner's lease was gained or lost. */
     LEASE_CHANGED(6001, Level.INFO, "planner lease held: {0}, fencing number {1}"),
     /** An order was sent to an engine. */
--- /dev/null
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/HandshakeTimeout.java
@@ -0,0 +1,23 @@
+package org.boragebarrow.peer.link;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/** Closes a connection whose handshake has not ended in time, however many bytes trickle in; removed by the handshake. */
+final class HandshakeTimeout extends ChannelInboundHandlerAdapter {
+    private static final long LIMIT_SECONDS = 5;
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        context.executor().schedule(() -> closeUnlessRemoved(context), LIMIT_SECONDS, TimeUnit.SECONDS);
+        context.fireChannelActive();
+    }
+
+    private static void closeUnlessRemoved(ChannelHandlerContext context) {
+        if (!context.isRemoved()) {
+            context.close();
+        }
+    }
+}
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
@@ -11,9 +11,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.peer.proto.Envelope;
 
@@ -29,6 +32,7 @@
     private final PeerListener listener;
     private final PeerTraffic traffic = new PeerTraffic();
     private final Bootstrap bootstrap;
+    private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final Channel server;
     private final Map<Endpoint, Link> links = new ConcurrentHashMap<>();
 
@@ -59,9 +63,10 @@
     private Channel listen(EventLoopGroup group, Endpoint endpoint) {
         ChannelInitializer<SocketChannel> initializer = new ChannelInitializer<>() {
             @Override
-            protected void initChannel(SocketChannel accepted) {
-                PeerPipelines.install(accepted.pipeline(), traffic);
-                accepted.pipeline().addLast(new AcceptHandler(self, key, listener));
+            protected void initChannel(SocketChannel connection) {
+                accepted.add(connection);
+                PeerPipelines.install(connection.pipeline(), traffic);
+                connection.pipeline().addLast(new AcceptHandler(self, key, listener));
             }
         };
         return new ServerBootstrap()
@@ -104,6 +109,7 @@
     @Override
     public void close() {
         server.close().syncUninterruptibly();
+        accepted.close().awaitUninterruptibly();
         links.values().forEach(Link::shut);
     }
 }
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerPipelines.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerPipelines.java
@@ -1,13 +1,10 @@
 package org.boragebarrow.peer.link;
 
-import java.util.concurrent.TimeUnit;
-
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import org.boragebarrow.peer.proto.Envelope;
 
 /** Builds the pipelines of links. */
@@ -16,13 +13,12 @@
 
     private static final int MAX_FRAME_BYTES = 4 << 20;
     private static final int LENGTH_BYTES = 4;
-    private static final long HANDSHAKE_SECONDS = 5;
 
     private PeerPipelines() {}
 
     static void install(ChannelPipeline pipeline, PeerTraffic traffic) {
         pipeline.addLast(traffic);
-        pipeline.addLast(HANDSHAKE_TIMEOUT, new ReadTimeoutHandler(HANDSHAKE_SECONDS, TimeUnit.SECONDS));
+        pipeline.addLast(HANDSHAKE_TIMEOUT, new HandshakeTimeout());
         pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
         pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
         pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
--- a/boragebarrow-peer/src/test/java/org/boragebarrow/peer/link/PeerLinksTest.java
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/link/PeerLinksTest.java
@@ -28,6 +28,7 @@
     private static final Endpoint ANY_PORT = Endpoint.of("127.0.0.1", 0);
     private static final PeerKey KEY = key("the key of this deployment");
     private static final int WAITING_ROOM = 256;
+    private static final long PAUSE_MILLIS = 10;
 
     private final EventLoopGroup nearLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoopGroup farLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -57,6 +58,23 @@
         return Envelope.newBuilder().setSuspect(body).build();
     }
 
+    @Example
+    void aLinkIsOpenedAgainAfterItBroke() throws Exception {
+        Endpoint endpoint = far.endpoint();
+        near.send(endpoint, message(1));
+        assertThat(RecordingListener.await(farEvents.messages)).isEqualTo(message(1));
+        far.close();
+        assertThat(RecordingListener.await(nearEvents.broken)).isEqualTo(endpoint);
+        RecordingListener laterEvents = new RecordingListener();
+        PeerLinks later = PeerLinks.start(identity("far"), KEY, laterEvents, farLoops, endpoint);
+        while (laterEvents.messages.isEmpty()) {
+            near.send(endpoint, message(2));
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+        }
+        assertThat(RecordingListener.await(laterEvents.messages)).isEqualTo(message(2));
+        later.close();
+    }
+
     @Example
     void messagesWaitWhileTheLinkOpensAndArriveInOrder() throws Exception {
         for (int number = 0; number < 100; number++) {
--- /dev/null
+++ b/boragebarrow-trials/src/test/java/org/boragebarrow/trials/DrainTest.java
@@ -0,0 +1,77 @@
+package org.boragebarrow.trials;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.node.Host;
+import org.boragebarrow.standins.engine.EngineSettings;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class DrainTest {
+    private static final long WAIT_SECONDS = 20;
+    private static final int ANSWER_TOKENS = 60;
+
+    private static Deployment deployment;
+    private static Caller caller;
+
+    @BeforeContainer
+    static void start() {
+        deployment = Deployment.start(new Shape(1, 3, 1, EngineSettings.defaults(), 9));
+        Host host = host("host-a1");
+        Operators.setAllowance(host, "standard", 50_000_000, 100);
+        Operators.awaitInForce(deployment, Operators.setPlan(host, "workshop", "standard", "workshop-key"));
+        caller = Caller.of("workshop-key");
+    }
+
+    @AfterContainer
+    static void stop() {
+        deployment.close();
+    }
+
+    private static Host host(String id) {
+        return deployment.host(HostId.of(id));
+    }
+
+    @Example
+    void aDrainCutsOffNoAnswerInProgressEvenWhileTheTableIsDown() throws InterruptedException {
+        Host leaving = host("host-a2");
+        CompletableFuture<HttpResponse<String>> answer =
+                CompletableFuture.supplyAsync(() -> caller.complete(leaving, "slow", ANSWER_TOKENS, true));
+        Waiting.until(WAIT_SECONDS, "the request is in progress", () -> leaving.requestsInProgress() == 1);
+        Standins.setFaults(deployment.platform(), "/faults/table", "{\"down\":true}");
+        deployment.drain(HostId.of("host-a2"));
+        Standins.setFaults(deployment.platform(), "/faults/table", "{}");
+        assertThat(answer.join().body()).endsWith("data: [DONE]\n\n");
+        assertThat(answer.join().body()).contains("\"completion_tokens\":" + ANSWER_TOKENS);
+    }
+
+    @Example
+    void aStoppedTargetGetsNoNewWorkAndAStartedOneDoesAgain() {
+        Host host = host("host-a1");
+        TargetId desk = TargetId.of("desk-a");
+        long stopped = order(host, desk, "stop");
+        Operators.awaitInForce(deployment, stopped);
+        HttpResponse<String> refused = Caller.send(caller.request(host, "/services/desk/stock?item=x")
+                .header("Request-Timeout-Ms", "1000")
+                .GET()
+                .build());
+        assertWithMessage(refused.body()).that(refused.statusCode()).isAtLeast(500);
+        assertThat(refused.body()).contains("\"ran\":\"no\"");
+        Operators.awaitInForce(deployment, order(host, desk, "start"));
+        HttpResponse<String> answered = Caller.send(
+                caller.request(host, "/services/desk/stock?item=x").GET().build());
+        assertWithMessage(answered.body()).that(answered.statusCode()).isEqualTo(200);
+    }
+
+    private static long order(Host host, TargetId target, String verb) {
+        HttpResponse<String> answer = Caller.operate(host, "POST", "/admin/v1/targets/" + target + "/" + verb, "");
+        return answer.headers().firstValueAsLong("change-number").orElseThrow();
+    }
+}
