Serve with the settings' targets when no host list can be read

Cause: targets of the settings reached only the local chooser; dispatcher and observers waited for the host list, so that a host that started without it had nothing to grant. Conclusion: a cold start without the platform's list works.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -1,14 +1,12 @@
 package org.boragebarrow.node;
 
 import java.time.Duration;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.base.Stopwatch;
 import com.google.common.base.Ticker;
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -36,7 +34,6 @@
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.model.HostLife;
 import org.boragebarrow.model.Incarnation;
-import org.boragebarrow.model.Target;
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.node.admin.AdminApi;
 import org.boragebarrow.node.change.ChangeDuty;
@@ -64,7 +61,6 @@
 import org.boragebarrow.peer.wire.ChangeMessages;
 import org.boragebarrow.peer.wire.SummaryMessages;
 import org.boragebarrow.port.EngineControl;
-import org.boragebarrow.port.HostList;
 import org.boragebarrow.port.ObjectStore;
 import org.boragebarrow.port.TableService;
 
@@ -82,7 +78,7 @@
     private final EventLoopGroup loops;
     private final HostMetrics metrics;
     private final TargetDirectory directory;
-    private final HostList hostList;
+    private final HostListFeed listings;
     private final PeerLinks links;
     private final MemberDuty members;
     private final ChangeDuty changes;
@@ -104,7 +100,6 @@
         this.directory = new TargetDirectory(settings.targets());
         this.client = new HttpClient(loops);
         HostSettings.Platform platform = settings.platform();
-        this.hostList = surroundings.hostList(new HttpHostList(client, platform.hostList(), platform.timeout()));
         EngineControl control = new HttpEngineControl(client, platform.timeout());
         DutyRing.Factory rings = new DutyRing.Factory(
                 settings.ringCapacity(), (duty, failure) -> LOG.write(LogEvent.DUTY_FAILED, duty, failure));
@@ -148,6 +143,10 @@
                 new Observer(settings.id(), ObserveSettings.defaults(), incarnation.value()),
                 dispatching,
                 rings);
+        this.listings = new HostListFeed(
+                settings,
+                surroundings.hostList(new HttpHostList(client, platform.hostList(), platform.timeout())),
+                new HostListFeed.Receivers(directory, members, dispatching, observing));
         this.planning = new PlanDuty(
                 new PlanDuty.Collaborators(
                         members,
@@ -226,11 +225,11 @@
     }
 
     private void schedule() {
-        members.offer(new MemberEvent.SeedsListed(MemberEvent.SeedSource.SETTINGS, seedsOfSettings()));
+        listings.start();
         every(DISPATCH_TICK_MILLIS, dispatching::tick);
         every(TICK_MILLIS, this::tick);
         every(RENEW_MILLIS, dispatching::renew);
-        every(HOST_LIST_MILLIS, this::readHostList);
+        every(HOST_LIST_MILLIS, listings::read);
     }
 
     private void every(long millis, Runnable action) {
@@ -246,12 +245,6 @@
         }
     }
 
-    private ImmutableList<MemberEvent.Seed> seedsOfSettings() {
-        return settings.seeds().stream()
-                .map(seed -> new MemberEvent.Seed(seed.endpoint(), Optional.of(seed.zone())))
-                .collect(ImmutableList.toImmutableList());
-    }
-
     private void tick() {
         members.offer(new MemberEvent.Ticked());
         changes.tick(members.holds(new Role.ClaimWriter()));
@@ -265,26 +258,6 @@
         }
     }
 
-    private void readHostList() {
-        hostList.list().whenComplete((listing, failure) -> {
-            if (failure != null) {
-                LOG.write(LogEvent.HOST_LIST_UNREACHABLE, failure.getMessage());
-                return;
-            }
-            directory.replace(listing.targets());
-            ImmutableList<Target> near = directory.inZone(settings.zone());
-            dispatching.targetsListed(near);
-            observing.offer(new ObserveEvent.TargetsListed(near));
-            members.offer(new MemberEvent.SeedsListed(MemberEvent.SeedSource.HOST_LIST, seedsOf(listing)));
-        });
-    }
-
-    private static ImmutableList<MemberEvent.Seed> seedsOf(HostList.Listing listing) {
-        return listing.entryHosts().stream()
-                .map(host -> new MemberEvent.Seed(host.endpoint(), Optional.of(host.zone())))
-                .collect(ImmutableList.toImmutableList());
-    }
-
     /** Returns where callers connect. */
     public Endpoint callerEndpoint() {
         return callerServer.endpoint();
--- /dev/null
+++ b/boragebarrow-trials/src/test/java/org/boragebarrow/trials/SettingsTargetsTest.java
@@ -0,0 +1,33 @@
+package org.boragebarrow.trials;
+
+import java.net.http.HttpResponse;
+
+import net.jqwik.api.Example;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.node.Host;
+import org.boragebarrow.standins.engine.EngineSettings;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class SettingsTargetsTest {
+    private static final AvailabilityZoneId ZONE = AvailabilityZoneId.of("a");
+    private static final long WAIT_SECONDS = 20;
+
+    @Example
+    void aHostThatCannotReadTheHostListServesWithTheTargetsOfItsSettings() {
+        Network network = Network.direct();
+        try (Deployment deployment = Deployment.start(new Shape(1, 1, 1, EngineSettings.defaults(), 13), network)) {
+            Host first = deployment.hosts().get(0);
+            Operators.setAllowance(first, "standard", 50_000_000, 100);
+            long change = Operators.setPlan(first, "workshop", "standard", "workshop-key");
+            Operators.awaitInForce(deployment, change);
+            Standins.setFaults(deployment.platform(), "/faults/hosts", "{\"down\":true}");
+            deployment.kill(HostId.of("host-a1"));
+            Host second = deployment.startHost(HostId.of("host-a2"), ZONE, network, deployment.targetSettings());
+            Waiting.until(WAIT_SECONDS, "the new host is ready", second::isReady);
+            HttpResponse<String> answer = Caller.of("workshop-key").complete(second, "no list", 3, false);
+            assertWithMessage(answer.body()).that(answer.statusCode()).isEqualTo(200);
+        }
+    }
+}
