--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/change/ChangeDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/change/ChangeDuty.java
@@ -4,7 +4,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.common.base.Ticker;
@@ -38,7 +37,6 @@
 public final class ChangeDuty implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(ChangeDuty.class);
     private static final int MAX_BATCH = 256;
-    private static final long RETRY_MILLIS = 10;
 
     /** Receives what the duty decides, on its thread. */
     public interface Listener {
@@ -158,7 +156,7 @@
             LOG.write(LogEvent.CHANGE_LOG_UNREACHABLE, "the table service does not answer");
         }
         unreachable = failed;
-        retryOffer(new Follow(new ChangeFollowerEvent.Answered(call, answer)));
+        ring.offerSurely(new Follow(new ChangeFollowerEvent.Answered(call, answer)));
     }
 
     private void configure(ChangeState later) {
@@ -172,8 +170,8 @@
         switch (effect) {
             case ChangeWriterEffect.Call call ->
                 TableCalls.make(call.table(), table)
-                        .thenAccept(
-                                answer -> retryOffer(new Write(new ChangeWriterEvent.Answered(call.call(), answer))));
+                        .thenAccept(answer ->
+                                ring.offerSurely(new Write(new ChangeWriterEvent.Answered(call.call(), answer))));
             case ChangeWriterEffect.Accepted accepted -> accept(accepted);
             case ChangeWriterEffect.Rejected rejected -> reject(rejected);
         }
@@ -185,7 +183,7 @@
                 case SnapshotEffect.Call call ->
                     TableCalls.make(call.table(), table)
                             .thenAccept(answer ->
-                                    retryOffer(new Snapshot(new SnapshotEvent.Answered(call.call(), answer))));
+                                    ring.offerSurely(new Snapshot(new SnapshotEvent.Answered(call.call(), answer))));
             }
         }
     }
@@ -216,14 +214,6 @@
         outcome.completeExceptionally(failure.withRan(rejected.ran()));
     }
 
-    /** An answer must not be lost, as the machine waits for it; a full ring is tried again without blocking. */
-    private void retryOffer(Input answer) {
-        if (!ring.offer(answer)) {
-            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
-                    .execute(() -> retryOffer(answer));
-        }
-    }
-
     @Override
     public void close() {
         ring.close();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimDuty.java
@@ -1,10 +1,8 @@
 package org.boragebarrow.node.claim;
 
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import com.google.common.base.Ticker;
@@ -40,7 +38,6 @@
 /** The thread that runs {@link ClaimKeeper}. */
 public final class ClaimDuty implements Claims, AutoCloseable {
     private static final EventLog LOG = EventLog.of(ClaimDuty.class);
-    private static final long RETRY_MILLIS = 10;
 
     private final ClaimKeeper keeper = new ClaimKeeper();
     private final TableService table;
@@ -96,17 +93,17 @@
     @Override
     public void abandon(AttemptId attempt) {
         waiting.remove(attempt);
-        offerSurely(new ClaimKeeperEvent.Abandoned(attempt));
+        ring.offerSurely(new ClaimKeeperEvent.Abandoned(attempt));
     }
 
     @Override
     public void finish(AttemptId attempt, ClaimAnswer answer) {
-        offerSurely(new ClaimKeeperEvent.Finished(attempt, answer));
+        ring.offerSurely(new ClaimKeeperEvent.Finished(attempt, answer));
     }
 
     @Override
     public void interrupt(AttemptId attempt) {
-        offerSurely(new ClaimKeeperEvent.Interrupted(attempt));
+        ring.offerSurely(new ClaimKeeperEvent.Interrupted(attempt));
     }
 
     /** Takes the hosts that are alive in any zone. */
@@ -159,7 +156,7 @@
     private void grant(AttemptId attempt) {
         if (!answer(attempt, Listener::onGranted)) {
             // Nobody waits any more, so nothing was or will be dispatched.
-            offerSurely(new ClaimKeeperEvent.Abandoned(attempt));
+            ring.offerSurely(new ClaimKeeperEvent.Abandoned(attempt));
         }
     }
 
@@ -180,15 +177,7 @@
     }
 
     private void answered(long call, TableAnswer answer) {
-        offerSurely(new ClaimKeeperEvent.Answered(call, answer));
-    }
-
-    /** Hands over an event that must not be lost; a full ring is tried again without blocking. */
-    private void offerSurely(ClaimKeeperEvent event) {
-        if (!ring.offer(event)) {
-            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
-                    .execute(() -> offerSurely(event));
-        }
+        ring.offerSurely(new ClaimKeeperEvent.Answered(call, answer));
     }
 
     @Override
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimPurging.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimPurging.java
@@ -1,8 +1,5 @@
 package org.boragebarrow.node.claim;
 
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableSet;
 import org.boragebarrow.decision.claim.ClaimPurger;
@@ -18,7 +15,6 @@
 
 /** The thread that runs {@link ClaimPurger}. */
 final class ClaimPurging implements AutoCloseable {
-    private static final long RETRY_MILLIS = 10;
 
     private final ClaimPurger purger = new ClaimPurger();
     private final TableService table;
@@ -60,21 +56,14 @@
             switch (effect) {
                 case ClaimPurgerEffect.Call call ->
                     TableCalls.make(call.table(), table)
-                            .thenAccept(answer -> answered(new ClaimPurgerEvent.Answered(call.call(), answer)));
+                            .thenAccept(answer ->
+                                    ring.offerSurely(new Answer(new ClaimPurgerEvent.Answered(call.call(), answer))));
                 // A body whose deletion fails stays in the store.
                 case ClaimPurgerEffect.DeleteObject deletion -> objects.delete(deletion.objectKey());
             }
         }
     }
 
-    /** An answer must not be lost, as the machine waits for it; a full ring is tried again without blocking. */
-    private void answered(ClaimPurgerEvent.Answered event) {
-        if (!ring.offer(new Answer(event))) {
-            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
-                    .execute(() -> answered(event));
-        }
-    }
-
     @Override
     public void close() {
         ring.close();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimWriting.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/claim/ClaimWriting.java
@@ -1,9 +1,7 @@
 package org.boragebarrow.node.claim;
 
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
@@ -22,7 +20,6 @@
 
 /** The thread that runs this host's {@link ClaimWriter}, for itself and for the hosts of its zone that ask. */
 final class ClaimWriting implements AutoCloseable {
-    private static final long RETRY_MILLIS = 10;
 
     private final ClaimWriter writer = new ClaimWriter();
     private final TableService table;
@@ -63,18 +60,10 @@
         TableCalls.make(commit.commit(), table).thenAccept(answer -> {
             CommitResult result =
                     answer instanceof TableAnswer.Finished finished ? finished.result() : new TableService.Unknown();
-            answered(new ClaimWriterEvent.Answered(commit.call(), result));
+            ring.offerSurely(new ClaimWriterEvent.Answered(commit.call(), result));
         });
     }
 
-    /** An answer must not be lost, as the machine waits for it; a full ring is tried again without blocking. */
-    private void answered(ClaimWriterEvent event) {
-        if (!ring.offer(event)) {
-            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
-                    .execute(() -> answered(event));
-        }
-    }
-
     @Override
     public void close() {
         ring.close();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/plan/PlanDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/plan/PlanDuty.java
@@ -1,8 +1,6 @@
 package org.boragebarrow.node.plan;
 
 import java.util.OptionalLong;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.google.common.base.Ticker;
@@ -35,7 +33,6 @@
  */
 public final class PlanDuty implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(PlanDuty.class);
-    private static final long RETRY_MILLIS = 10;
 
     private final Collaborators context;
     private final Planning settings;
@@ -126,7 +123,8 @@
             switch (effect) {
                 case LeaseEffect.Call call ->
                     TableCalls.make(call.table(), context.table())
-                            .thenAccept(answer -> offerSurely(new Lease(new LeaseEvent.Answered(call.call(), answer))));
+                            .thenAccept(answer ->
+                                    ring.offerSurely(new Lease(new LeaseEvent.Answered(call.call(), answer))));
                 case LeaseEffect.Held held -> hold(held);
                 case LeaseEffect.Lost lost -> lose(lost.epoch());
             }
@@ -196,7 +194,7 @@
     }
 
     private void orderEnded(TargetId engine, PlannerEvent.Result result) {
-        offerSurely(new Plan(new PlannerEvent.OrderEnded(engine, result)));
+        ring.offerSurely(new Plan(new PlannerEvent.OrderEnded(engine, result)));
     }
 
     private void askWeightStore() {
@@ -209,14 +207,6 @@
         });
     }
 
-    /** Hands over what must not be lost; a full ring is tried again without blocking. */
-    private void offerSurely(Input input) {
-        if (!ring.offer(input)) {
-            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
-                    .execute(() -> offerSurely(input));
-        }
-    }
-
     @Override
     public void close() {
         ring.close();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/ring/DutyRing.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/ring/DutyRing.java
@@ -1,5 +1,6 @@
 package org.boragebarrow.node.ring;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -23,6 +24,7 @@
  */
 public final class DutyRing<E> implements AutoCloseable {
     private static final long SHUTDOWN_SECONDS = 2;
+    private static final long RETRY_MILLIS = 10;
 
     private final String name;
     private final Disruptor<Slot<E>> disruptor;
@@ -63,6 +65,14 @@
         return ring.tryPublishEvent((slot, sequence, value) -> slot.event = value, event);
     }
 
+    /** Hands over an event that must not be lost: a full ring is tried again a little later, without blocking. */
+    public void offerSurely(E event) {
+        if (!offer(event)) {
+            CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS)
+                    .execute(() -> offerSurely(event));
+        }
+    }
+
     /** Returns the name of the duty. */
     public String name() {
         return name;
