Place a role once for each view of the zone

Cause: the read-through found that each grant, report and 20 ms tick built the set of eligible hosts and hashed all of them again, although the holder can only change with the view of the zone. Change: MemberDuty keeps the holders that were asked for beside the view they follow from.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/member/MemberDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/member/MemberDuty.java
@@ -1,7 +1,9 @@
 package org.boragebarrow.node.member;
 
 import java.util.Collection;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
@@ -45,9 +47,22 @@
     private final DutyRing<MemberEvent> ring;
 
     private volatile HostLife life;
-    private volatile MemberView members;
+    private volatile Placed near;
     private volatile ZonesView zones = new ZonesView(ImmutableMap.of(), 0);
 
+    /** One view of the zone, and the holders of the roles that were asked for since it came. */
+    private record Placed(MemberView view, Map<Role, Optional<Member>> holders) {
+        static Placed of(MemberView view) {
+            return new Placed(view, new ConcurrentHashMap<>());
+        }
+
+        /** Hashes the zone's hosts once a role and view; requests and timers ask many times a second. */
+        Optional<Member> holder(Role role) {
+            return holders.computeIfAbsent(
+                    role, asked -> Roles.holder(asked, view.eligible()).map(view.live()::get));
+        }
+    }
+
     /** Starts the duty. */
     public MemberDuty(
             Self self,
@@ -63,8 +78,9 @@
         this.listener = checkNotNull(listener);
         this.life = self.life();
         Member own = new Member(self.life(), 0, self.zone(), self.endpoint(), false);
-        this.members = new MemberView(
+        MemberView alone = new MemberView(
                 ImmutableSortedMap.of(own.host(), own), ImmutableSet.of(), ImmutableMap.of(), ImmutableMap.of());
+        this.near = Placed.of(alone);
         this.ring = rings.start("member", this::handle);
     }
 
@@ -83,7 +99,7 @@
         switch (effect) {
             case MemberEffect.Send send -> peers.send(send.endpoint(), MemberMessages.toEnvelope(send.message()));
             case MemberEffect.MembersChanged changed -> {
-                members = changed.view();
+                near = Placed.of(changed.view());
                 listener.onMembers(changed.view());
             }
             case MemberEffect.ZonesChanged changed -> {
@@ -106,7 +122,7 @@
 
     @Override
     public MemberView members() {
-        return members;
+        return near.view();
     }
 
     @Override
@@ -116,9 +132,9 @@
 
     @Override
     public Optional<Member> find(HostId host) {
-        Member near = members.live().get(checkNotNull(host));
-        if (near != null) {
-            return Optional.of(near);
+        Member neighbour = near.view().live().get(checkNotNull(host));
+        if (neighbour != null) {
+            return Optional.of(neighbour);
         }
         return zones.zones().values().stream()
                 .flatMap(status -> status.members().stream())
@@ -129,8 +145,7 @@
     @Override
     public Optional<Member> holder(AvailabilityZoneId zone, Role role) {
         if (zone.equals(self.zone())) {
-            MemberView view = members;
-            return Roles.holder(role, view.eligible()).map(view.live()::get);
+            return near.holder(role);
         }
         ZonesView.ZoneStatus status = zones.zones().get(zone);
         ImmutableList<Member> known = status == null ? ImmutableList.of() : status.members();
