--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEffect.java
@@ -0,0 +1,21 @@
+package org.boragebarrow.decision.assign;
+
+import java.time.Duration;
+
+import org.boragebarrow.model.AttemptId;
+
+/** What the assigner decides. */
+public sealed interface AssignEffect {
+    /** Returns the attempt that is decided on. */
+    AttemptId id();
+
+    /** The attempt may be sent to its target. */
+    record Assigned(AttemptId id, Assignment assignment) implements AssignEffect {}
+
+    /**
+     * The attempt is not sent to any target.
+     *
+     * @param retryAfter when a target is expected to be free
+     */
+    record Refused(AttemptId id, RefusalReason reason, Duration retryAfter) implements AssignEffect {}
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -0,0 +1,317 @@
+package org.boragebarrow.decision.assign;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.boragebarrow.decision.Machine;
+import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.routing.EngineProfile;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Gives work to targets, lets it wait while all are full, and refuses what cannot be served.
+ *
+ * <p>Two assigners at once give away some speed, never a promise: a host checks each assignment against its own view of
+ * the fleet. Work that waits is looked at again whenever something ends, the soonest objective first.
+ */
+public final class Assigner implements Machine<AssignEvent, AssignEffect> {
+    /** Work that may wait for each slot of its service; more would wait longer than one answer takes. */
+    private static final double WAITING_PER_SLOT = 1.0;
+
+    /** The least and the usual time after which a refused caller may come back: about half an answer. */
+    private static final Duration SHORT_RETURN = Duration.ofMillis(300);
+
+    private static final Duration USUAL_RETURN = Duration.ofMillis(900);
+
+    private final Map<TargetId, TargetLoad> loads = new LinkedHashMap<>();
+    private final Map<AttemptId, ImmutableList<TargetId>> places = new HashMap<>();
+    private final Map<AttemptId, Waiting> waiting = new LinkedHashMap<>();
+    private ImmutableMap<ServiceName, EngineProfile> profiles = ImmutableMap.of();
+
+    private record Waiting(Work work, long since) {
+        /** Returns the work as it stands now. */
+        Work at(long now) {
+            Duration waited = Duration.ofNanos(now - since);
+            return new Work(
+                    work.id(),
+                    work.service(),
+                    work.zone(),
+                    work.size(),
+                    work.objective(),
+                    work.pauseObjective(),
+                    work.age().plus(waited),
+                    work.remaining().minus(waited),
+                    work.excluded());
+        }
+
+        long objectiveAt() {
+            return since + work.objective().toNanos() - work.age().toNanos();
+        }
+    }
+
+    @Override
+    public ImmutableList<AssignEffect> apply(AssignEvent event, long now) {
+        checkNotNull(event);
+        return switch (event) {
+            case AssignEvent.Submitted submitted -> submit(submitted.work(), now);
+            case AssignEvent.FirstEventSeen seen -> startWriting(seen.id(), now);
+            case AssignEvent.Ended ended -> end(ended, now);
+            case AssignEvent.Held held -> hold(held, now);
+            case AssignEvent.HostLost lost -> loseHost(lost.host(), now);
+            case AssignEvent.FleetChanged changed -> takeFleet(changed.targets(), now);
+            case AssignEvent.ProfilesChanged changed -> {
+                profiles = changed.profiles();
+                yield ImmutableList.of();
+            }
+            case AssignEvent.Ticked ignored -> serveWaiting(now);
+        };
+    }
+
+    /** Returns whether work waits, so that {@link AssignEvent.Ticked} is needed. */
+    public boolean hasWaiting() {
+        return !waiting.isEmpty();
+    }
+
+    /** Returns the number of attempts that have a target. */
+    public int assigned() {
+        return places.size();
+    }
+
+    private ImmutableList<AssignEffect> submit(Work work, long now) {
+        advance(now);
+        Optional<AssignEffect> decided = decide(work, now, true);
+        if (decided.isPresent()) {
+            return ImmutableList.of(decided.get());
+        }
+        waiting.put(work.id(), new Waiting(work, now));
+        return ImmutableList.of();
+    }
+
+    /** Returns the decision, or empty if the work should wait. */
+    private Optional<AssignEffect> decide(Work work, long now, boolean isNew) {
+        List<TargetLoad> candidates = candidates(work, now);
+        if (candidates.isEmpty()) {
+            return Optional.of(refuse(work, RefusalReason.NO_TARGET, USUAL_RETURN));
+        }
+        Optional<EngineProfile> profile = profileOf(work);
+        if (profile.isEmpty()) {
+            return plain(work, candidates, isNew);
+        }
+        PromptSize size = work.size().orElseGet(() -> usual(profile.get()));
+        if (size.total() > Placement.fittingTokens(profile.get())) {
+            return Optional.of(refuse(work, RefusalReason.TOO_LARGE, USUAL_RETURN));
+        }
+        Optional<Placement.Choice> choice = Placement.best(work, size, profile.get(), candidates);
+        if (choice.isEmpty()) {
+            return full(work, candidates, isNew);
+        }
+        if (choice.get().hopeless()) {
+            return Optional.of(refuse(work, RefusalReason.TOO_LATE, SHORT_RETURN));
+        }
+        Assignment assignment = choice.get().assignment();
+        place(work, assignment.target().id(), ids(assignment.helpers()));
+        return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
+    }
+
+    private Optional<AssignEffect> plain(Work work, List<TargetLoad> candidates, boolean isNew) {
+        Optional<TargetLoad> target = Placement.leastBusy(work, candidates);
+        if (target.isEmpty()) {
+            return full(work, candidates, isNew);
+        }
+        place(work, target.get().target().id(), ImmutableList.of());
+        Assignment assignment = Assignment.of(target.get().target(), work.objective());
+        return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
+    }
+
+    private Optional<AssignEffect> full(Work work, List<TargetLoad> candidates, boolean isNew) {
+        int slots = 0;
+        for (TargetLoad load : candidates) {
+            slots += load.target().slots();
+        }
+        long before = waiting.values().stream()
+                .filter(other -> other.work().service().equals(work.service()))
+                .count();
+        if (isNew && before >= slots * WAITING_PER_SLOT) {
+            return Optional.of(refuse(work, RefusalReason.OVERLOADED, USUAL_RETURN));
+        }
+        boolean left = work.age().toMillis() > CostModel.leaveMillis(work);
+        if (left || work.remaining().isNegative() || work.remaining().isZero()) {
+            return Optional.of(refuse(work, RefusalReason.TOO_LATE, SHORT_RETURN));
+        }
+        return Optional.empty();
+    }
+
+    private static AssignEffect refuse(Work work, RefusalReason reason, Duration retryAfter) {
+        return new AssignEffect.Refused(work.id(), reason, retryAfter);
+    }
+
+    private static PromptSize usual(EngineProfile profile) {
+        return new PromptSize(0, profile.usualAnswerTokens());
+    }
+
+    private Optional<EngineProfile> profileOf(Work work) {
+        return Optional.ofNullable(profiles.get(work.service()));
+    }
+
+    /** Returns the targets that may be given the work; those that fail only if there are no others. */
+    private List<TargetLoad> candidates(Work work, long now) {
+        List<TargetLoad> sound = new ArrayList<>();
+        List<TargetLoad> failing = new ArrayList<>();
+        for (TargetLoad load : loads.values()) {
+            FleetTarget target = load.target();
+            boolean fits = !target.draining()
+                    && target.service().equals(work.service())
+                    && !work.excluded().contains(target.id());
+            if (!fits) {
+                continue;
+            }
+            (load.health().allows(now, load.owned()) ? sound : failing).add(load);
+        }
+        return sound.isEmpty() ? failing : sound;
+    }
+
+    private static ImmutableList<TargetId> ids(ImmutableList<FleetTarget> targets) {
+        return targets.stream().map(FleetTarget::id).collect(ImmutableList.toImmutableList());
+    }
+
+    private void place(Work work, TargetId target, ImmutableList<TargetId> helpers) {
+        Optional<EngineProfile> profile = profileOf(work);
+        int parts = helpers.size() + 1;
+        ImmutableList.Builder<TargetId> all = ImmutableList.builder();
+        TargetLoad owner = loads.get(target);
+        if (owner != null) {
+            owner.add(HeldWork.part(work, false, parts, profile));
+            all.add(target);
+        }
+        for (TargetId helper : helpers) {
+            TargetLoad load = loads.get(helper);
+            if (load != null) {
+                load.add(HeldWork.part(work, true, parts, profile));
+                all.add(helper);
+            }
+        }
+        places.put(work.id(), all.build());
+    }
+
+    private ImmutableList<AssignEffect> startWriting(AttemptId id, long now) {
+        advance(now);
+        for (TargetId target : places.getOrDefault(id, ImmutableList.of())) {
+            TargetLoad load = loads.get(target);
+            if (load == null) {
+                continue;
+            }
+            boolean helper = load.find(id).map(HeldWork::isHelper).orElse(false);
+            if (helper) {
+                load.remove(id);
+            } else {
+                load.find(id).ifPresent(HeldWork::startWriting);
+            }
+        }
+        return ImmutableList.of();
+    }
+
+    private ImmutableList<AssignEffect> end(AssignEvent.Ended ended, long now) {
+        if (waiting.remove(ended.id()) != null) {
+            return ImmutableList.of();
+        }
+        ImmutableList<TargetId> targets = places.remove(ended.id());
+        if (targets == null) {
+            return ImmutableList.of();
+        }
+        advance(now);
+        for (TargetId target : targets) {
+            TargetLoad load = loads.get(target);
+            if (load == null) {
+                continue;
+            }
+            boolean owner =
+                    load.remove(ended.id()).map(part -> !part.isHelper()).orElse(false);
+            if (owner) {
+                load.health().record(ended.outcome(), now);
+            }
+        }
+        return serveWaiting(now);
+    }
+
+    private ImmutableList<AssignEffect> hold(AssignEvent.Held held, long now) {
+        waiting.remove(held.work().id());
+        if (places.containsKey(held.work().id())) {
+            return ImmutableList.of();
+        }
+        advance(now);
+        place(held.work(), held.target(), held.helpers());
+        if (held.firstEventSeen()) {
+            startWriting(held.work().id(), now);
+        }
+        return ImmutableList.of();
+    }
+
+    private ImmutableList<AssignEffect> loseHost(HostId host, long now) {
+        waiting.keySet().removeIf(id -> id.owner().host().equals(host));
+        advance(now);
+        for (AttemptId id : ImmutableList.copyOf(places.keySet())) {
+            if (!id.owner().host().equals(host)) {
+                continue;
+            }
+            for (TargetId target : places.remove(id)) {
+                Optional.ofNullable(loads.get(target)).ifPresent(load -> load.remove(id));
+            }
+        }
+        return serveWaiting(now);
+    }
+
+    private ImmutableList<AssignEffect> takeFleet(ImmutableList<FleetTarget> targets, long now) {
+        advance(now);
+        Map<TargetId, FleetTarget> present = new HashMap<>();
+        targets.forEach(target -> present.put(target.id(), target));
+        loads.keySet().removeIf(id -> !present.containsKey(id));
+        for (FleetTarget target : targets) {
+            TargetLoad known = loads.get(target.id());
+            if (known != null && known.target().isSameLife(target)) {
+                known.update(target);
+            } else {
+                loads.put(target.id(), new TargetLoad(target, now));
+            }
+        }
+        return serveWaiting(now);
+    }
+
+    private ImmutableList<AssignEffect> serveWaiting(long now) {
+        if (waiting.isEmpty()) {
+            return ImmutableList.of();
+        }
+        advance(now);
+        List<Waiting> order = new ArrayList<>(waiting.values());
+        order.sort((one, other) -> Long.compare(one.objectiveAt() - now, other.objectiveAt() - now));
+        ImmutableList.Builder<AssignEffect> effects = ImmutableList.builder();
+        Iterator<Waiting> next = order.iterator();
+        while (next.hasNext()) {
+            Work work = next.next().at(now);
+            Optional<AssignEffect> decided = decide(work, now, false);
+            if (decided.isPresent()) {
+                waiting.remove(work.id());
+                effects.add(decided.get());
+            }
+        }
+        return effects.build();
+    }
+
+    private void advance(long now) {
+        for (TargetLoad load : loads.values()) {
+            load.advance(now, Optional.ofNullable(profiles.get(load.target().service())));
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/HeldWork.java
@@ -0,0 +1,76 @@
+package org.boragebarrow.decision.assign;
+
+import java.util.Optional;
+
+import org.boragebarrow.decision.routing.EngineProfile;
+
+/**
+ * The part of an attempt that one target works on, as the cost model sees it.
+ *
+ * <p>Not thread-safe. Reading is counted in milliseconds of the target's time when it does nothing else.
+ */
+final class HeldWork {
+    private final Work work;
+    private final boolean helper;
+    private final double readTokens;
+    private final double readMillis;
+    private double readLeft;
+    private boolean writing;
+
+    private HeldWork(Work work, boolean helper, double readTokens, double readMillis) {
+        this.work = work;
+        this.helper = helper;
+        this.readTokens = readTokens;
+        this.readMillis = readMillis;
+        this.readLeft = readMillis;
+    }
+
+    /** Returns one of so many even parts of the work's prompt. */
+    static HeldWork part(Work work, boolean helper, int parts, Optional<EngineProfile> profile) {
+        double tokens = work.size().map(PromptSize::promptTokens).orElse(0L);
+        double millis = profile.map(p -> p.readMillis((long) tokens)).orElse(0.0);
+        return new HeldWork(work, helper, tokens / parts, millis / parts);
+    }
+
+    Work work() {
+        return work;
+    }
+
+    boolean isHelper() {
+        return helper;
+    }
+
+    double readLeft() {
+        return readLeft;
+    }
+
+    boolean isWriting() {
+        return writing;
+    }
+
+    /** Returns the time that reading so many tokens of this part takes, in milliseconds. */
+    double readMillis(double tokens) {
+        return readTokens == 0 ? 0 : readMillis * Math.min(tokens, readTokens) / readTokens;
+    }
+
+    double tokensLeft() {
+        return readMillis == 0 ? 0 : readTokens * readLeft / readMillis;
+    }
+
+    /** Takes reading off; returns what of the time was not needed. */
+    double read(double millis) {
+        double used = Math.min(millis, readLeft);
+        readLeft -= used;
+        return millis - used;
+    }
+
+    void startWriting() {
+        readLeft = 0;
+        writing = true;
+    }
+
+    /** Returns the tokens that the work keeps at its target; a helper keeps none after reading. */
+    long memoryTokens() {
+        return helper ? 0 : work.size().map(PromptSize::total).orElse(0L);
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
@@ -0,0 +1,44 @@
+package org.boragebarrow.decision.assign;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * One attempt that asks for a target.
+ *
+ * @param zone of the host that holds the request
+ * @param size empty where the target is no model engine
+ * @param objective the time from the request's arrival to its first event that serves the caller well
+ * @param pauseObjective the longest pause between events that serves the caller well
+ * @param age time since the request's arrival
+ * @param remaining time until the request's limit
+ * @param excluded targets that failed an earlier attempt
+ */
+public record Work(
+        AttemptId id,
+        ServiceName service,
+        AvailabilityZoneId zone,
+        Optional<PromptSize> size,
+        Duration objective,
+        Optional<Duration> pauseObjective,
+        Duration age,
+        Duration remaining,
+        ImmutableSet<TargetId> excluded) {
+    public Work {
+        checkNotNull(id);
+        checkNotNull(service);
+        checkNotNull(zone);
+        checkNotNull(size);
+        checkNotNull(objective);
+        checkNotNull(pauseObjective);
+        checkNotNull(excluded);
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/RoutingTable.java
@@ -0,0 +1,106 @@
+package org.boragebarrow.decision.routing;
+
+import java.util.Comparator;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableCollection;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.ServiceName;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * One full version of what the operator configured. Immutable.
+ *
+ * <p>{@link #match} costs a look at each route of one host name.
+ */
+public final class RoutingTable {
+    private static final Comparator<Route> LONGEST_PREFIX_FIRST =
+            Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
+
+    private final long version;
+    private final ImmutableListMultimap<String, Route> routes;
+    private final ImmutableMap<ServiceName, ServiceProfile> services;
+    private final ImmutableMap<String, OrganisationId> keys;
+    private final Optional<CallerLimits> limits;
+
+    private RoutingTable(
+            long version,
+            ImmutableListMultimap<String, Route> routes,
+            ImmutableMap<ServiceName, ServiceProfile> services,
+            ImmutableMap<String, OrganisationId> keys,
+            Optional<CallerLimits> limits) {
+        this.version = version;
+        this.routes = routes;
+        this.services = services;
+        this.keys = checkNotNull(keys);
+        this.limits = checkNotNull(limits);
+    }
+
+    /**
+     * Returns a version.
+     *
+     * @param keys the organisation that holds each key; empty when no keys are asked for
+     */
+    public static RoutingTable of(
+            long version,
+            ImmutableList<Route> routes,
+            ImmutableList<ServiceProfile> services,
+            ImmutableMap<String, OrganisationId> keys,
+            Optional<CallerLimits> limits) {
+        ImmutableListMultimap.Builder<String, Route> byHost = ImmutableListMultimap.builder();
+        byHost.orderValuesBy(LONGEST_PREFIX_FIRST);
+        routes.forEach(route -> byHost.put(route.host(), route));
+        ImmutableMap.Builder<ServiceName, ServiceProfile> byName = ImmutableMap.builder();
+        services.forEach(service -> byName.put(service.name(), service));
+        return new RoutingTable(version, byHost.build(), byName.buildKeepingLast(), keys, limits);
+    }
+
+    /** Returns the version's number. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the route with the longest prefix of the path among those of the host name. */
+    public Optional<Route> match(String host, String path) {
+        for (Route route : routes.get(host)) {
+            if (path.startsWith(route.prefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns whether requests must carry a key. */
+    public boolean asksForKeys() {
+        return !keys.isEmpty();
+    }
+
+    /** Returns the organisation that holds the key. */
+    public Optional<OrganisationId> organisation(String key) {
+        return Optional.ofNullable(keys.get(key));
+    }
+
+    /** Returns what is configured of the service. */
+    public Optional<ServiceProfile> service(ServiceName name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns all services. */
+    public ImmutableCollection<ServiceProfile> services() {
+        return services.values();
+    }
+
+    /** Returns what callers may send, if the version says so. */
+    public Optional<CallerLimits> limits() {
+        return limits;
+    }
+
+    /** Returns the number of routes. */
+    public int size() {
+        return routes.size();
+    }
+}
--- a/boragebarrow-core/src/main/java/org/boragebarrow/model/ErrorKind.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/model/ErrorKind.java
@@ -34,6 +34,8 @@
     NO_TARGET(503, Ran.NO, true),
     /** The table service is needed and does not answer. */
     STORE_UNAVAILABLE(503, Ran.UNKNOWN, true),
+    /** The host has read no configuration yet. */
+    NOT_READY(503, Ran.NO, true),
     /** The host is draining. */
     SHUTTING_DOWN(503, Ran.NO, true),
     /** The time limit passed while the request was queued. */
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -29,19 +29,21 @@
     private final Endpoint endpoint;
     private final HttpCall call;
     private final StreamListener listener;
+    private final boolean closeDelimited;
     private Optional<Channel> channel = Optional.empty();
     private Optional<BodyWriter> writer = Optional.empty();
     private boolean reading = true;
     private boolean sent;
-    private boolean informational;
+    private boolean skipping;
     private boolean keepAlive;
     private boolean done;
 
-    ActiveCall(EventLoop loop, Endpoint endpoint, HttpCall call, StreamListener listener) {
+    ActiveCall(EventLoop loop, Endpoint endpoint, HttpCall call, StreamListener listener, boolean closeDelimited) {
         this.loop = loop;
         this.endpoint = endpoint;
         this.call = call;
         this.listener = listener;
+        this.closeDelimited = closeDelimited;
     }
 
     EventLoop loop() {
@@ -157,15 +159,16 @@
             fail(endpoint + " switched protocols unasked");
             return;
         }
-        informational = status.codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (informational) {
+        skipping = status.codeClass() == HttpStatusClass.INFORMATIONAL || isOfAnotherCall(response);
+        if (skipping) {
             return;
         }
-        keepAlive = HttpUtil.isKeepAlive(response);
-        if (!tellsItsLength(response)) {
+        boolean framed = tellsItsLength(response);
+        if (!framed && !closeDelimited) {
             fail("answer from " + endpoint + " has neither a length nor chunks");
             return;
         }
+        keepAlive = HttpUtil.isKeepAlive(response) && framed;
         ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
         for (Map.Entry<String, String> header : response.headers()) {
             headers.put(header);
@@ -173,6 +176,15 @@
         listener.onHead(status.code(), headers.build());
     }
 
+    private boolean isOfAnotherCall(HttpResponse response) {
+        if (call.check().isEmpty()) {
+            return false;
+        }
+        String id = response.headers().get(call.check().get().header());
+        return id != null && !id.equals(call.check().get().id());
+    }
+
+    /** An answer that does not ends with its connection; the decoder ends it then, but not after a reset. */
     private boolean tellsItsLength(HttpResponse response) {
         return HttpUtil.isTransferEncodingChunked(response)
                 || HttpUtil.isContentLengthSet(response)
@@ -183,8 +195,8 @@
 
     private void receiveContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        if (informational) {
-            informational = !last;
+        if (skipping) {
+            skipping = !last;
             return;
         }
         if (content.content().isReadable()) {
@@ -212,7 +224,9 @@
         HttpRequest request =
                 new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method()), call.path());
         call.headers().forEach(request.headers()::add);
-        request.headers().set(HttpHeaderNames.HOST, endpoint.toString());
+        if (!request.headers().contains(HttpHeaderNames.HOST)) {
+            request.headers().set(HttpHeaderNames.HOST, endpoint.toString());
+        }
         request.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
         request.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
         if (call.length() > 0 || !call.method().equals(HttpMethod.GET.name())) {
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
@@ -1,5 +1,6 @@
 package org.boragebarrow.http.client;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -13,16 +14,16 @@
 
 /** One connection, which carries one call at a time or lies idle in the pool; confined to its event loop. */
 final class Connection extends ChannelInboundHandlerAdapter {
-    private static final long MAX_IDLE_MILLIS = 20_000;
-
     private final Endpoint endpoint;
     private final IdlePool pool;
+    private final Duration maxIdle;
     private Optional<ActiveCall> current = Optional.empty();
     private Optional<Future<?>> expiry = Optional.empty();
 
-    Connection(Endpoint endpoint, IdlePool pool) {
+    Connection(Endpoint endpoint, IdlePool pool, Duration maxIdle) {
         this.endpoint = endpoint;
         this.pool = pool;
+        this.maxIdle = maxIdle;
     }
 
     void attach(ActiveCall call) {
@@ -36,7 +37,7 @@
         current = Optional.empty();
         channel.config().setAutoRead(true);
         expiry = Optional.of(
-                channel.eventLoop().schedule(() -> expire(channel), MAX_IDLE_MILLIS, TimeUnit.MILLISECONDS));
+                channel.eventLoop().schedule(() -> expire(channel), maxIdle.toMillis(), TimeUnit.MILLISECONDS));
         if (!pool.offer(endpoint, channel)) {
             close(channel);
         }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -15,8 +15,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import jdk.net.ExtendedSocketOptions;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.port.EngineClient;
 
@@ -28,17 +30,28 @@
     /** The longest whole answer, in bytes. */
     public static final int MAX_ANSWER_BYTES = 16 << 20;
 
-    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
     private static final int MAX_INITIAL_LINE_BYTES = 4 << 10;
     private static final int MAX_HEADER_BYTES = 32 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
+    /** Seconds of silence before a connection is probed, and between probes: a vanished peer shows in three seconds. */
+    private static final int PROBE_SECONDS = 1;
+
+    private static final int PROBES = 2;
+
     private final EventLoopGroup group;
+    private final ClientLimits limits;
     private final IdlePool pool = new IdlePool();
 
-    /** Creates a client on the given event loops, which it does not shut down. */
+    /** Creates a client with the default limits on the given event loops, which it does not shut down. */
     public HttpClient(EventLoopGroup group) {
+        this(group, ClientLimits.defaults());
+    }
+
+    /** Creates a client on the given event loops, which it does not shut down. */
+    public HttpClient(EventLoopGroup group, ClientLimits limits) {
         this.group = checkNotNull(group);
+        this.limits = checkNotNull(limits);
     }
 
     /** Sends the call and returns its whole answer; the future fails with {@link HttpCallException}. */
@@ -67,7 +80,7 @@
         checkNotNull(endpoint);
         Optional<Channel> idle = call.reuse() ? pool.take(endpoint) : Optional.empty();
         EventLoop loop = idle.isPresent() ? idle.get().eventLoop() : group.next();
-        ActiveCall active = new ActiveCall(loop, endpoint, call, listener);
+        ActiveCall active = new ActiveCall(loop, endpoint, call, listener, limits.closeDelimited());
         try {
             loop.execute(() -> send(active, endpoint, idle));
         } catch (RejectedExecutionException e) {
@@ -105,18 +118,27 @@
     }
 
     private Bootstrap bootstrap(EventLoop loop, Endpoint endpoint) {
-        return new Bootstrap()
+        Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
+                        limits.connect().toMillis())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                                .addLast(new Connection(endpoint, pool));
+                                .addLast(new Connection(endpoint, pool, limits.maxIdle()));
                     }
                 });
+        if (limits.probes()) {
+            bootstrap
+                    .option(ChannelOption.SO_KEEPALIVE, true)
+                    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_SECONDS)
+                    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_SECONDS)
+                    .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
+        }
+        return bootstrap;
     }
 }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 import com.google.common.collect.ImmutableListMultimap;
 import io.netty.buffer.Unpooled;
@@ -27,17 +28,18 @@
     }
 
     private final Channel channel;
-    private final boolean keepAlive;
+    private final BooleanSupplier mayKeepAlive;
     private final Completion completion;
 
     private Runnable closeAction = NOTHING;
     private Runnable writabilityAction = NOTHING;
+    private boolean keepAlive;
     private boolean started;
     private boolean finished;
 
-    ChannelResponse(Channel channel, boolean keepAlive, Completion completion) {
+    ChannelResponse(Channel channel, BooleanSupplier mayKeepAlive, Completion completion) {
         this.channel = channel;
-        this.keepAlive = keepAlive;
+        this.mayKeepAlive = mayKeepAlive;
         this.completion = completion;
     }
 
@@ -89,6 +91,8 @@
         for (Map.Entry<String, String> header : from.entries()) {
             to.add(header.getKey(), header.getValue());
         }
+        // Asked once, so that what the head says is what happens after the answer.
+        keepAlive = mayKeepAlive.getAsBoolean();
         to.set(HttpHeaderNames.CONNECTION, keepAlive ? HttpHeaderValues.KEEP_ALIVE : HttpHeaderValues.CLOSE);
     }
 
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import com.google.common.collect.ImmutableListMultimap;
 import io.netty.buffer.ByteBuf;
@@ -46,6 +47,7 @@
     private final ServerHandler handler;
     private final BodyBudget budget;
     private final ReceiveClock clock;
+    private final BooleanSupplier draining;
     private final Deque<HttpObject> queued = new ArrayDeque<>();
 
     private ChannelHandlerContext context;
@@ -56,11 +58,17 @@
     private ChannelResponse response;
     private boolean closing;
 
-    ConnectionHandler(ServerLimits limits, ServerHandler handler, BodyBudget budget, ReceiveClock clock) {
+    ConnectionHandler(
+            ServerLimits limits,
+            ServerHandler handler,
+            BodyBudget budget,
+            ReceiveClock clock,
+            BooleanSupplier draining) {
         this.limits = limits;
         this.handler = handler;
         this.budget = budget;
         this.clock = clock;
+        this.draining = draining;
     }
 
     @Override
@@ -158,7 +166,8 @@
                 new ServerRequest(head.method().name(), head.uri(), headersOf(head), body.whole(), bodyBytes);
         head = null;
         body = null;
-        response = new ChannelResponse(context.channel(), keepAlive, this::onAnswered);
+        response =
+                new ChannelResponse(context.channel(), () -> keepAlive && !draining.getAsBoolean(), this::onAnswered);
         try {
             handler.onRequest(request, response);
         } catch (RequestException e) {
@@ -180,7 +189,7 @@
     private void refuse(RequestException refusal) {
         closing = true;
         clock.stop();
-        ChannelResponse answer = new ChannelResponse(context.channel(), false, this::onAnswered);
+        ChannelResponse answer = new ChannelResponse(context.channel(), () -> false, this::onAnswered);
         response = answer;
         handler.onRefused(refusal, answer);
     }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -28,16 +29,18 @@
     private static final int BACKLOG = 1_024;
     private static final WriteBufferWaterMark ANSWER_BUFFER_BYTES = new WriteBufferWaterMark(32 << 10, 128 << 10);
 
-    private final ServerLimits limits;
+    private final Supplier<ServerLimits> limits;
     private final ServerHandler handler;
     private final BodyBudget budget;
     private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final Channel channel;
 
-    private HttpServer(EventLoopGroup group, Endpoint endpoint, ServerLimits limits, ServerHandler handler) {
+    private volatile boolean draining;
+
+    private HttpServer(EventLoopGroup group, Endpoint endpoint, Supplier<ServerLimits> limits, ServerHandler handler) {
         this.limits = limits;
         this.handler = handler;
-        this.budget = new BodyBudget(limits.maxBufferedBytes());
+        this.budget = new BodyBudget(limits.get().maxBufferedBytes());
         this.channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -59,9 +62,26 @@
      */
     public static HttpServer start(
             EventLoopGroup group, Endpoint endpoint, ServerLimits limits, ServerHandler handler) {
+        checkNotNull(limits);
+        return start(group, endpoint, () -> limits, handler);
+    }
+
+    /**
+     * Starts listening with limits that may change; each connection keeps those that it was accepted with, but for the
+     * bytes of all bodies, which are read once.
+     *
+     * @throws RuntimeException if the endpoint cannot be bound
+     */
+    public static HttpServer start(
+            EventLoopGroup group, Endpoint endpoint, Supplier<ServerLimits> limits, ServerHandler handler) {
         return new HttpServer(checkNotNull(group), checkNotNull(endpoint), checkNotNull(limits), checkNotNull(handler));
     }
 
+    /** Ends each connection after the answer that it is waiting for, or after its next one; new ones are accepted. */
+    public void drain() {
+        draining = true;
+    }
+
     /** Returns where the server listens; tells the real port when port 0 was asked for. */
     public Endpoint endpoint() {
         InetSocketAddress address = (InetSocketAddress) channel.localAddress();
@@ -93,24 +113,25 @@
     private final class Initializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel connection) {
-            if (accepted.size() >= limits.maxConnections()) {
+            ServerLimits present = limits.get();
+            if (accepted.size() >= present.maxConnections()) {
                 connection.close();
                 return;
             }
             accepted.add(connection);
             HttpDecoderConfig config = new HttpDecoderConfig()
-                    .setMaxInitialLineLength(limits.maxHeaderBytes())
-                    .setMaxHeaderSize(limits.maxHeaderBytes())
+                    .setMaxInitialLineLength(present.maxHeaderBytes())
+                    .setMaxHeaderSize(present.maxHeaderBytes())
                     .setMaxChunkSize(MAX_CHUNK_BYTES)
                     .setUseRfc9112TransferEncoding(true);
-            ReceiveClock clock = new ReceiveClock(limits);
+            ReceiveClock clock = new ReceiveClock(present);
             connection
                     .pipeline()
-                    .addLast(new IdleStateHandler(limits.idle().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
-                    .addLast(new StalledReaderGuard(limits))
+                    .addLast(new IdleStateHandler(present.idle().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
+                    .addLast(new StalledReaderGuard(present))
                     .addLast(clock)
                     .addLast(new HttpServerCodec(config))
-                    .addLast(new ConnectionHandler(limits, handler, budget, clock));
+                    .addLast(new ConnectionHandler(present, handler, budget, clock, () -> draining));
         }
     }
 }
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/AssignDuty.java
@@ -0,0 +1,79 @@
+package org.boragebarrow.node.assign;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
+import io.netty.channel.EventLoop;
+import org.boragebarrow.decision.assign.AssignEffect;
+import org.boragebarrow.decision.assign.AssignEvent;
+import org.boragebarrow.decision.assign.Assigner;
+import org.boragebarrow.node.ring.DutyRing;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** The thread that owns one {@link Assigner}. Thread-safe. */
+public final class AssignDuty implements AutoCloseable {
+    /** Events that wait; a host that has this many requests at once is far beyond what its core can serve. */
+    private static final int CAPACITY = 8_192;
+
+    /** How often waiting work is looked at although nothing ended, for targets whose pause is over. */
+    private static final long TICK_MILLIS = 50;
+
+    private final Assigner assigner = new Assigner();
+    private final AtomicBoolean tickSet = new AtomicBoolean();
+    private final EventLoop loop;
+    private final Ticker ticker;
+    private final Consumer<ImmutableList<AssignEffect>> sink;
+    private final DutyRing<AssignEvent> ring;
+
+    /**
+     * Starts the thread.
+     *
+     * @param sink receives decisions, on the event loop
+     * @param failures receives the duty's name and what an event threw
+     */
+    public AssignDuty(
+            EventLoop loop,
+            Ticker ticker,
+            Consumer<ImmutableList<AssignEffect>> sink,
+            BiConsumer<String, Throwable> failures) {
+        this.loop = checkNotNull(loop);
+        this.ticker = checkNotNull(ticker);
+        this.sink = checkNotNull(sink);
+        this.ring = DutyRing.start("assign", CAPACITY, this::apply, failures);
+    }
+
+    /** Hands an event over; returns false if the ring is full. */
+    public boolean offer(AssignEvent event) {
+        return ring.offer(event);
+    }
+
+    /** Hands over an event that must not be lost. */
+    public void offerSurely(AssignEvent event) {
+        ring.offerSurely(event);
+    }
+
+    private void apply(AssignEvent event) {
+        ImmutableList<AssignEffect> effects = assigner.apply(event, ticker.read());
+        if (!effects.isEmpty()) {
+            loop.execute(() -> sink.accept(effects));
+        }
+        if (assigner.hasWaiting() && tickSet.compareAndSet(false, true)) {
+            loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void tick() {
+        tickSet.set(false);
+        ring.offerSurely(new AssignEvent.Ticked());
+    }
+
+    @Override
+    public void close() {
+        ring.close();
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the region's assigner and finds the host on which it runs. */
+package org.boragebarrow.node.assign;
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ErrorBodies.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/front/ErrorBodies.java
@@ -53,6 +53,11 @@
         response.send(failure.kind().status(), headers.build(), ByteBuffer.wrap(body));
     }
 
+    /** Returns the body of an answer to a request without a key. */
+    public static byte[] of(RequestException failure) {
+        return bytes(failure, false);
+    }
+
     /** Returns the event that ends a stream which had begun. */
     static byte[] event(RequestException failure) {
         String json = new String(bytes(failure, false), StandardCharsets.UTF_8);
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Answers.java
@@ -0,0 +1,29 @@
+package org.boragebarrow.node.relay;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Locale;
+
+import com.google.common.collect.ImmutableListMultimap;
+import org.boragebarrow.http.server.ServerResponse;
+import org.boragebarrow.model.RequestException;
+import org.boragebarrow.node.front.ErrorBodies;
+
+/** Writes the answers that the host itself gives. */
+final class Answers {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private Answers() {}
+
+    /** Answers with the failure's status; a time to return is told in seconds with a fraction. */
+    static void send(ServerResponse response, RequestException failure) {
+        ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
+        headers.put("content-type", "application/json");
+        failure.retryAfter().ifPresent(delay -> headers.put("retry-after", seconds(delay)));
+        response.send(failure.kind().status(), headers.build(), ByteBuffer.wrap(ErrorBodies.of(failure)));
+    }
+
+    private static String seconds(Duration delay) {
+        return String.format(Locale.ROOT, "%.3f", delay.toMillis() / MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/DecisionLog.java
@@ -0,0 +1,82 @@
+package org.boragebarrow.node.relay;
+
+import java.io.PrintStream;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.common.base.CharMatcher;
+import org.boragebarrow.node.ring.DutyRing;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Writes one line for each decision, as {@code name=value} pairs. Thread-safe.
+ *
+ * <p>Never blocks the caller: lines wait in a bounded ring, and those that find it full are counted and dropped.
+ */
+public final class DecisionLog implements AutoCloseable {
+    /** Lines that wait; at 200 bytes each this bounds the log's memory to about 200 kB. */
+    private static final int CAPACITY = 1_024;
+
+    private static final CharMatcher UNSAFE =
+            CharMatcher.inRange('!', '~').negate().or(CharMatcher.anyOf("\"\\")).precomputed();
+
+    private final DutyRing<String> ring;
+    private final AtomicLong dropped = new AtomicLong();
+    private final PrintStream out;
+
+    /** Starts a log that writes to the stream. */
+    public DecisionLog(PrintStream out) {
+        this.out = checkNotNull(out);
+        this.ring = DutyRing.start("log", CAPACITY, out::println, (name, failure) -> dropped.incrementAndGet());
+    }
+
+    /**
+     * Writes a line.
+     *
+     * @param pairs names and values in turn; a name stands before each value
+     */
+    public void write(RelayEvent event, Object... pairs) {
+        checkArgument(pairs.length % 2 == 0, "a name without a value: %s", pairs.length);
+        StringBuilder line = new StringBuilder(160);
+        line.append("event=BB").append(event.number()).append(' ').append("what=");
+        line.append(event.name().toLowerCase(Locale.ROOT));
+        for (int i = 0; i < pairs.length; i += 2) {
+            line.append(' ').append(pairs[i]).append('=');
+            append(line, String.valueOf(pairs[i + 1]));
+        }
+        offer(line.toString());
+    }
+
+    /** Returns the lines that were dropped so far. */
+    public long dropped() {
+        return dropped.get();
+    }
+
+    private void offer(String line) {
+        if (!ring.offer(line)) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    private static void append(StringBuilder line, String value) {
+        if (!value.isEmpty() && UNSAFE.matchesNoneOf(value)) {
+            line.append(value);
+            return;
+        }
+        String quoted = value.replace("\\", "\\\\").replace("\"", "\\\"");
+        line.append('"')
+                .append(CharMatcher.javaIsoControl().replaceFrom(quoted, ' '))
+                .append('"');
+    }
+
+    @Override
+    public void close() {
+        if (dropped.get() > 0) {
+            write(RelayEvent.LINES_DROPPED, "lines", dropped.get());
+        }
+        ring.close();
+        out.flush();
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
@@ -0,0 +1,122 @@
+package org.boragebarrow.node.relay;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import com.google.common.hash.Hashing;
+import org.boragebarrow.decision.routing.Route;
+import org.boragebarrow.decision.routing.RoutingTable;
+import org.boragebarrow.http.server.ServerResponse;
+import org.boragebarrow.model.ErrorKind;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.RequestException;
+import org.boragebarrow.model.ServiceName;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/**
+ * Takes callers' requests, finds their route and organisation, and follows them to their end.
+ *
+ * <p>Confined to the event loop of its context.
+ */
+public final class Relay {
+    /** When a caller may come back to a host that has read no configuration yet: one read of the store takes less. */
+    private static final Duration STARTING_RETURN = Duration.ofMillis(500);
+
+    /** When a caller may come back after a host that stops refused it: another host answers at once. */
+    private static final Duration STOPPING_RETURN = Duration.ofMillis(50);
+
+    private final RelayContext context;
+    private final Set<RelayExchange> open = new HashSet<>();
+    private boolean refusing;
+    private long attempts;
+
+    /** Creates a relay without requests. */
+    public Relay(RelayContext context) {
+        this.context = checkNotNull(context);
+    }
+
+    /** Takes a whole request. */
+    public void accept(RelayRequest request, ServerResponse response) {
+        long arrival = context.ticker().read();
+        try {
+            RelayExchange exchange = open(request, response, arrival);
+            open.add(exchange);
+            exchange.start();
+        } catch (RequestException e) {
+            refuse(request, response, e);
+        }
+    }
+
+    private RelayExchange open(RelayRequest request, ServerResponse response, long arrival) {
+        if (refusing) {
+            throw RequestException.of(ErrorKind.SHUTTING_DOWN, "the host is stopping", STOPPING_RETURN);
+        }
+        RoutingTable table = context.routing()
+                .current()
+                .orElseThrow(() -> RequestException.of(
+                        ErrorKind.NOT_READY, "the host has read no configuration yet", STARTING_RETURN));
+        Route route = table.match(request.host(), request.path())
+                .orElseThrow(() -> RequestException.of(
+                        ErrorKind.NOT_FOUND, "no route for host \"" + request.host() + "\" and this path"));
+        Optional<OrganisationId> organisation = organisation(table, route, request);
+        ServiceName service = route.service(draw(request.id()));
+        return new RelayExchange(
+                context, this, request, response, new Destination(route, service, organisation), arrival);
+    }
+
+    private static Optional<OrganisationId> organisation(RoutingTable table, Route route, RelayRequest request) {
+        if (route.open() || !table.asksForKeys()) {
+            return Optional.empty();
+        }
+        Optional<OrganisationId> organisation = request.key().flatMap(table::organisation);
+        if (organisation.isEmpty()) {
+            throw RequestException.of(ErrorKind.UNAUTHENTICATED, "the key is missing or unknown");
+        }
+        return organisation;
+    }
+
+    /** Returns a number between 0 and 1 that is the same for the same id. */
+    private static double draw(String id) {
+        return (Hashing.murmur3_32_fixed().hashString(id, UTF_8).asInt() & 0x7fffffffL) / (double) (1L << 31);
+    }
+
+    private void refuse(RelayRequest request, ServerResponse response, RequestException failure) {
+        context.log()
+                .write(
+                        RelayEvent.REFUSED,
+                        "id",
+                        request.id(),
+                        "kind",
+                        failure.kind(),
+                        "ran",
+                        failure.ran(),
+                        "version",
+                        context.routing().current().map(RoutingTable::version).orElse(0L),
+                        "reason",
+                        failure.getMessage());
+        context.metrics().failed(failure.kind());
+        Answers.send(response, failure);
+    }
+
+    /** Refuses new requests from now on; those in progress go on. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
+    /** Returns the number of requests in progress. */
+    public int inProgress() {
+        return open.size();
+    }
+
+    long nextAttempt() {
+        return ++attempts;
+    }
+
+    void closed(RelayExchange exchange) {
+        open.remove(exchange);
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -0,0 +1,271 @@
+package org.boragebarrow.node.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.netty.buffer.ByteBuf;
+import io.netty.util.concurrent.Future;
+import org.boragebarrow.decision.assign.Assignment;
+import org.boragebarrow.decision.assign.Outcome;
+import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.http.server.ServerResponse;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.port.EngineClient;
+import org.boragebarrow.port.TargetFailure;
+
+/** One call of an exchange to one target; confined to the event loop. */
+final class RelayAttempt implements TargetCalls.Listener {
+    /** The longest answer that is held until it is whole, and the longest event of a stream, in bytes. */
+    private static final int MAX_HELD_BYTES = 16 << 20;
+
+    /** Statuses by which a host vouches that a request did not run; a target that says so adds a word of its own. */
+    private static final ImmutableSet<Integer> VOUCHING = ImmutableSet.of(408, 421, 429, 503);
+
+    /** The first status of errors that another attempt may not meet. */
+    private static final int SERVER_ERROR = 500;
+
+    private final RelayContext context;
+    private final RelayExchange exchange;
+    private final AttemptId id;
+    private final Assignment assignment;
+    private final EventSplitter splitter = new EventSplitter(MAX_HELD_BYTES);
+    private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+    private Optional<EngineClient.Handle> handle = Optional.empty();
+    private Optional<Future<?>> stallTimer = Optional.empty();
+    private Optional<TargetCalls.Head> head = Optional.empty();
+    private Duration longestPause = Duration.ZERO;
+    private long sentAt;
+    private long progressAt;
+    private long firstMillis = -1;
+    private long relayed;
+    private boolean closed;
+
+    RelayAttempt(RelayContext context, RelayExchange exchange, AttemptId id, Assignment assignment) {
+        this.context = context;
+        this.exchange = exchange;
+        this.id = id;
+        this.assignment = assignment;
+    }
+
+    AttemptId id() {
+        return id;
+    }
+
+    FleetTarget target() {
+        return assignment.target();
+    }
+
+    Duration predictedFirst() {
+        return assignment.predictedFirst();
+    }
+
+    /** Returns the time from sending to the first event, or -1 before it came. */
+    long firstMillis() {
+        return firstMillis;
+    }
+
+    Duration longestPause() {
+        return longestPause;
+    }
+
+    void start() {
+        sentAt = context.ticker().read();
+        progressAt = sentAt;
+        ImmutableList<FleetTarget> helpers = assignment.helpers().stream()
+                .filter(context.fleet()::isUsable)
+                .collect(ImmutableList.toImmutableList());
+        boolean repeatable = exchange.route().kind().repeatable();
+        TargetCalls.Call call = new TargetCalls.Call(
+                exchange.request(),
+                assignment.target(),
+                exchange.organisation(),
+                exchange.remaining(),
+                exchange.sequence().last(),
+                helpers,
+                repeatable);
+        handle = Optional.of(context.calls().start(call, this));
+        if (repeatable) {
+            armStall(StallLimits.first(assignment.predictedFirst()));
+        }
+        ServerResponse response = exchange.response();
+        response.onWritabilityChanged(() -> handle.ifPresent(open -> open.setReading(response.isWritable())));
+    }
+
+    /** Ends the call, if it has not ended, and tells the assigner how. */
+    void close(Outcome outcome) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        stallTimer.ifPresent(timer -> timer.cancel(false));
+        handle.ifPresent(EngineClient.Handle::close);
+        context.assignments().ended(id, outcome);
+    }
+
+    private void armStall(Duration delay) {
+        stallTimer =
+                Optional.of(context.loop().schedule(() -> checkStall(delay), delay.toNanos(), TimeUnit.NANOSECONDS));
+    }
+
+    private void checkStall(Duration limit) {
+        if (closed) {
+            return;
+        }
+        long silent = context.ticker().read() - progressAt;
+        Duration allowed = firstMillis < 0 ? limit : StallLimits.pause(exchange.route());
+        long left = allowed.toNanos() - silent;
+        if (left > RelayExchange.TIMER_SLACK_NANOS) {
+            armStall(Duration.ofNanos(left));
+            return;
+        }
+        if (!exchange.response().isWritable()) {
+            // The caller does not read, so the target was not read either.
+            armStall(allowed);
+            return;
+        }
+        if (exchange.mayRepeat(true)) {
+            exchange.conclude(this, Outcome.SILENT, true, true, "no event for " + allowed.toMillis() + " ms");
+        }
+    }
+
+    private void fail(Outcome outcome, boolean ran, String reason) {
+        exchange.onAttemptFailed(this, outcome, ran, reason);
+    }
+
+    @Override
+    public void onHead(TargetCalls.Head answer) {
+        if (closed) {
+            return;
+        }
+        if (answer.otherLife()) {
+            fail(Outcome.UNREACHABLE, false, "another target has the address");
+            return;
+        }
+        if (answer.notRun()) {
+            fail(Outcome.REFUSED, false, "refused with status " + answer.status());
+            return;
+        }
+        if (!answer.genuine()) {
+            fail(Outcome.FAILED, true, "answer " + answer.status() + " is not the target's own");
+            return;
+        }
+        if (!answer.isSuccess() && (exchange.hasBegun() || VOUCHING.contains(answer.status()))) {
+            fail(Outcome.FAILED, true, "failed with status " + answer.status());
+            return;
+        }
+        if (answer.status() >= SERVER_ERROR && exchange.mayRepeat(true)) {
+            exchange.conclude(this, Outcome.FAILED, true, true, "failed with status " + answer.status());
+            return;
+        }
+        head = Optional.of(answer);
+    }
+
+    private boolean streams() {
+        return exchange.route().kind().streamed()
+                && head.map(TargetCalls.Head::isSuccess).orElse(false);
+    }
+
+    @Override
+    public void onBody(ByteBuf part) {
+        if (closed) {
+            return;
+        }
+        if (!streams()) {
+            hold(part);
+            return;
+        }
+        List<EventSplitter.Event> events;
+        try {
+            events = splitter.feed(part);
+        } catch (IllegalArgumentException e) {
+            fail(Outcome.FAILED, true, e.getMessage());
+            return;
+        }
+        for (EventSplitter.Event event : events) {
+            if (!deliver(event)) {
+                return;
+            }
+        }
+    }
+
+    private void hold(ByteBuf part) {
+        if (held.size() + part.readableBytes() > MAX_HELD_BYTES) {
+            fail(Outcome.FAILED, true, "answer is longer than " + MAX_HELD_BYTES + " bytes");
+            return;
+        }
+        byte[] bytes = new byte[part.readableBytes()];
+        part.getBytes(part.readerIndex(), bytes);
+        held.writeBytes(bytes);
+    }
+
+    /** Passes an event on; returns false if the attempt is over by it. */
+    private boolean deliver(EventSplitter.Event event) {
+        progress();
+        EventSequence.Verdict verdict = exchange.sequence().onEvent(event.id());
+        if (verdict == EventSequence.Verdict.GAP) {
+            fail(Outcome.FAILED, true, "an event is missing before " + event.id());
+            return false;
+        }
+        if (verdict == EventSequence.Verdict.DELIVER) {
+            exchange.begin(head.orElseThrow());
+            relayed += event.bytes().length;
+            exchange.response().write(ByteBuffer.wrap(event.bytes()));
+            if (!exchange.response().isWritable()) {
+                handle.ifPresent(open -> open.setReading(false));
+            }
+        }
+        return !closed;
+    }
+
+    private void progress() {
+        long now = context.ticker().read();
+        if (firstMillis < 0) {
+            firstMillis = TimeUnit.NANOSECONDS.toMillis(now - sentAt);
+            context.assignments().firstEvent(id);
+        } else if (now - progressAt > longestPause.toNanos()) {
+            longestPause = Duration.ofNanos(now - progressAt);
+        }
+        progressAt = now;
+    }
+
+    @Override
+    public void onEnd() {
+        if (closed || head.isEmpty()) {
+            return;
+        }
+        if (streams()) {
+            endStream();
+            return;
+        }
+        progress();
+        int status = head.get().status();
+        exchange.answered(this, status, held.size());
+        close(status < SERVER_ERROR ? Outcome.SUCCEEDED : Outcome.FAILED);
+        exchange.response().send(status, head.get().headers(), ByteBuffer.wrap(held.toByteArray()));
+    }
+
+    private void endStream() {
+        if (splitter.hasRest()) {
+            fail(Outcome.FAILED, true, "the stream ended within an event");
+            return;
+        }
+        exchange.begin(head.orElseThrow());
+        exchange.answered(this, head.get().status(), relayed);
+        close(Outcome.SUCCEEDED);
+        exchange.response().end();
+    }
+
+    @Override
+    public void onFailure(TargetFailure failure) {
+        if (closed) {
+            return;
+        }
+        fail(failure.sent() ? Outcome.FAILED : Outcome.UNREACHABLE, failure.sent(), failure.message());
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayContext.java
@@ -0,0 +1,32 @@
+package org.boragebarrow.node.relay;
+
+import java.util.random.RandomGenerator;
+
+import com.google.common.base.Ticker;
+import io.netty.channel.EventLoop;
+import org.boragebarrow.decision.fleet.Fleet;
+import org.boragebarrow.decision.retry.RetryShare;
+import org.boragebarrow.decision.routing.RoutingFollower;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.node.metrics.HostMetrics;
+
+/**
+ * What all requests of a host share; all but the log and the metrics is confined to the event loop.
+ *
+ * @param loop on which requests, the fleet and the routing are handled
+ * @param random seeded by the process; spreads the times at which refused callers return
+ */
+public record RelayContext(
+        HostLife self,
+        AvailabilityZoneId zone,
+        EventLoop loop,
+        Ticker ticker,
+        RandomGenerator random,
+        RoutingFollower routing,
+        Fleet fleet,
+        RetryShare retries,
+        Assignments assignments,
+        TargetCalls calls,
+        DecisionLog log,
+        HostMetrics metrics) {}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
@@ -0,0 +1,189 @@
+package org.boragebarrow.node.relay;
+
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import org.boragebarrow.decision.assign.AssignEffect;
+import org.boragebarrow.decision.assign.Assignment;
+import org.boragebarrow.decision.assign.Outcome;
+import org.boragebarrow.decision.assign.PromptSize;
+import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.model.ErrorKind;
+
+/** Writes the decisions on one request to the log; confined to the event loop. */
+final class RelayTrace {
+    private final RelayContext context;
+    private final RelayRequest request;
+    private final Destination destination;
+    private final long arrival;
+
+    RelayTrace(RelayContext context, RelayRequest request, Destination destination, long arrival) {
+        this.context = context;
+        this.request = request;
+        this.destination = destination;
+        this.arrival = arrival;
+    }
+
+    private long ageMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(context.ticker().read() - arrival);
+    }
+
+    void unassigned(AssignEffect.Refused refused, int excluded) {
+        context.log()
+                .write(
+                        RelayEvent.UNASSIGNED,
+                        "id",
+                        request.id(),
+                        "attempt",
+                        refused.id(),
+                        "service",
+                        destination.service(),
+                        "reason",
+                        refused.reason(),
+                        "age_ms",
+                        ageMillis(),
+                        "excluded",
+                        excluded);
+    }
+
+    void overruled(FleetTarget target) {
+        context.log()
+                .write(
+                        RelayEvent.OVERRULED,
+                        "id",
+                        request.id(),
+                        "target",
+                        target.id(),
+                        "at",
+                        target.endpoint(),
+                        "reason",
+                        "not usable in this host's view");
+    }
+
+    void assigned(Work work, Assignment assignment, int number) {
+        context.log()
+                .write(
+                        RelayEvent.ASSIGNED,
+                        "id",
+                        request.id(),
+                        "attempt",
+                        work.id(),
+                        "number",
+                        number,
+                        "service",
+                        destination.service(),
+                        "target",
+                        assignment.target().id(),
+                        "at",
+                        assignment.target().endpoint(),
+                        "helpers",
+                        assignment.helpers().size(),
+                        "tokens",
+                        request.size().map(PromptSize::promptTokens).orElse(0L),
+                        "predicted_ms",
+                        assignment.predictedFirst().toMillis(),
+                        "age_ms",
+                        ageMillis(),
+                        "left_ms",
+                        work.remaining().toMillis());
+    }
+
+    void attemptFailed(RelayAttempt attempt, Outcome outcome, boolean ran, boolean retried, String reason) {
+        context.log()
+                .write(
+                        RelayEvent.ATTEMPT_FAILED,
+                        "id",
+                        request.id(),
+                        "attempt",
+                        attempt.id(),
+                        "target",
+                        attempt.target().id(),
+                        "outcome",
+                        outcome,
+                        "ran",
+                        ran ? "unknown" : "no",
+                        "retried",
+                        retried,
+                        "age_ms",
+                        ageMillis(),
+                        "reason",
+                        reason);
+    }
+
+    void refused(ErrorKind kind, int attempts, String reason) {
+        context.log()
+                .write(
+                        RelayEvent.REFUSED,
+                        "id",
+                        request.id(),
+                        "route",
+                        destination.route().name(),
+                        "kind",
+                        kind,
+                        "ran",
+                        kind.ran(),
+                        "age_ms",
+                        ageMillis(),
+                        "attempts",
+                        attempts,
+                        "reason",
+                        reason);
+    }
+
+    void broken(OptionalLong lastEvent, int attempts, String reason) {
+        context.log()
+                .write(
+                        RelayEvent.BROKEN,
+                        "id",
+                        request.id(),
+                        "route",
+                        destination.route().name(),
+                        "last_event",
+                        lastEvent.orElse(-1),
+                        "age_ms",
+                        ageMillis(),
+                        "attempts",
+                        attempts,
+                        "reason",
+                        reason);
+    }
+
+    void left(OptionalLong lastEvent, int attempts) {
+        context.log()
+                .write(
+                        RelayEvent.LEFT,
+                        "id",
+                        request.id(),
+                        "age_ms",
+                        ageMillis(),
+                        "attempts",
+                        attempts,
+                        "last_event",
+                        lastEvent.orElse(-1));
+    }
+
+    void answered(RelayAttempt attempt, int status, long bytes, int attempts) {
+        context.log()
+                .write(
+                        RelayEvent.ANSWERED,
+                        "id",
+                        request.id(),
+                        "target",
+                        attempt.target().id(),
+                        "status",
+                        status,
+                        "bytes",
+                        bytes,
+                        "first_ms",
+                        attempt.firstMillis(),
+                        "predicted_ms",
+                        attempt.predictedFirst().toMillis(),
+                        "pause_ms",
+                        attempt.longestPause().toMillis(),
+                        "age_ms",
+                        ageMillis(),
+                        "attempts",
+                        attempts);
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -0,0 +1,107 @@
+package org.boragebarrow.node.settings;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+
+/**
+ * The checked settings of a host that passes requests on to targets as they came.
+ *
+ * @param readiness where the balancer asks whether the host takes connections
+ * @param metrics where counters and histograms are served
+ * @param peers where other hosts connect
+ * @param store where the platform's store listens
+ * @param grace the time from the order to stop until the process is killed
+ * @param repeatRatio repeats that all hosts together may send for each request
+ * @param repeatAllowance repeats that all hosts together may send beyond that in a window
+ * @param repeatWindow the sliding window in which repeats are counted
+ */
+public record RelaySettings(
+        HostId id,
+        AvailabilityZoneId zone,
+        Endpoint callers,
+        Endpoint readiness,
+        Endpoint metrics,
+        Endpoint peers,
+        Endpoint store,
+        Duration grace,
+        double repeatRatio,
+        int repeatAllowance,
+        Duration repeatWindow) {
+    private static final String ENDPOINT = "IP number and port";
+    private static final Endpoint NO_ENDPOINT = Endpoint.of("127.0.0.1", 0);
+    private static final int MINUTE_MILLIS = 60_000;
+
+    private static final Setting<Endpoint> READINESS =
+            Setting.required("readiness", "endpoint", ENDPOINT, "Where the balancer asks.", Endpoint::parse);
+    private static final Setting<Endpoint> METRICS =
+            Setting.required("metrics", "endpoint", ENDPOINT, "Where meters are served.", Endpoint::parse);
+    private static final Setting<Endpoint> STORE =
+            Setting.required("store", "endpoint", ENDPOINT, "Where the platform's store listens.", Endpoint::parse);
+    private static final Setting<Duration> GRACE = Setting.millis(
+            "stopping", "grace-ms", 8_000, 100, 10 * MINUTE_MILLIS, "From the order to stop until the kill.");
+    private static final Setting<Double> RATIO = Setting.of(
+            "repeats",
+            "ratio",
+            "number, 0 to 1",
+            "0.2",
+            "Repeats of all hosts for each request.",
+            RelaySettings::ratio);
+    private static final Setting<Integer> ALLOWANCE = Setting.integer(
+            "repeats", "allowance", "repeats", 100, 0, 1_000_000, "Repeats of all hosts beyond the ratio in a window.");
+    private static final Setting<Duration> WINDOW =
+            Setting.millis("repeats", "window-ms", 10_000, 100, 10 * MINUTE_MILLIS, "The window of repeats.");
+
+    /**
+     * Reads and checks a settings file.
+     *
+     * @throws SettingsException with everything that is wrong
+     * @throws IOException if the file cannot be read
+     */
+    public static RelaySettings read(Path path) throws IOException {
+        return of(SettingsFile.read(path));
+    }
+
+    /**
+     * Checks the text of a settings file.
+     *
+     * @throws SettingsException with everything that is wrong
+     */
+    public static RelaySettings parse(String text) {
+        return of(SettingsFile.parse(text));
+    }
+
+    private static RelaySettings of(SettingsFile file) {
+        RelaySettings settings = new RelaySettings(
+                file.get(SettingKeys.HOST_ID, HostId.of("unknown")),
+                file.get(SettingKeys.HOST_ZONE, AvailabilityZoneId.of("unknown")),
+                file.get(SettingKeys.CALLERS_ENDPOINT, NO_ENDPOINT),
+                file.get(READINESS, NO_ENDPOINT),
+                file.get(METRICS, NO_ENDPOINT),
+                file.get(SettingKeys.PEERS_ENDPOINT, NO_ENDPOINT),
+                file.get(STORE, NO_ENDPOINT),
+                file.get(GRACE, Duration.ZERO),
+                file.get(RATIO, 0.0),
+                file.get(ALLOWANCE, 0),
+                file.get(WINDOW, Duration.ZERO));
+        file.finish();
+        return settings;
+    }
+
+    private static double ratio(String text) {
+        double value;
+        try {
+            value = Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("not a number: \"" + text + "\"", e);
+        }
+        if (!(value >= 0 && value <= 1)) {
+            throw new IllegalArgumentException(text + " is not within 0 to 1");
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
@@ -0,0 +1,112 @@
+package org.boragebarrow.node.watch;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.boragebarrow.decision.retry.Backoff;
+import org.boragebarrow.port.WatchedTable;
+import org.boragebarrow.port.WatchedTable.HistoryLostException;
+import org.boragebarrow.port.WatchedTable.Reading;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Keeps up with one table, one call at a time.
+ *
+ * <p>Confined to the event loop. Goes on from the last version it saw after a failure; reads the table anew only where
+ * the history is gone.
+ */
+public final class TableFollower {
+    /** How long a call waits for changes: few calls while idle, and a lost answer is noticed within it. */
+    private static final Duration WAIT = Duration.ofSeconds(9);
+
+    /** Receives the table's state; called on the event loop. */
+    public interface Listener {
+        /** Receives a full reading. */
+        void onReading(Reading reading);
+
+        /** Receives changes, in order; may be empty. */
+        void onChanges(Reading changes);
+
+        /** Receives that the store does not answer; called once for each outage. */
+        void onLost(String reason);
+
+        /** Receives that the store answers again, before what it answered. */
+        void onRegained();
+    }
+
+    private final EventLoop loop;
+    private final WatchedTable table;
+    private final Backoff backoff;
+    private final Listener listener;
+    private boolean known;
+    private boolean lost;
+    private boolean stopped;
+    private int failures;
+    private long version;
+
+    /** Creates a follower that does nothing before {@link #start}. */
+    public TableFollower(EventLoop loop, WatchedTable table, Backoff backoff, Listener listener) {
+        this.loop = checkNotNull(loop);
+        this.table = checkNotNull(table);
+        this.backoff = checkNotNull(backoff);
+        this.listener = checkNotNull(listener);
+    }
+
+    /** Starts with a full reading. */
+    public void start() {
+        next();
+    }
+
+    /** Makes no more calls. */
+    public void stop() {
+        stopped = true;
+    }
+
+    private void next() {
+        if (stopped) {
+            return;
+        }
+        CompletableFuture<Reading> call = known ? table.changes(version, WAIT) : table.read();
+        boolean full = !known;
+        call.whenComplete((reading, failure) -> loop.execute(() -> onAnswer(full, reading, failure)));
+    }
+
+    private void onAnswer(boolean full, Reading reading, Throwable failure) {
+        if (stopped) {
+            return;
+        }
+        if (failure != null) {
+            onFailure(failure instanceof CompletionException ? failure.getCause() : failure);
+            return;
+        }
+        failures = 0;
+        if (lost) {
+            lost = false;
+            listener.onRegained();
+        }
+        version = Math.max(version, reading.version());
+        known = true;
+        if (full) {
+            listener.onReading(reading);
+        } else {
+            listener.onChanges(reading);
+        }
+        next();
+    }
+
+    private void onFailure(Throwable failure) {
+        failures++;
+        if (failure instanceof HistoryLostException) {
+            known = false;
+        } else if (!lost) {
+            lost = true;
+            listener.onLost(String.valueOf(failure.getMessage()));
+        }
+        long delay = backoff.delay(failures).toMillis();
+        loop.schedule(this::next, delay, TimeUnit.MILLISECONDS);
+    }
+}
