Ask one assigner for the region, found among the hosts in the store

Cause: hosts that assign without knowing of one another's work choose the same targets; the busiest target had 3.0 times the mean load. Ruled out: the cost model itself (one host's own requests were spread well).

Change: hosts write a row each into the store, agree on a link key there by a conditional write, and ask the first live host in one rendezvous order. Without an answer the next one, or the own assigner, decides; what is held is told to a new assigner. The link port is bound off the event loop: binding on it had ended the following of the hosts' table (seen as a logged blocking operation).

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEffect.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEffect.java
@@ -9,13 +9,19 @@
     /** Returns the attempt that is decided on. */
     AttemptId id();
 
+    /** The attempt waits; its decision follows. */
+    record Queued(AttemptId id) implements AssignEffect {}
+
+    /** The end of an attempt's question. */
+    sealed interface Decided extends AssignEffect {}
+
     /** The attempt may be sent to its target. */
-    record Assigned(AttemptId id, Assignment assignment) implements AssignEffect {}
+    record Assigned(AttemptId id, Assignment assignment) implements Decided {}
 
     /**
      * The attempt is not sent to any target.
      *
      * @param retryAfter when a target is expected to be free
      */
-    record Refused(AttemptId id, RefusalReason reason, Duration retryAfter) implements AssignEffect {}
+    record Refused(AttemptId id, RefusalReason reason, Duration retryAfter) implements Decided {}
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -36,25 +36,24 @@
 
     private static final Duration USUAL_RETURN = Duration.ofMillis(900);
 
+    /** How long after its limit an attempt that was not heard of again counts as ended. */
+    private static final Duration OVERDUE = Duration.ofSeconds(1);
+
+    private static final Duration EXPIRY_PERIOD = Duration.ofMillis(500);
+
     private final Map<TargetId, TargetLoad> loads = new LinkedHashMap<>();
-    private final Map<AttemptId, ImmutableList<TargetId>> places = new HashMap<>();
+    private final Map<AttemptId, Place> places = new LinkedHashMap<>();
     private final Map<AttemptId, Waiting> waiting = new LinkedHashMap<>();
     private ImmutableMap<ServiceName, EngineProfile> profiles = ImmutableMap.of();
+    private long expiredAt;
+
+    /** The targets of an attempt, its own first, until the time at which it has ended whatever was heard of it. */
+    private record Place(ImmutableList<TargetId> targets, long until) {}
 
     private record Waiting(Work work, long since) {
         /** Returns the work as it stands now. */
         Work at(long now) {
-            Duration waited = Duration.ofNanos(now - since);
-            return new Work(
-                    work.id(),
-                    work.service(),
-                    work.zone(),
-                    work.size(),
-                    work.objective(),
-                    work.pauseObjective(),
-                    work.age().plus(waited),
-                    work.remaining().minus(waited),
-                    work.excluded());
+            return work.after(Duration.ofNanos(now - since));
         }
 
         long objectiveAt() {
@@ -91,13 +90,14 @@
     }
 
     private ImmutableList<AssignEffect> submit(Work work, long now) {
+        expire(now);
         advance(now);
         Optional<AssignEffect> decided = decide(work, now, true);
         if (decided.isPresent()) {
             return ImmutableList.of(decided.get());
         }
         waiting.put(work.id(), new Waiting(work, now));
-        return ImmutableList.of();
+        return ImmutableList.of(new AssignEffect.Queued(work.id()));
     }
 
     /** Returns the decision, or empty if the work should wait. */
@@ -108,7 +108,7 @@
         }
         Optional<EngineProfile> profile = profileOf(work);
         if (profile.isEmpty()) {
-            return plain(work, candidates, isNew);
+            return plain(work, candidates, isNew, now);
         }
         PromptSize size = work.size().orElseGet(() -> usual(profile.get()));
         if (size.total() > Placement.fittingTokens(profile.get())) {
@@ -122,16 +122,16 @@
             return Optional.of(refuse(work, RefusalReason.TOO_LATE, SHORT_RETURN));
         }
         Assignment assignment = choice.get().assignment();
-        place(work, assignment.target().id(), ids(assignment.helpers()));
+        place(work, assignment.target().id(), ids(assignment.helpers()), now);
         return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
     }
 
-    private Optional<AssignEffect> plain(Work work, List<TargetLoad> candidates, boolean isNew) {
+    private Optional<AssignEffect> plain(Work work, List<TargetLoad> candidates, boolean isNew, long now) {
         Optional<TargetLoad> target = Placement.leastBusy(work, candidates);
         if (target.isEmpty()) {
             return full(work, candidates, isNew);
         }
-        place(work, target.get().target().id(), ImmutableList.of());
+        place(work, target.get().target().id(), ImmutableList.of(), now);
         Assignment assignment = Assignment.of(target.get().target(), work.objective());
         return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
     }
@@ -187,7 +187,7 @@
         return targets.stream().map(FleetTarget::id).collect(ImmutableList.toImmutableList());
     }
 
-    private void place(Work work, TargetId target, ImmutableList<TargetId> helpers) {
+    private void place(Work work, TargetId target, ImmutableList<TargetId> helpers, long now) {
         Optional<EngineProfile> profile = profileOf(work);
         int parts = helpers.size() + 1;
         ImmutableList.Builder<TargetId> all = ImmutableList.builder();
@@ -203,12 +203,17 @@
                 all.add(helper);
             }
         }
-        places.put(work.id(), all.build());
+        long until = now + work.remaining().plus(OVERDUE).toNanos();
+        places.put(work.id(), new Place(all.build(), until));
     }
 
     private ImmutableList<AssignEffect> startWriting(AttemptId id, long now) {
         advance(now);
-        for (TargetId target : places.getOrDefault(id, ImmutableList.of())) {
+        Place place = places.get(id);
+        if (place == null) {
+            return ImmutableList.of();
+        }
+        for (TargetId target : place.targets()) {
             TargetLoad load = loads.get(target);
             if (load == null) {
                 continue;
@@ -227,12 +232,12 @@
         if (waiting.remove(ended.id()) != null) {
             return ImmutableList.of();
         }
-        ImmutableList<TargetId> targets = places.remove(ended.id());
-        if (targets == null) {
+        Place place = places.remove(ended.id());
+        if (place == null) {
             return ImmutableList.of();
         }
         advance(now);
-        for (TargetId target : targets) {
+        for (TargetId target : place.targets()) {
             TargetLoad load = loads.get(target);
             if (load == null) {
                 continue;
@@ -252,7 +257,7 @@
             return ImmutableList.of();
         }
         advance(now);
-        place(held.work(), held.target(), held.helpers());
+        place(held.work(), held.target(), held.helpers(), now);
         if (held.firstEventSeen()) {
             startWriting(held.work().id(), now);
         }
@@ -266,13 +271,30 @@
             if (!id.owner().host().equals(host)) {
                 continue;
             }
-            for (TargetId target : places.remove(id)) {
-                Optional.ofNullable(loads.get(target)).ifPresent(load -> load.remove(id));
-            }
+            forget(id);
         }
         return serveWaiting(now);
     }
 
+    private void forget(AttemptId id) {
+        for (TargetId target : places.remove(id).targets()) {
+            Optional.ofNullable(loads.get(target)).ifPresent(load -> load.remove(id));
+        }
+    }
+
+    /** Drops attempts whose end got lost on its way here. */
+    private void expire(long now) {
+        if (now - expiredAt < EXPIRY_PERIOD.toNanos()) {
+            return;
+        }
+        expiredAt = now;
+        for (Map.Entry<AttemptId, Place> entry : ImmutableList.copyOf(places.entrySet())) {
+            if (now - entry.getValue().until() > 0) {
+                forget(entry.getKey());
+            }
+        }
+    }
+
     private ImmutableList<AssignEffect> takeFleet(ImmutableList<FleetTarget> targets, long now) {
         advance(now);
         Map<TargetId, FleetTarget> present = new HashMap<>();
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
@@ -41,4 +41,10 @@
         checkNotNull(pauseObjective);
         checkNotNull(excluded);
     }
+
+    /** Returns the work as it stands after some time. */
+    public Work after(Duration time) {
+        return new Work(
+                id, service, zone, size, objective, pauseObjective, age.plus(time), remaining.minus(time), excluded);
+    }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/port/WatchedTable.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/port/WatchedTable.java
@@ -1,6 +1,7 @@
 package org.boragebarrow.port;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.collect.ImmutableList;
@@ -39,4 +40,12 @@
      * HistoryLostException}, or if the store does not answer.
      */
     CompletableFuture<Reading> changes(long after, Duration wait);
+
+    /**
+     * Writes one row; the future fails if the store does not answer, and the row may be written all the same.
+     *
+     * @param expected the version that the row must have, 0 for a row that must not exist; empty for any
+     * @return whether the row had the expected version and was written
+     */
+    CompletableFuture<Boolean> put(String key, byte[] value, OptionalLong expected);
 }
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/HostDirectory.java
@@ -0,0 +1,146 @@
+package org.boragebarrow.node.assign;
+
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableMap;
+import io.netty.channel.EventLoop;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.node.relay.DecisionLog;
+import org.boragebarrow.node.relay.RelayEvent;
+import org.boragebarrow.node.watch.TableFollower;
+import org.boragebarrow.peer.link.PeerKey;
+import org.boragebarrow.port.WatchedTable;
+import org.boragebarrow.port.WatchedTable.Reading;
+import org.boragebarrow.port.WatchedTable.Row;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * The hosts of the deployment and the key of their links, as kept in the platform's store.
+ *
+ * <p>Confined to the event loop. The key is written once, by whichever host finds none; a write whose answer is lost
+ * shows in the table like any other.
+ */
+final class HostDirectory implements TableFollower.Listener {
+    private static final String KEY_ROW = "key";
+    private static final String HOST_ROWS = "host/";
+    private static final int KEY_BYTES = 32;
+
+    /** How long a write may take to show in the table before it is made again. */
+    private static final long WRITE_SHOWS_MILLIS = 3_000;
+
+    /** Receives what the table says; called on the event loop. */
+    interface Listener {
+        /** Receives the key, once. */
+        void onKey(PeerKey key);
+
+        /** Receives the hosts whenever one comes or changes. */
+        void onHosts(ImmutableMap<HostId, HostRecord> hosts);
+    }
+
+    private final HostRecord self;
+    private final WatchedTable table;
+    private final EventLoop loop;
+    private final DecisionLog log;
+    private final Listener listener;
+    private final Map<HostId, HostRecord> hosts = new HashMap<>();
+    private Optional<PeerKey> key = Optional.empty();
+
+    HostDirectory(HostRecord self, WatchedTable table, EventLoop loop, DecisionLog log, Listener listener) {
+        this.self = checkNotNull(self);
+        this.table = checkNotNull(table);
+        this.loop = checkNotNull(loop);
+        this.log = checkNotNull(log);
+        this.listener = checkNotNull(listener);
+    }
+
+    @Override
+    public void onReading(Reading reading) {
+        hosts.clear();
+        onChanges(reading);
+        write();
+    }
+
+    @Override
+    public void onChanges(Reading changes) {
+        boolean changed = false;
+        for (Row row : changes.rows()) {
+            changed |= take(row);
+        }
+        if (changed) {
+            listener.onHosts(ImmutableMap.copyOf(hosts));
+        }
+    }
+
+    private boolean take(Row row) {
+        if (row.removed()) {
+            return row.key().startsWith(HOST_ROWS)
+                    && hosts.remove(HostId.of(row.key().substring(HOST_ROWS.length()))) != null;
+        }
+        if (row.key().equals(KEY_ROW)) {
+            takeKey(row);
+            return false;
+        }
+        try {
+            HostRecord host = HostRecord.of(row.value());
+            hosts.put(host.life().host(), host);
+            return true;
+        } catch (IllegalArgumentException e) {
+            log.write(RelayEvent.UNUSABLE, "table", table.name(), "key", row.key(), "reason", e.getMessage());
+            return false;
+        }
+    }
+
+    private void takeKey(Row row) {
+        if (key.isPresent()) {
+            return;
+        }
+        try {
+            key = Optional.of(PeerKey.of(row.value()));
+        } catch (IllegalArgumentException e) {
+            log.write(RelayEvent.UNUSABLE, "table", table.name(), "key", row.key(), "reason", e.getMessage());
+            return;
+        }
+        listener.onKey(key.get());
+    }
+
+    /** Writes what the table lacks, and looks again later whether it shows. */
+    private void write() {
+        boolean registered = self.equals(hosts.get(self.life().host()));
+        if (key.isPresent() && registered) {
+            return;
+        }
+        if (key.isEmpty()) {
+            byte[] bytes = new byte[KEY_BYTES];
+            new SecureRandom().nextBytes(bytes);
+            put(KEY_ROW, bytes, OptionalLong.of(0));
+        }
+        if (!registered) {
+            put(HOST_ROWS + self.life().host(), self.toBytes(), OptionalLong.empty());
+        }
+        loop.schedule(this::write, WRITE_SHOWS_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void put(String row, byte[] value, OptionalLong expected) {
+        table.put(row, value, expected).whenComplete((written, failure) -> {
+            if (failure != null) {
+                log.write(RelayEvent.UNUSABLE, "table", table.name(), "key", row, "reason", failure.getMessage());
+            }
+        });
+    }
+
+    @Override
+    public void onLost(String reason) {
+        log.write(RelayEvent.LOST, "dependency", "store", "table", table.name(), "reason", reason);
+    }
+
+    @Override
+    public void onRegained() {
+        log.write(RelayEvent.REGAINED, "dependency", "store", "table", table.name());
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/HostRecord.java
@@ -0,0 +1,42 @@
+package org.boragebarrow.node.assign;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.peer.proto.HostRow;
+
+/** A host as its row in the store tells of it. */
+record HostRecord(HostLife life, AvailabilityZoneId zone, Endpoint endpoint) {
+    /** Returns the row's bytes. */
+    byte[] toBytes() {
+        return HostRow.newBuilder()
+                .setHost(life.host().value())
+                .setIncarnation(life.incarnation().value())
+                .setZone(zone.value())
+                .setAddress(endpoint.address())
+                .setPort(endpoint.port())
+                .build()
+                .toByteArray();
+    }
+
+    /**
+     * Reads a row.
+     *
+     * @throws IllegalArgumentException if the bytes are no row
+     */
+    static HostRecord of(byte[] bytes) {
+        HostRow row;
+        try {
+            row = HostRow.parseFrom(bytes);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalArgumentException("not a host's row: " + e.getMessage(), e);
+        }
+        return new HostRecord(
+                HostLife.of(HostId.of(row.getHost()), Incarnation.of(row.getIncarnation())),
+                AvailabilityZoneId.of(row.getZone()),
+                Endpoint.of(row.getAddress(), row.getPort()));
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -2,64 +2,291 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.function.BiConsumer;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import org.boragebarrow.decision.assign.AssignEffect;
 import org.boragebarrow.decision.assign.AssignEvent;
+import org.boragebarrow.decision.assign.AssignerChoice;
+import org.boragebarrow.decision.assign.Assignment;
 import org.boragebarrow.decision.assign.Outcome;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
 import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
 import org.boragebarrow.node.relay.Assignments;
+import org.boragebarrow.node.relay.DecisionLog;
+import org.boragebarrow.node.relay.RelayEvent;
+import org.boragebarrow.node.watch.TableFollower;
+import org.boragebarrow.peer.link.PeerIdentity;
+import org.boragebarrow.peer.link.PeerKey;
+import org.boragebarrow.peer.link.PeerLinks;
+import org.boragebarrow.peer.link.PeerListener;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.wire.AssignMessages;
+import org.boragebarrow.peer.wire.GrantMessages;
+import org.boragebarrow.port.WatchedTable;
 
-/** Asks the assigner of the region. All but construction happens on the event loop. */
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Asks the assigner of the region, wherever it runs, and is that assigner for others.
+ *
+ * <p>Confined to the event loop. Without word from any other host the own assigner decides.
+ */
 public final class RegionAssignments implements Assignments, AutoCloseable {
     /** When a caller may come back to a host whose ring is full. */
     private static final Duration FULL_RETURN = Duration.ofSeconds(1);
 
+    /** How long the assigner may stay silent before the next one is asked: far longer than any ordinary answer. */
+    private static final long ANSWER_MILLIS = 200;
+
+    /** Silence after which the attempts of another host count as gone: three of its probes. */
+    private static final long HOST_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(3 * AssignerChoice.PROBE_MILLIS);
+
+    private final HostRecord self;
+    private final EventLoop loop;
+    private final Ticker ticker;
+    private final Fleet fleet;
+    private final DecisionLog log;
     private final AssignDuty duty;
-    private final Map<AttemptId, Decision> pending = new HashMap<>();
+    private final AssignerChoice choice;
+    private final HostDirectory directory;
+    private final Map<AttemptId, Pending> pending = new LinkedHashMap<>();
+    private final Map<AttemptId, Holding> holdings = new LinkedHashMap<>();
+    private final Map<HostId, Long> askingHosts = new HashMap<>();
+    private final Map<HostId, HostLife> lives = new HashMap<>();
+    private ImmutableMap<HostId, HostRecord> hosts = ImmutableMap.of();
+    private Optional<PeerLinks> links = Optional.empty();
+    private HostId holder;
+
+    /** A question without a decision. */
+    private static final class Pending {
+        private final Work work;
+        private final Decision decision;
+        private final long since;
+        private Optional<Future<?>> timer = Optional.empty();
+
+        Pending(Work work, Decision decision, long since) {
+            this.work = work;
+            this.decision = decision;
+            this.since = since;
+        }
+
+        void stopTimer() {
+            timer.ifPresent(future -> future.cancel(false));
+            timer = Optional.empty();
+        }
+    }
+
+    /** An assignment in use. */
+    private static final class Holding {
+        private final Work work;
+        private final TargetId target;
+        private final ImmutableList<TargetId> helpers;
+        private final long since;
+        private boolean firstEventSeen;
+
+        Holding(Work work, TargetId target, ImmutableList<TargetId> helpers, long since) {
+            this.work = work;
+            this.target = target;
+            this.helpers = helpers;
+            this.since = since;
+        }
+
+        AssignEvent.Held at(long now) {
+            return new AssignEvent.Held(work.after(Duration.ofNanos(now - since)), target, helpers, firstEventSeen);
+        }
+    }
+
+    /**
+     * Starts the host's own assigner.
+     *
+     * @param identity this host, as other hosts reach it
+     * @param table the project's own table of the store
+     */
+    public RegionAssignments(
+            Identity identity, EventLoop loop, Ticker ticker, Fleet fleet, WatchedTable table, DecisionLog log) {
+        this.self = new HostRecord(identity.peer().life(), identity.peer().zone(), identity.endpoint());
+        this.loop = checkNotNull(loop);
+        this.ticker = checkNotNull(ticker);
+        this.fleet = checkNotNull(fleet);
+        this.log = checkNotNull(log);
+        this.holder = self.life().host();
+        this.choice = new AssignerChoice(holder);
+        this.duty = new AssignDuty(loop, ticker, this::onEffects, this::onDutyFailure);
+        this.directory = new HostDirectory(self, table, loop, log, new DirectoryListener());
+    }
+
+    /** Who this host is and where other hosts reach it. */
+    public record Identity(PeerIdentity peer, Endpoint endpoint) {}
+
+    /** Returns what follows the project's own table. */
+    public TableFollower.Listener directory() {
+        return directory;
+    }
 
-    /** Starts the host's own assigner. */
-    public RegionAssignments(EventLoop loop, Ticker ticker, BiConsumer<String, Throwable> failures) {
-        this.duty = new AssignDuty(loop, ticker, this::onDecided, failures);
+    /** Returns how many hosts there may be; at least this one. */
+    public int hostCount() {
+        return Math.max(1, hosts.size());
     }
 
     @Override
     public void submit(Work work, Decision decision) {
-        pending.put(work.id(), decision);
-        if (!duty.offer(new AssignEvent.Submitted(work))) {
-            pending.remove(work.id());
-            decision.onDecided(new AssignEffect.Refused(work.id(), RefusalReason.OVERLOADED, FULL_RETURN));
+        HostId host = refreshHolder();
+        Pending question = new Pending(work, decision, ticker.read());
+        pending.put(work.id(), question);
+        ask(question, host);
+    }
+
+    private void ask(Pending question, HostId host) {
+        question.stopTimer();
+        Work work = question.work.after(Duration.ofNanos(ticker.read() - question.since));
+        if (host.equals(self.life().host())) {
+            if (!duty.offer(new AssignEvent.Submitted(work))) {
+                decide(new AssignEffect.Refused(work.id(), RefusalReason.OVERLOADED, FULL_RETURN));
+            }
+            return;
+        }
+        question.timer =
+                Optional.of(loop.schedule(() -> onUnanswered(question, host), ANSWER_MILLIS, TimeUnit.MILLISECONDS));
+        send(host, AssignMessages.ask(work));
+    }
+
+    private void onUnanswered(Pending question, HostId host) {
+        if (pending.get(question.work.id()) != question) {
+            return;
+        }
+        log.write(RelayEvent.ASSIGNER, "host", host, "state", "silent", "attempt", question.work.id());
+        choice.silent(host);
+        links.ifPresent(
+                open -> Optional.ofNullable(hosts.get(host)).ifPresent(record -> open.forget(record.endpoint())));
+        send(host, AssignMessages.ended(question.work.id(), Outcome.WITHDRAWN));
+        HostId next = refreshHolder();
+        if (pending.get(question.work.id()) == question
+                && question.timer.map(Future::isDone).orElse(false)) {
+            ask(question, next);
+        }
+    }
+
+    /** Finds the assigner anew; a new one is told of all that this host holds and is asked what is still open. */
+    private HostId refreshHolder() {
+        HostId found = choice.holder(ticker.read());
+        if (found.equals(holder)) {
+            return holder;
+        }
+        log.write(RelayEvent.ASSIGNER, "host", found, "before", holder, "held", holdings.size());
+        HostId before = holder;
+        holder = found;
+        long now = ticker.read();
+        for (Holding held : holdings.values()) {
+            AttemptId id = held.work.id();
+            tell(before, AssignMessages.ended(id, Outcome.WITHDRAWN), new AssignEvent.Ended(id, Outcome.WITHDRAWN));
+            tell(found, AssignMessages.hold(held.at(now)), held.at(now));
+        }
+        for (Pending question : ImmutableList.copyOf(pending.values())) {
+            AttemptId id = question.work.id();
+            tell(before, AssignMessages.ended(id, Outcome.WITHDRAWN), new AssignEvent.Ended(id, Outcome.WITHDRAWN));
+            ask(question, found);
+        }
+        return holder;
+    }
+
+    private void tell(HostId host, Envelope message, AssignEvent event) {
+        if (host.equals(self.life().host())) {
+            duty.offerSurely(event);
+        } else {
+            send(host, message);
         }
     }
 
-    private void onDecided(ImmutableList<AssignEffect> effects) {
+    private void send(HostId host, Envelope message) {
+        HostRecord record = hosts.get(host);
+        if (record != null) {
+            links.ifPresent(open -> open.send(record.endpoint(), message));
+        }
+    }
+
+    private void onEffects(ImmutableList<AssignEffect> effects) {
         for (AssignEffect effect : effects) {
-            Decision decision = pending.remove(effect.id());
-            if (decision != null) {
-                decision.onDecided(effect);
+            HostId owner = effect.id().owner().host();
+            if (!owner.equals(self.life().host())) {
+                send(owner, AssignMessages.effect(effect));
+            } else if (effect instanceof AssignEffect.Decided decided) {
+                decide(decided);
+            }
+        }
+    }
+
+    private void decide(AssignEffect.Decided decided) {
+        Pending question = pending.remove(decided.id());
+        if (question == null) {
+            if (decided instanceof AssignEffect.Assigned) {
+                ended(decided.id(), Outcome.WITHDRAWN);
             }
+            return;
+        }
+        question.stopTimer();
+        if (decided instanceof AssignEffect.Assigned assigned) {
+            Assignment given = assigned.assignment();
+            ImmutableList<TargetId> helpers =
+                    given.helpers().stream().map(FleetTarget::id).collect(ImmutableList.toImmutableList());
+            holdings.put(decided.id(), new Holding(question.work, given.target().id(), helpers, question.since));
+        }
+        question.decision.onDecided(decided);
+    }
+
+    private void onAssigned(AssignMessages.Assigned message) {
+        Optional<FleetTarget> target = fleet.find(message.target());
+        if (target.isEmpty()) {
+            // The assigner knows a target of which this host has not read yet, or no longer.
+            onEffects(ImmutableList.of(new AssignEffect.Refused(message.id(), RefusalReason.NO_TARGET, FULL_RETURN)));
+            tell(
+                    holder,
+                    AssignMessages.ended(message.id(), Outcome.WITHDRAWN),
+                    new AssignEvent.Ended(message.id(), Outcome.WITHDRAWN));
+            return;
         }
+        ImmutableList<FleetTarget> helpers = message.helpers().stream()
+                .flatMap(id -> fleet.find(id).stream())
+                .collect(ImmutableList.toImmutableList());
+        decide(new AssignEffect.Assigned(
+                message.id(), new Assignment(target.get(), helpers, message.predictedFirst())));
     }
 
     @Override
     public void firstEvent(AttemptId id) {
-        duty.offerSurely(new AssignEvent.FirstEventSeen(id));
+        Holding held = holdings.get(id);
+        if (held != null) {
+            held.firstEventSeen = true;
+        }
+        tell(holder, AssignMessages.progress(id), new AssignEvent.FirstEventSeen(id));
     }
 
     @Override
     public void ended(AttemptId id, Outcome outcome) {
-        pending.remove(id);
-        duty.offerSurely(new AssignEvent.Ended(id, outcome));
+        Pending question = pending.remove(id);
+        if (question != null) {
+            question.stopTimer();
+        }
+        holdings.remove(id);
+        tell(holder, AssignMessages.ended(id, outcome), new AssignEvent.Ended(id, outcome));
     }
 
     /** Takes over the targets. */
@@ -72,8 +299,122 @@
         duty.offerSurely(new AssignEvent.ProfilesChanged(profiles));
     }
 
+    private void onDutyFailure(String name, Throwable failure) {
+        log.write(RelayEvent.UNUSABLE, "duty", name, "reason", failure.toString());
+    }
+
+    private void probe() {
+        long now = ticker.read();
+        for (HostId host : choice.toProbe(now)) {
+            send(host, AssignMessages.probe(false));
+        }
+        refreshHolder();
+        Iterator<Map.Entry<HostId, Long>> asking = askingHosts.entrySet().iterator();
+        while (asking.hasNext()) {
+            Map.Entry<HostId, Long> entry = asking.next();
+            if (now - entry.getValue() > HOST_SILENCE_NANOS) {
+                asking.remove();
+                log.write(RelayEvent.PEER, "host", entry.getKey(), "state", "silent");
+                duty.offerSurely(new AssignEvent.HostLost(entry.getKey()));
+            }
+        }
+        loop.schedule(this::probe, AssignerChoice.PROBE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void close() {
         duty.close();
+        links.ifPresent(PeerLinks::close);
+    }
+
+    private final class DirectoryListener implements HostDirectory.Listener {
+        @Override
+        public void onKey(PeerKey key) {
+            PeerIdentity identity = new PeerIdentity(self.life(), self.zone());
+            // Binding waits for the event loop, so it must not happen on it.
+            CompletableFuture.supplyAsync(() -> PeerLinks.start(identity, key, new Messages(), loop, self.endpoint()))
+                    .whenComplete((open, failure) -> loop.execute(() -> onStarted(open, failure)));
+        }
+
+        private void onStarted(PeerLinks open, Throwable failure) {
+            if (failure != null) {
+                log.write(RelayEvent.LOST, "dependency", "peers", "at", self.endpoint(), "reason", failure.toString());
+                return;
+            }
+            links = Optional.of(open);
+            probe();
+        }
+
+        @Override
+        public void onHosts(ImmutableMap<HostId, HostRecord> read) {
+            hosts = read;
+            choice.setHosts(read.keySet());
+            for (HostId host : choice.toProbe(ticker.read())) {
+                send(host, AssignMessages.probe(false));
+            }
+        }
+    }
+
+    /** Messages of other hosts. */
+    private final class Messages implements PeerListener {
+        @Override
+        public void onMessage(HostLife from, Envelope message) {
+            HostId host = from.host();
+            HostLife known = lives.put(host, from);
+            if (known != null && !known.equals(from)) {
+                duty.offerSurely(new AssignEvent.HostLost(host));
+            }
+            choice.heard(host, ticker.read());
+            try {
+                receive(host, message);
+            } catch (IllegalArgumentException e) {
+                log.write(RelayEvent.UNUSABLE, "host", host, "reason", e.getMessage());
+            }
+        }
+
+        private void receive(HostId host, Envelope message) {
+            switch (message.getBodyCase()) {
+                case ASK_TARGET -> {
+                    askingHosts.put(host, ticker.read());
+                    onAsked(AssignMessages.fromWork(message.getAskTarget().getWork()));
+                }
+                case ATTEMPT_PROGRESS ->
+                    duty.offerSurely(new AssignEvent.FirstEventSeen(GrantMessages.fromAttempt(
+                            message.getAttemptProgress().getAttempt())));
+                case ATTEMPT_ENDED -> duty.offerSurely(AssignMessages.fromEnded(message.getAttemptEnded()));
+                case HOLD_TARGET -> {
+                    askingHosts.put(host, ticker.read());
+                    duty.offerSurely(AssignMessages.fromHold(message.getHoldTarget()));
+                }
+                case TARGET_QUEUED ->
+                    Optional.ofNullable(pending.get(GrantMessages.fromAttempt(
+                                    message.getTargetQueued().getAttempt())))
+                            .ifPresent(Pending::stopTimer);
+                case TARGET_ASSIGNED -> onAssigned(AssignMessages.fromAssigned(message.getTargetAssigned()));
+                case TARGET_REFUSED -> decide(AssignMessages.fromRefused(message.getTargetRefused()));
+                case PROBE -> onProbe(host, message.getProbe().getAnswer());
+                default ->
+                    log.write(RelayEvent.UNUSABLE, "host", host, "reason", "unexpected " + message.getBodyCase());
+            }
+        }
+
+        private void onAsked(Work work) {
+            if (!duty.offer(new AssignEvent.Submitted(work))) {
+                AssignEffect full = new AssignEffect.Refused(work.id(), RefusalReason.OVERLOADED, FULL_RETURN);
+                onEffects(ImmutableList.of(full));
+            }
+        }
+
+        private void onProbe(HostId host, boolean answer) {
+            askingHosts.computeIfPresent(host, (known, before) -> ticker.read());
+            if (!answer) {
+                send(host, AssignMessages.probe(true));
+            }
+        }
+
+        @Override
+        public void onRejected(String reason) {
+            log.write(RelayEvent.PEER, "state", "rejected", "reason", reason);
+        }
     }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Assignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Assignments.java
@@ -10,7 +10,7 @@
     /** Receives one decision. */
     interface Decision {
         /** Receives the decision, on the event loop of the relay. */
-        void onDecided(AssignEffect effect);
+        void onDecided(AssignEffect.Decided effect);
     }
 
     /** Asks for a target; the decision may come at once or after waiting. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -129,7 +129,7 @@
         context.assignments().submit(work, effect -> onDecided(work, effect));
     }
 
-    private void onDecided(Work work, AssignEffect effect) {
+    private void onDecided(Work work, AssignEffect.Decided effect) {
         if (finished || !asked.equals(Optional.of(effect.id()))) {
             context.assignments().ended(effect.id(), Outcome.WITHDRAWN);
             return;
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -28,6 +28,7 @@
 import org.boragebarrow.node.metrics.HostMetrics;
 import org.boragebarrow.node.settings.RelaySettings;
 import org.boragebarrow.node.watch.TableFollower;
+import org.boragebarrow.peer.link.PeerIdentity;
 import org.boragebarrow.port.WatchedTable;
 import org.boragebarrow.port.WatchedTable.Reading;
 import org.boragebarrow.port.WatchedTable.Row;
@@ -74,9 +75,11 @@
     private final Decoders decoders;
     private final Ticker ticker = Ticker.systemTicker();
     private final RandomGenerator random;
+    private final RetryShare retries;
     private final Relay relay;
     private final TableFollower routingFollower;
     private final TableFollower fleetFollower;
+    private final TableFollower hostFollower;
     private volatile boolean fleetRead;
     private volatile boolean stopping;
     private boolean told;
@@ -101,8 +104,14 @@
         this.decoders = tables.decoders();
         this.log = checkNotNull(log);
         HostLife self = HostLife.of(settings.id(), incarnation);
-        this.assignments = new RegionAssignments(loop, ticker, this::onDutyFailure);
-        RetryShare retries = new RetryShare(
+        this.assignments = new RegionAssignments(
+                new RegionAssignments.Identity(new PeerIdentity(self, settings.zone()), settings.peers()),
+                loop,
+                ticker,
+                fleet,
+                tables.hosts(),
+                log);
+        this.retries = new RetryShare(
                 settings.repeatRatio(), settings.repeatAllowance(), settings.repeatWindow(), ASSUMED_HOSTS);
         this.relay = new Relay(new RelayContext(
                 self,
@@ -119,12 +128,13 @@
                 metrics));
         this.routingFollower = new TableFollower(loop, tables.routing(), backoff(), new RoutingListener());
         this.fleetFollower = new TableFollower(loop, tables.fleet(), backoff(), new FleetListener());
+        this.hostFollower = new TableFollower(loop, tables.hosts(), backoff(), assignments.directory());
         metrics.gauge("boragebarrow.requests.open", relay::inProgress);
         metrics.gauge("boragebarrow.log.dropped", log::dropped);
     }
 
     /** The tables of the store that a host follows, and how they are read. */
-    public record Tables(WatchedTable routing, WatchedTable fleet, Decoders decoders) {}
+    public record Tables(WatchedTable routing, WatchedTable fleet, WatchedTable hosts, Decoders decoders) {}
 
     private Backoff backoff() {
         return new Backoff(FIRST_RETRY, LONGEST_RETRY, random);
@@ -144,10 +154,12 @@
                 settings.store());
         loop.execute(routingFollower::start);
         loop.execute(fleetFollower::start);
+        loop.execute(hostFollower::start);
     }
 
     /** Takes a whole request. */
     public void accept(RelayRequest request, ServerResponse response) {
+        retries.setHosts(Math.max(ASSUMED_HOSTS, assignments.hostCount()));
         relay.accept(request, response);
     }
 
@@ -200,6 +212,7 @@
         sleepUntil(begun, settings.grace().minus(EXIT_TIME), true);
         routingFollower.stop();
         fleetFollower.stop();
+        hostFollower.stop();
         log.write(RelayEvent.STOPPED, "requests", inProgress());
         log.close();
     }
@@ -214,10 +227,6 @@
         return CompletableFuture.supplyAsync(relay::inProgress, loop).join();
     }
 
-    private void onDutyFailure(String duty, Throwable failure) {
-        log.write(RelayEvent.UNUSABLE, "duty", duty, "reason", failure.toString());
-    }
-
     private void tellReadiness() {
         if (isReady() != told) {
             told = isReady();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
@@ -88,6 +88,18 @@
             lost = false;
             listener.onRegained();
         }
+        try {
+            deliver(full, reading);
+        } catch (RuntimeException e) {
+            // A fault of the listener must not end the following; the table is read anew.
+            known = false;
+            onFailure(e);
+            return;
+        }
+        next();
+    }
+
+    private void deliver(boolean full, Reading reading) {
         version = Math.max(version, reading.version());
         known = true;
         if (full) {
@@ -95,7 +107,6 @@
         } else {
             listener.onChanges(reading);
         }
-        next();
     }
 
     private void onFailure(Throwable failure) {
