--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -114,7 +114,7 @@
         if (size.total() > Placement.fittingTokens(profile.get())) {
             return Optional.of(refuse(work, RefusalReason.TOO_LARGE, USUAL_RETURN));
         }
-        Optional<Placement.Choice> choice = Placement.best(work, size, profile.get(), candidates);
+        Optional<Placement.Choice> choice = new Placement(work, size, profile.get(), candidates, now).best();
         if (choice.isEmpty()) {
             return full(work, candidates, isNew);
         }
@@ -127,7 +127,7 @@
     }
 
     private Optional<AssignEffect> plain(Work work, List<TargetLoad> candidates, boolean isNew, long now) {
-        Optional<TargetLoad> target = Placement.leastBusy(work, candidates);
+        Optional<TargetLoad> target = LeastBusy.choose(work, candidates);
         if (target.isEmpty()) {
             return full(work, candidates, isNew);
         }
@@ -193,13 +193,13 @@
         ImmutableList.Builder<TargetId> all = ImmutableList.builder();
         TargetLoad owner = loads.get(target);
         if (owner != null) {
-            owner.add(HeldWork.part(work, false, parts, profile));
+            owner.add(HeldWork.part(work, false, parts, profile, now));
             all.add(target);
         }
         for (TargetId helper : helpers) {
             TargetLoad load = loads.get(helper);
             if (load != null) {
-                load.add(HeldWork.part(work, true, parts, profile));
+                load.add(HeldWork.part(work, true, parts, profile, now));
                 all.add(helper);
             }
         }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
@@ -23,6 +23,9 @@
 
     private static final double LATE_SHARE = 1.2;
 
+    /** The part of the late loss that each objective of time costs: the sooner of two choices wins, also of late ones. */
+    private static final double SOONER_GAIN = 0.15;
+
     /** What the way between caller, host and target adds to an answer, in milliseconds. */
     private static final double WAY_MILLIS = 12;
 
@@ -56,16 +59,31 @@
         return present / 2 + reading + passes * pass;
     }
 
-    /** Returns the expected loss of a caller whose first event comes after the given time from now. */
-    static double ownLoss(Work work, double firstMillis, double worth) {
-        double total = work.age().toMillis() + firstMillis + WAY_MILLIS;
+    /** Returns the expected loss of a caller whose first event comes after the given time from its arrival. */
+    static double lateLoss(Work work, double totalMillis, double worth) {
+        double total = totalMillis + WAY_MILLIS;
         if (total > leaveMillis(work)) {
             return worth;
         }
         double share = total / Math.max(1, work.objective().toMillis());
         double late = Math.min(1, Math.max(0, (share - SAFE_SHARE) / (LATE_SHARE - SAFE_SHARE)));
-        // The small term lets the sooner of two safe choices win.
-        return worth * LATE_LOSS * (late + 0.02 * Math.min(1, share));
+        return worth * LATE_LOSS * (late + SOONER_GAIN * share);
+    }
+
+    /** Returns what those lose that still read at an engine when a helper's part goes ahead of them. */
+    static double delayLoss(TargetLoad load, EngineProfile profile, double partMillis, long now) {
+        double ahead = load.helperBacklogMillis();
+        double loss = 0;
+        for (HeldWork part : load.held()) {
+            if (part.isHelper() || part.readLeft() <= 0) {
+                continue;
+            }
+            ahead += part.readLeft();
+            double first = part.ageMillis(now) + ahead;
+            double worth = worth(part.work(), profile);
+            loss += lateLoss(part.work(), first + partMillis, worth) - lateLoss(part.work(), first, worth);
+        }
+        return loss;
     }
 
     /** Returns what those who write at the engine lose if a part is read there. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/HeldWork.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/HeldWork.java
@@ -10,32 +10,42 @@
  * <p>Not thread-safe. Reading is counted in milliseconds of the target's time when it does nothing else.
  */
 final class HeldWork {
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final Work work;
     private final boolean helper;
     private final double readTokens;
     private final double readMillis;
+    private final long arrivedAt;
     private double readLeft;
     private boolean writing;
 
-    private HeldWork(Work work, boolean helper, double readTokens, double readMillis) {
+    private HeldWork(Work work, boolean helper, double readTokens, double readMillis, long arrivedAt) {
         this.work = work;
         this.helper = helper;
         this.readTokens = readTokens;
         this.readMillis = readMillis;
+        this.arrivedAt = arrivedAt;
         this.readLeft = readMillis;
     }
 
     /** Returns one of so many even parts of the work's prompt. */
-    static HeldWork part(Work work, boolean helper, int parts, Optional<EngineProfile> profile) {
+    static HeldWork part(Work work, boolean helper, int parts, Optional<EngineProfile> profile, long now) {
         double tokens = work.size().map(PromptSize::promptTokens).orElse(0L);
         double millis = profile.map(p -> p.readMillis((long) tokens)).orElse(0.0);
-        return new HeldWork(work, helper, tokens / parts, millis / parts);
+        return new HeldWork(
+                work, helper, tokens / parts, millis / parts, now - work.age().toNanos());
     }
 
     Work work() {
         return work;
     }
 
+    /** Returns the time since the request arrived, in milliseconds. */
+    double ageMillis(long now) {
+        return (now - arrivedAt) / NANOS_PER_MILLI;
+    }
+
     boolean isHelper() {
         return helper;
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -11,10 +11,10 @@
 import org.boragebarrow.decision.routing.EngineProfile;
 
 /**
- * Chooses targets so that all callers together lose least.
+ * Chooses engines for one prompt so that all callers together lose least.
  *
  * <p>Short prompts share few engines, so that others stay free of writers whose pauses a long prompt would stretch; a
- * long prompt is read by as many engines as brings it inside its objective. Stateless.
+ * long prompt is read by as many engines as brings it inside its objective.
  */
 final class Placement {
     /** The most targets that may help one another; the engines' own bound is 16. */
@@ -35,46 +35,48 @@
     /** What crossing zones costs: bytes between zones. */
     private static final double CROSSING_LOSS = 0.01;
 
-    /** What a short prompt loses at an engine without writers: it takes the place of a long one. */
+    /** What a short prompt loses at an engine without other work: it takes the place of a long one. */
     private static final double OPENING_LOSS = 0.05;
 
+    /** What any prompt loses at an engine that failed lately. */
+    private static final double FAILING_LOSS = 1;
+
     /** The pause objective up to which a prompt counts as sensitive to others' reading, in milliseconds. */
     private static final long SENSITIVE_PAUSE_MILLIS = 400;
 
-    private Placement() {}
+    private final Work work;
+    private final PromptSize size;
+    private final EngineProfile profile;
+    private final List<TargetLoad> candidates;
+    private final long now;
+    private final double readMillis;
+    private final double worth;
+    private final boolean sensitive;
+
+    Placement(Work work, PromptSize size, EngineProfile profile, List<TargetLoad> candidates, long now) {
+        this.work = work;
+        this.size = size;
+        this.profile = profile;
+        this.candidates = candidates;
+        this.now = now;
+        this.readMillis = profile.readMillis(size.promptTokens());
+        this.worth = CostModel.worth(work, profile);
+        this.sensitive = work.pauseObjective()
+                .map(pause -> pause.toMillis() <= SENSITIVE_PAUSE_MILLIS)
+                .orElse(false);
+    }
 
     /** A possible assignment with what is lost by it. */
     record Choice(Assignment assignment, double loss, boolean hopeless) {}
 
     private record Part(TargetLoad load, double harm, double firstMillis) {}
 
-    /** Returns the plain target with the smallest share of its slots in use, of the work's zone where it hardly matters. */
-    static Optional<TargetLoad> leastBusy(Work work, List<TargetLoad> candidates) {
-        TargetLoad best = null;
-        double least = Double.MAX_VALUE;
-        for (TargetLoad load : candidates) {
-            FleetTarget target = load.target();
-            if (load.owned() >= target.slots()) {
-                continue;
-            }
-            double share = (double) load.owned() / target.slots();
-            double crossing = target.zone().equals(work.zone()) ? 0 : 0.2;
-            double cost = share + crossing + (load.health().isOut() ? 1 : 0);
-            if (cost < least) {
-                least = cost;
-                best = load;
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
     /** Returns the choice with the least loss, or empty if no candidate has room. */
-    static Optional<Choice> best(Work work, PromptSize size, EngineProfile profile, List<TargetLoad> candidates) {
+    Optional<Choice> best() {
         Choice best = null;
-        double readMillis = profile.readMillis(size.promptTokens());
         int most = readMillis < MIN_SPLIT_MILLIS ? 1 : Math.min(MAX_HELPERS + 1, candidates.size());
         for (int parts = 1; parts <= most; parts++) {
-            Optional<Choice> choice = split(work, size, profile, candidates, parts);
+            Optional<Choice> choice = split(parts);
             if (choice.isPresent() && (best == null || choice.get().loss() < best.loss())) {
                 best = choice.get();
             }
@@ -82,16 +84,14 @@
         return Optional.ofNullable(best);
     }
 
-    private static Optional<Choice> split(
-            Work work, PromptSize size, EngineProfile profile, List<TargetLoad> candidates, int parts) {
+    private Optional<Choice> split(int parts) {
         double tokens = (double) size.promptTokens() / parts;
-        double millis = profile.readMillis(size.promptTokens()) / parts;
-        double worth = CostModel.worth(work, profile);
-        Optional<Part> owner = owner(work, size, profile, candidates, tokens, millis, worth);
+        double millis = readMillis / parts;
+        Optional<Part> owner = owner(tokens, millis);
         if (owner.isEmpty()) {
             return Optional.empty();
         }
-        List<Part> helpers = helpers(work, profile, candidates, owner.get(), tokens, millis, parts - 1);
+        List<Part> helpers = helpers(owner.get(), tokens, millis, parts - 1);
         if (helpers.size() < parts - 1) {
             return Optional.empty();
         }
@@ -103,35 +103,27 @@
             loss += helper.harm() + HELPER_LOSS;
             targets.add(helper.load().target());
         }
-        loss += CostModel.ownLoss(work, first, worth);
-        boolean hopeless = work.age().toMillis() + first > CostModel.leaveMillis(work)
-                || first > work.remaining().toMillis();
+        double total = work.age().toMillis() + first;
+        loss += CostModel.lateLoss(work, total, worth);
+        boolean hopeless =
+                total > CostModel.leaveMillis(work) || first > work.remaining().toMillis();
         Assignment assignment =
                 new Assignment(owner.get().load().target(), targets.build(), Duration.ofMillis(Math.round(first)));
         return Optional.of(new Choice(assignment, loss, hopeless));
     }
 
-    private static Optional<Part> owner(
-            Work work,
-            PromptSize size,
-            EngineProfile profile,
-            List<TargetLoad> candidates,
-            double tokens,
-            double millis,
-            double worth) {
+    private Optional<Part> owner(double tokens, double millis) {
         Part best = null;
         double least = Double.MAX_VALUE;
-        boolean sensitive = work.pauseObjective()
-                .map(pause -> pause.toMillis() <= SENSITIVE_PAUSE_MILLIS)
-                .orElse(false);
         for (TargetLoad load : candidates) {
-            if (!hasRoom(load, size, profile)) {
+            if (!hasRoom(load)) {
                 continue;
             }
             double first = CostModel.firstEventMillis(load, profile, tokens, millis, false);
-            double harm = CostModel.harm(load, profile, tokens, millis) + side(work, load, sensitive);
-            harm += CostModel.ownPauseLoss(work, load, profile, first, worth);
-            double cost = harm + CostModel.ownLoss(work, first, worth);
+            double harm = CostModel.harm(load, profile, tokens, millis)
+                    + CostModel.ownPauseLoss(work, load, profile, first, worth)
+                    + sideLoss(load);
+            double cost = harm + CostModel.lateLoss(work, work.age().toMillis() + first, worth);
             if (cost < least) {
                 least = cost;
                 best = new Part(load, harm, first);
@@ -140,14 +132,13 @@
         return Optional.ofNullable(best);
     }
 
-    private static double side(Work work, TargetLoad load, boolean sensitive) {
+    private double sideLoss(TargetLoad load) {
         double loss = load.target().zone().equals(work.zone()) ? 0 : CROSSING_LOSS;
-        loss += load.health().isOut() ? 1 : 0;
+        loss += load.health().isOut() ? FAILING_LOSS : 0;
         return sensitive && load.owned() == 0 ? loss + OPENING_LOSS : loss;
     }
 
-    /** Returns whether the target can take one more request of the size. */
-    static boolean hasRoom(TargetLoad load, PromptSize size, EngineProfile profile) {
+    private boolean hasRoom(TargetLoad load) {
         double planned = size.promptTokens() + ANSWER_MARGIN * size.answerTokens() + load.memoryTokens();
         return load.owned() < load.target().slots() && planned <= fittingTokens(profile);
     }
@@ -157,14 +148,7 @@
         return PLANNED_MEMORY * profile.memoryTokens();
     }
 
-    private static List<Part> helpers(
-            Work work,
-            EngineProfile profile,
-            List<TargetLoad> candidates,
-            Part owner,
-            double tokens,
-            double millis,
-            int count) {
+    private List<Part> helpers(Part owner, double tokens, double millis, int count) {
         List<Part> parts = new ArrayList<>();
         if (count == 0) {
             return parts;
@@ -176,23 +160,12 @@
                 continue;
             }
             double first = CostModel.firstEventMillis(load, profile, tokens, millis, true);
-            double harm = CostModel.harm(load, profile, tokens, millis) + delayOfReaders(load, millis, profile);
+            double harm =
+                    CostModel.harm(load, profile, tokens, millis) + CostModel.delayLoss(load, profile, millis, now);
             parts.add(new Part(load, harm, first));
         }
-        parts.sort(Comparator.comparingDouble(part -> part.harm() + part.firstMillis() / 1_000));
+        parts.sort(Comparator.comparingDouble(
+                part -> part.harm() + part.firstMillis() / work.objective().toMillis()));
         return parts.subList(0, Math.min(count, parts.size()));
     }
-
-    /** Returns what those lose that still read at the target, as a helper's part goes ahead of them. */
-    private static double delayOfReaders(TargetLoad load, double millis, EngineProfile profile) {
-        double loss = 0;
-        for (HeldWork part : load.held()) {
-            if (part.isHelper() || part.isWriting() || part.readLeft() <= 0) {
-                continue;
-            }
-            double objective = Math.max(1, part.work().objective().toMillis());
-            loss += Math.min(1, millis / objective) * CostModel.worth(part.work(), profile);
-        }
-        return loss;
-    }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetHealth.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetHealth.java
@@ -6,7 +6,7 @@
 /**
  * What the results of attempts say about a target.
  *
- * <p>Not thread-safe. A target that cannot be reached, stays silent or fails much of its work gets none for a pause,
+ * <p>Not thread-safe. A target that cannot be reached or fails much of its work gets none for a pause,
  * which doubles until a probe succeeds. Single failures say little: some services fail a part of their calls by design.
  */
 final class TargetHealth {
@@ -33,10 +33,11 @@
         if (outcome == Outcome.SUCCEEDED) {
             succeed();
         }
-        if (outcome == Outcome.FAILED) {
+        // One silence may be a long pass; a dark target silences all of its work.
+        if (outcome == Outcome.FAILED || outcome == Outcome.SILENT) {
             fail(now);
         }
-        if (outcome == Outcome.UNREACHABLE || outcome == Outcome.SILENT) {
+        if (outcome == Outcome.UNREACHABLE) {
             takeOut(now);
         }
     }
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedEngine.java
@@ -0,0 +1,113 @@
+package org.boragebarrow.decision.assign;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.boragebarrow.decision.routing.EngineProfile;
+
+/**
+ * An engine that works in passes: each writer gets one event a pass, and prompts are read in between, helpers' parts
+ * first. Times are milliseconds.
+ */
+final class SimulatedEngine {
+    private final EngineProfile profile;
+    private final List<Part> parts = new ArrayList<>();
+    private double passEnds = -1;
+    private boolean passWrites;
+    private boolean dark;
+
+    /** What an engine works on for one request; {@code tokensLeft} is counted down as it reads. */
+    static final class Part {
+        final SimulatedRequest request;
+        final boolean helper;
+        final double tokens;
+        double tokensLeft;
+
+        Part(SimulatedRequest request, boolean helper, double tokens) {
+            this.request = request;
+            this.helper = helper;
+            this.tokens = tokens;
+            this.tokensLeft = tokens;
+        }
+    }
+
+    SimulatedEngine(EngineProfile profile) {
+        this.profile = profile;
+    }
+
+    double passEnds() {
+        return passEnds;
+    }
+
+    void setDark(boolean value) {
+        dark = value;
+    }
+
+    void add(Part part, double now) {
+        parts.add(part);
+        if (passEnds < 0) {
+            beginPass(now);
+        }
+    }
+
+    void drop(SimulatedRequest request) {
+        parts.removeIf(part -> part.request == request);
+    }
+
+    /** Ends the pass and begins the next one. */
+    void step(double now) {
+        for (Part part : List.copyOf(parts)) {
+            if (!part.helper && part.request.isRead() && part.request.wroteFrom(now, passWrites)) {
+                part.request.onEvent(now);
+            }
+        }
+        parts.removeIf(part -> part.request.isDone() || (part.helper && part.tokensLeft <= 0));
+        passEnds = -1;
+        if (!parts.isEmpty()) {
+            beginPass(now);
+        }
+    }
+
+    private void beginPass(double now) {
+        if (dark) {
+            passEnds = -1;
+            return;
+        }
+        double step = profile.stepMillis();
+        int writers = 0;
+        for (Part part : parts) {
+            if (!part.helper && part.request.isRead()) {
+                part.request.writesInPass();
+                writers++;
+                step += profile.stepMillisPerWriter();
+                step += profile.stepMillisPerThousandTokens() * part.request.contextTokens() / 1_000;
+            }
+        }
+        passWrites = writers > 0;
+        int steps = passWrites ? profile.stride() : 1;
+        double millis = passWrites ? steps * step : step;
+        millis += read((double) steps * profile.chunkTokens());
+        passEnds = now + millis;
+    }
+
+    private double read(double most) {
+        double left = most;
+        double millis = 0;
+        for (int turn = 0; turn < 2; turn++) {
+            for (Part part : parts) {
+                if (part.helper != (turn == 0) || part.tokensLeft <= 0) {
+                    continue;
+                }
+                double tokens = Math.min(left, part.tokensLeft);
+                millis += part.request.readMillis(profile, part.tokens - part.tokensLeft, tokens, part.tokens);
+                part.tokensLeft -= tokens;
+                part.request.onRead(tokens);
+                left -= tokens;
+                if (left <= 0) {
+                    return millis;
+                }
+            }
+        }
+        return millis;
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
@@ -0,0 +1,335 @@
+package org.boragebarrow.decision.assign;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.routing.EngineProfile;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
+
+/**
+ * Replays a load against an {@link Assigner} and simulated engines, and adds up what callers got.
+ *
+ * <p>A caller gets the full worth of an answer that begins within its objective and has no pause over its objective, a
+ * quarter of it for a later one, nothing if it left before. A refused caller comes back once.
+ */
+final class SimulatedLoad {
+    /** Today's engines. */
+    static final EngineProfile ENGINE =
+            new EngineProfile(11, 405_000, 1.31, 0.00133, 0.00213, 154, 0.162, 2_048, 34, 1_266);
+
+    private static final ServiceName MODEL = ServiceName.of("model");
+    private static final HostLife HOST = HostLife.of(HostId.of("host"), Incarnation.of(1));
+    private static final int EVENT_TOKENS = 34;
+    private static final double LATE_WORTH = 0.25;
+    private static final long TICK_MILLIS = 50;
+
+    private final Random random;
+    private final Assigner assigner = new Assigner();
+    private final List<FleetTarget> targets = new ArrayList<>();
+    private final Map<TargetId, SimulatedEngine> engines = new LinkedHashMap<>();
+    private final Map<AttemptId, SimulatedRequest> open = new HashMap<>();
+    private final List<SimulatedRequest> waiting = new ArrayList<>();
+    private final List<Return> returns = new ArrayList<>();
+    private final Map<Kind, Tally> tallies = new LinkedHashMap<>();
+    private long attempts;
+    private double now;
+
+    /** A kind of prompt; the rate is of arrivals a second. */
+    record Kind(
+            String name,
+            double rate,
+            double meanTokens,
+            double spread,
+            double mostTokens,
+            double meanEvents,
+            int objectiveMillis,
+            int pauseMillis,
+            double worth) {}
+
+    /** The rate of a kind from a time on. */
+    record Phase(double from, Map<String, Double> factors) {}
+
+    private record Return(double at, SimulatedRequest request) {}
+
+    /** What callers of one kind got. */
+    static final class Tally {
+        double owed;
+        double earned;
+        int asked;
+        int refused;
+        int late;
+        int left;
+        double firstErrors;
+
+        double share() {
+            return owed == 0 ? 1 : earned / owed;
+        }
+
+        @Override
+        public String toString() {
+            return String.format(
+                    "%.3f of %.0f (asked %d, late %d, refused %d, left %d)", share(), owed, asked, late, refused, left);
+        }
+    }
+
+    SimulatedLoad(long seed, int engineCount) {
+        random = new Random(seed);
+        for (int i = 0; i < engineCount; i++) {
+            FleetTarget target = new FleetTarget(
+                    TargetId.of("engine-" + i),
+                    MODEL,
+                    Endpoint.of("10.0.0." + (i + 1), 80),
+                    AvailabilityZoneId.of("zone-" + i % 3),
+                    ENGINE.slots(),
+                    false,
+                    1);
+            targets.add(target);
+            engines.put(target.id(), new SimulatedEngine(ENGINE));
+        }
+        assigner.apply(new AssignEvent.ProfilesChanged(ImmutableMap.of(MODEL, ENGINE)), 0);
+        assigner.apply(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)), 0);
+    }
+
+    /** Takes targets away, with all that they work on. */
+    void lose(int count) {
+        for (int i = 0; i < count; i++) {
+            FleetTarget gone = targets.remove(0);
+            engines.remove(gone.id());
+            for (SimulatedRequest request : List.copyOf(open.values())) {
+                boolean owned = request.work.excluded().isEmpty()
+                        && placeOf.get(request) != null
+                        && placeOf.get(request).equals(gone.id());
+                if (owned) {
+                    open.remove(request.work.id());
+                    send(new AssignEvent.Ended(request.work.id(), Outcome.FAILED));
+                }
+            }
+        }
+        send(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)));
+    }
+
+    private final Map<SimulatedRequest, TargetId> placeOf = new HashMap<>();
+
+    /** Plays so many seconds. */
+    void play(List<Kind> kinds, List<Phase> phases, double seconds) {
+        double end = now + seconds * 1_000;
+        Map<Kind, Double> next = new HashMap<>();
+        for (Kind kind : kinds) {
+            tallies.computeIfAbsent(kind, key -> new Tally());
+            next.put(kind, nextArrival(kind, phases));
+        }
+        double tick = now + TICK_MILLIS;
+        while (now < end) {
+            double at = Math.min(end, tick);
+            Kind arriving = null;
+            for (Map.Entry<Kind, Double> entry : next.entrySet()) {
+                if (entry.getValue() < at) {
+                    at = entry.getValue();
+                    arriving = entry.getKey();
+                }
+            }
+            SimulatedEngine engine = null;
+            for (SimulatedEngine other : engines.values()) {
+                if (other.passEnds() >= 0 && other.passEnds() < at) {
+                    at = other.passEnds();
+                    engine = other;
+                }
+            }
+            now = at;
+            if (engine != null) {
+                engine.step(now);
+                collect();
+            } else if (arriving != null) {
+                arrive(arriving);
+                next.put(arriving, nextArrival(arriving, phases));
+            } else if (at == tick) {
+                tick += TICK_MILLIS;
+                onTick();
+            }
+        }
+    }
+
+    /** Returns the time of the next arrival; rates are looked at anew where a phase begins. */
+    private double nextArrival(Kind kind, List<Phase> phases) {
+        double at = now;
+        while (true) {
+            double factor = 1;
+            double until = Double.MAX_VALUE;
+            for (Phase phase : phases) {
+                double from = phase.from() * 1_000;
+                if (at >= from) {
+                    factor = phase.factors().getOrDefault(kind.name(), 1.0);
+                } else {
+                    until = Math.min(until, from);
+                }
+            }
+            double gap = -Math.log(1 - random.nextDouble()) / (kind.rate() * factor) * 1_000;
+            if (at + gap < until) {
+                return at + gap;
+            }
+            if (until == Double.MAX_VALUE) {
+                return until;
+            }
+            at = until;
+        }
+    }
+
+    private void arrive(Kind kind) {
+        double scale = kind.meanTokens() / Math.exp(kind.spread() * kind.spread() / 2);
+        double tokens = Math.min(kind.mostTokens(), scale * Math.exp(kind.spread() * random.nextGaussian()));
+        int events = (int) Math.max(1, kind.meanEvents() * Math.exp(0.6 * random.nextGaussian() - 0.18));
+        double hint = events * EVENT_TOKENS * Math.exp(0.5 * random.nextGaussian());
+        Work work = new Work(
+                AttemptId.of(HOST, ++attempts),
+                MODEL,
+                AvailabilityZoneId.of("zone-" + random.nextInt(3)),
+                Optional.of(new PromptSize((long) tokens, (long) hint)),
+                Duration.ofMillis(kind.objectiveMillis()),
+                Optional.of(Duration.ofMillis(kind.pauseMillis())),
+                Duration.ZERO,
+                Duration.ofSeconds(10),
+                ImmutableSet.of());
+        SimulatedRequest request = new SimulatedRequest(work, kind, events, now);
+        Tally tally = tallies.get(kind);
+        tally.asked++;
+        tally.owed += worth(request);
+        submit(request);
+    }
+
+    private static double worth(SimulatedRequest request) {
+        double size = request.work.size().orElseThrow().promptTokens() / request.kind.meanTokens();
+        return Math.min(4, 0.3 + 0.7 * size) * request.kind.worth();
+    }
+
+    private void submit(SimulatedRequest request) {
+        open.put(request.work.id(), request);
+        send(new AssignEvent.Submitted(request.work.after(Duration.ofMillis((long) (now - request.arrivedAt)))));
+    }
+
+    private void send(AssignEvent event) {
+        for (AssignEffect effect : assigner.apply(event, TimeUnit.MICROSECONDS.toNanos((long) (now * 1_000)))) {
+            SimulatedRequest request = open.get(effect.id());
+            switch (effect) {
+                case AssignEffect.Queued ignored -> waiting.add(request);
+                case AssignEffect.Refused refused -> refuse(request, refused);
+                case AssignEffect.Assigned assigned -> place(request, assigned.assignment());
+            }
+        }
+    }
+
+    private void refuse(SimulatedRequest request, AssignEffect.Refused refused) {
+        open.remove(request.work.id());
+        waiting.remove(request);
+        boolean first = placeOf.putIfAbsent(request, TargetId.of("returned")) == null;
+        if (first) {
+            returns.add(new Return(now + refused.retryAfter().toMillis(), request));
+        } else {
+            tallies.get(request.kind).refused++;
+        }
+    }
+
+    private void place(SimulatedRequest request, Assignment assignment) {
+        waiting.remove(request);
+        placeOf.put(request, assignment.target().id());
+        int parts = assignment.helpers().size() + 1;
+        request.setParts(parts);
+        double tokens = (double) request.work.size().orElseThrow().promptTokens() / parts;
+        for (FleetTarget helper : assignment.helpers()) {
+            engines.get(helper.id()).add(new SimulatedEngine.Part(request, true, tokens), now);
+        }
+        engines.get(assignment.target().id()).add(new SimulatedEngine.Part(request, false, tokens), now);
+    }
+
+    private void collect() {
+        for (SimulatedRequest request : List.copyOf(open.values())) {
+            if (request.hasFirst() && told.add(request)) {
+                send(new AssignEvent.FirstEventSeen(request.work.id()));
+            }
+            if (request.isDone()) {
+                open.remove(request.work.id());
+                settle(request);
+                send(new AssignEvent.Ended(request.work.id(), Outcome.SUCCEEDED));
+            }
+        }
+    }
+
+    private final java.util.Set<SimulatedRequest> told = new java.util.HashSet<>();
+
+    private void settle(SimulatedRequest request) {
+        Tally tally = tallies.get(request.kind);
+        boolean inTime = request.firstMillis() + 12 <= request.kind.objectiveMillis()
+                && request.longestPause() <= request.kind.pauseMillis();
+        tally.late += inTime ? 0 : 1;
+        if (!inTime && System.getProperty("v") != null) {
+            System.out.printf(
+                    "late %s tokens %d first %.0f pause %.0f at %.0f%n",
+                    request.kind.name(),
+                    request.work.size().get().promptTokens(),
+                    request.firstMillis(),
+                    request.longestPause(),
+                    request.arrivedAt);
+        }
+        tally.earned += worth(request) * (inTime ? 1 : LATE_WORTH);
+    }
+
+    private void onTick() {
+        for (Return back : List.copyOf(returns)) {
+            if (back.at() <= now) {
+                returns.remove(back);
+                submit(back.request());
+            }
+        }
+        for (SimulatedRequest request : List.copyOf(open.values())) {
+            double patience = CostModel.leaveMillis(request.work);
+            if (!request.hasFirst() && now - request.arrivedAt > patience) {
+                open.remove(request.work.id());
+                waiting.remove(request);
+                engines.values().forEach(engine -> engine.drop(request));
+                tallies.get(request.kind).left++;
+                send(new AssignEvent.Ended(request.work.id(), Outcome.WITHDRAWN));
+            }
+        }
+        if (assigner.hasWaiting()) {
+            send(new AssignEvent.Ticked());
+        }
+    }
+
+    /** Returns what the kind's callers got. */
+    Tally tally(String name) {
+        for (Map.Entry<Kind, Tally> entry : tallies.entrySet()) {
+            if (entry.getKey().name().equals(name)) {
+                return entry.getValue();
+            }
+        }
+        throw new IllegalArgumentException("no kind \"" + name + "\"");
+    }
+
+    /** Returns the part of all worth that callers got. */
+    double share() {
+        double owed = 0;
+        double earned = 0;
+        for (Tally tally : tallies.values()) {
+            owed += tally.owed;
+            earned += tally.earned;
+        }
+        return earned / owed;
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -91,7 +91,7 @@
                 repeatable);
         handle = Optional.of(context.calls().start(call, this));
         if (repeatable) {
-            armStall(StallLimits.first(assignment.predictedFirst()));
+            armStall(StallLimits.first(exchange.route(), assignment.predictedFirst()));
         }
         ServerResponse response = exchange.response();
         response.onWritabilityChanged(() -> handle.ifPresent(open -> open.setReading(response.isWritable())));
