Let long prompts wait for engines that are free to read

Ruled out: too little capacity (in order, all end within their objective).

Change: a long prompt is given to engines with next to nothing left to read, waits for them in the order of objectives while it can still be on time, and takes any afterwards.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -114,7 +114,11 @@
         if (size.total() > Placement.fittingTokens(profile.get())) {
             return Optional.of(refuse(work, RefusalReason.TOO_LARGE, USUAL_RETURN));
         }
-        Optional<Placement.Choice> choice = new Placement(work, size, profile.get(), candidates, now).best();
+        Placement placement = new Placement(work, size, profile.get(), candidates, now);
+        Optional<Placement.Choice> choice = choose(placement);
+        if (choice.isEmpty() && placement.isLong() && placement.mayWait()) {
+            return Optional.empty();
+        }
         if (choice.isEmpty()) {
             return full(work, candidates, isNew);
         }
@@ -126,6 +130,18 @@
         return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
     }
 
+    /** A long prompt takes targets that are free to read, waits for them as long as it can, and then takes any. */
+    private static Optional<Placement.Choice> choose(Placement placement) {
+        if (!placement.isLong()) {
+            return placement.best();
+        }
+        Optional<Placement.Choice> ready = placement.bestOfReady();
+        if (ready.isPresent() && placement.isSafe(ready.get())) {
+            return ready;
+        }
+        return placement.mayWait() ? Optional.empty() : placement.best();
+    }
+
     private Optional<AssignEffect> plain(Work work, List<TargetLoad> candidates, boolean isNew, long now) {
         Optional<TargetLoad> target = LeastBusy.choose(work, candidates);
         if (target.isEmpty()) {
@@ -225,7 +241,7 @@
                 load.find(id).ifPresent(HeldWork::startWriting);
             }
         }
-        return ImmutableList.of();
+        return serveWaiting(now);
     }
 
     private ImmutableList<AssignEffect> end(AssignEvent.Ended ended, long now) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -44,6 +44,12 @@
     /** The pause objective up to which a prompt counts as sensitive to others' reading, in milliseconds. */
     private static final long SENSITIVE_PAUSE_MILLIS = 400;
 
+    /** Reading left at a target that may be given a part of a long prompt, in milliseconds: less than a pass. */
+    private static final double READY_MILLIS = 40;
+
+    /** The share of the objective up to which a long prompt may wait for targets. */
+    private static final double WAIT_SHARE = 0.75;
+
     private final Work work;
     private final PromptSize size;
     private final EngineProfile profile;
@@ -73,10 +79,45 @@
 
     /** Returns the choice with the least loss, or empty if no candidate has room. */
     Optional<Choice> best() {
+        return best(candidates);
+    }
+
+    /** Returns whether the prompt is long enough to be split. */
+    boolean isLong() {
+        return readMillis >= MIN_SPLIT_MILLIS;
+    }
+
+    /**
+     * Returns the choice with the least loss among targets that have little left to read.
+     *
+     * <p>Parts that queue at an engine hold up those before them, as engines read helpers' parts first; a long prompt
+     * therefore waits here instead, where the order is kept.
+     */
+    Optional<Choice> bestOfReady() {
+        return best(candidates.stream()
+                .filter(load -> load.backlogMillis() <= READY_MILLIS)
+                .toList());
+    }
+
+    /** Returns whether the prompt could still be on time if it waited for more targets. */
+    boolean mayWait() {
+        int parts = Math.min(MAX_HELPERS + 1, candidates.size());
+        double soonest = work.age().toMillis() + readMillis / parts + READY_MILLIS;
+        return soonest < WAIT_SHARE * work.objective().toMillis();
+    }
+
+    /** Returns whether the choice is on time. */
+    boolean isSafe(Choice choice) {
+        double total =
+                work.age().toMillis() + choice.assignment().predictedFirst().toMillis();
+        return total < WAIT_SHARE * work.objective().toMillis();
+    }
+
+    private Optional<Choice> best(List<TargetLoad> among) {
         Choice best = null;
-        int most = readMillis < MIN_SPLIT_MILLIS ? 1 : Math.min(MAX_HELPERS + 1, candidates.size());
+        int most = isLong() ? Math.min(MAX_HELPERS + 1, among.size()) : 1;
         for (int parts = 1; parts <= most; parts++) {
-            Optional<Choice> choice = split(parts);
+            Optional<Choice> choice = split(among, parts);
             if (choice.isPresent() && (best == null || choice.get().loss() < best.loss())) {
                 best = choice.get();
             }
@@ -84,14 +125,14 @@
         return Optional.ofNullable(best);
     }
 
-    private Optional<Choice> split(int parts) {
+    private Optional<Choice> split(List<TargetLoad> among, int parts) {
         double tokens = (double) size.promptTokens() / parts;
         double millis = readMillis / parts;
-        Optional<Part> owner = owner(tokens, millis);
+        Optional<Part> owner = owner(among, tokens, millis);
         if (owner.isEmpty()) {
             return Optional.empty();
         }
-        List<Part> helpers = helpers(owner.get(), tokens, millis, parts - 1);
+        List<Part> helpers = helpers(among, owner.get(), tokens, millis, parts - 1);
         if (helpers.size() < parts - 1) {
             return Optional.empty();
         }
@@ -112,10 +153,10 @@
         return Optional.of(new Choice(assignment, loss, hopeless));
     }
 
-    private Optional<Part> owner(double tokens, double millis) {
+    private Optional<Part> owner(List<TargetLoad> among, double tokens, double millis) {
         Part best = null;
         double least = Double.MAX_VALUE;
-        for (TargetLoad load : candidates) {
+        for (TargetLoad load : among) {
             if (!hasRoom(load)) {
                 continue;
             }
@@ -148,12 +189,12 @@
         return PLANNED_MEMORY * profile.memoryTokens();
     }
 
-    private List<Part> helpers(Part owner, double tokens, double millis, int count) {
+    private List<Part> helpers(List<TargetLoad> among, Part owner, double tokens, double millis, int count) {
         List<Part> parts = new ArrayList<>();
         if (count == 0) {
             return parts;
         }
-        for (TargetLoad load : candidates) {
+        for (TargetLoad load : among) {
             if (load == owner.load()
                     || load.helping() >= load.target().slots()
                     || load.health().isOut()) {
