Serve waiting work that can still be on time first, and keep a silent target until there is another

Change: waiting work is ranked: about to be given up by its caller, still on time, late. A silent attempt asks for an alternative and goes on until it has one.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -31,6 +32,14 @@
     /** Work that may wait for each slot of its service; more would wait longer than one answer takes. */
     private static final double WAITING_PER_SLOT = 1.0;
 
+    /** The share of the caller's patience after which work goes before all other, so that nothing is passed over for good. */
+    private static final double URGENT_SHARE = 0.6;
+
+    /** The share of the objective that may have passed for work to be on time still. */
+    private static final double HOPEFUL_SHARE = 0.7;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
     /** The least and the usual time after which a refused caller may come back: about half an answer. */
     private static final Duration SHORT_RETURN = Duration.ofMillis(300);
 
@@ -56,8 +65,25 @@
             return work.after(Duration.ofNanos(now - since));
         }
 
-        long objectiveAt() {
-            return since + work.objective().toNanos() - work.age().toNanos();
+        private double ageMillis(long now) {
+            return work.age().toMillis() + (now - since) / NANOS_PER_MILLI;
+        }
+
+        /**
+         * Returns the rank in the order of waiting: first what is about to be given up by its caller, then what can
+         * still be on time, then what is late in any case.
+         */
+        int rank(long now) {
+            double age = ageMillis(now);
+            if (age > CostModel.leaveMillis(work) * URGENT_SHARE) {
+                return 0;
+            }
+            return age < work.objective().toMillis() * HOPEFUL_SHARE ? 1 : 2;
+        }
+
+        /** Returns the time that is left until the objective; smaller goes first within a rank. */
+        double slackMillis(long now) {
+            return work.objective().toMillis() - ageMillis(now);
         }
     }
 
@@ -333,7 +359,8 @@
         }
         advance(now);
         List<Waiting> order = new ArrayList<>(waiting.values());
-        order.sort((one, other) -> Long.compare(one.objectiveAt() - now, other.objectiveAt() - now));
+        order.sort(Comparator.comparingInt((Waiting work) -> work.rank(now))
+                .thenComparingDouble(work -> work.slackMillis(now)));
         ImmutableList.Builder<AssignEffect> effects = ImmutableList.builder();
         Iterator<Waiting> next = order.iterator();
         while (next.hasNext()) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -13,8 +13,8 @@
 /**
  * Chooses engines for one prompt so that all callers together lose least.
  *
- * <p>Short prompts share few engines, so that others stay free of writers whose pauses a long prompt would stretch; a
- * long prompt is read by as many engines as brings it inside its objective.
+ * <p>A long prompt is read by as many engines as brings it inside its objective, where it stretches few pauses of those
+ * that write already; a short one goes where little is read.
  */
 final class Placement {
     /** The most targets that may help one another; the engines' own bound is 16. */
@@ -35,15 +35,9 @@
     /** What crossing zones costs: bytes between zones. */
     private static final double CROSSING_LOSS = 0.01;
 
-    /** What a short prompt loses at an engine without other work: it takes the place of a long one. */
-    private static final double OPENING_LOSS = 0.05;
-
     /** What any prompt loses at an engine that failed lately. */
     private static final double FAILING_LOSS = 1;
 
-    /** The pause objective up to which a prompt counts as sensitive to others' reading, in milliseconds. */
-    private static final long SENSITIVE_PAUSE_MILLIS = 400;
-
     /** Reading left at a target that may be given a part of a long prompt, in milliseconds: less than a pass. */
     private static final double READY_MILLIS = 40;
 
@@ -57,7 +51,6 @@
     private final long now;
     private final double readMillis;
     private final double worth;
-    private final boolean sensitive;
 
     Placement(Work work, PromptSize size, EngineProfile profile, List<TargetLoad> candidates, long now) {
         this.work = work;
@@ -67,9 +60,6 @@
         this.now = now;
         this.readMillis = profile.readMillis(size.promptTokens());
         this.worth = CostModel.worth(work, profile);
-        this.sensitive = work.pauseObjective()
-                .map(pause -> pause.toMillis() <= SENSITIVE_PAUSE_MILLIS)
-                .orElse(false);
     }
 
     /** A possible assignment with what is lost by it. */
@@ -176,7 +166,7 @@
     private double sideLoss(TargetLoad load) {
         double loss = load.target().zone().equals(work.zone()) ? 0 : CROSSING_LOSS;
         loss += load.health().isOut() ? FAILING_LOSS : 0;
-        return sensitive && load.owned() == 0 ? loss + OPENING_LOSS : loss;
+        return loss;
     }
 
     private boolean hasRoom(TargetLoad load) {
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
@@ -41,6 +41,12 @@
     private static final double LATE_WORTH = 0.25;
     private static final long TICK_MILLIS = 50;
 
+    /** The largest factor that a phase may have. */
+    private static final double MOST_FACTOR = 3;
+
+    private static final double WAVE_SWING = 0.55;
+    private static final double WAVE_MILLIS = 15_000;
+
     private final Random random;
     private final Assigner assigner = new Assigner();
     private final List<FleetTarget> targets = new ArrayList<>();
@@ -167,29 +173,32 @@
         }
     }
 
-    /** Returns the time of the next arrival; rates are looked at anew where a phase begins. */
+    /** Returns the time of the next arrival: the phase's rate times a wave, drawn by thinning. */
     private double nextArrival(Kind kind, List<Phase> phases) {
         double at = now;
+        double end = 1_000 * phases.get(phases.size() - 1).from();
         while (true) {
-            double factor = 1;
-            double until = Double.MAX_VALUE;
-            for (Phase phase : phases) {
-                double from = phase.from() * 1_000;
-                if (at >= from) {
-                    factor = phase.factors().getOrDefault(kind.name(), 1.0);
-                } else {
-                    until = Math.min(until, from);
-                }
+            double most = kind.rate() * MOST_FACTOR * (1 + WAVE_SWING);
+            at += -Math.log(1 - random.nextDouble()) / most * 1_000;
+            if (at > end) {
+                return Double.MAX_VALUE;
             }
-            double gap = -Math.log(1 - random.nextDouble()) / (kind.rate() * factor) * 1_000;
-            if (at + gap < until) {
-                return at + gap;
+            double wave = 1 + WAVE_SWING * Math.sin(2 * Math.PI * at / WAVE_MILLIS);
+            double rate = kind.rate() * factor(kind, phases, at) * wave;
+            if (random.nextDouble() * most < rate) {
+                return at;
             }
-            if (until == Double.MAX_VALUE) {
-                return until;
+        }
+    }
+
+    private static double factor(Kind kind, List<Phase> phases, double at) {
+        double factor = 1;
+        for (Phase phase : phases) {
+            if (at >= phase.from() * 1_000) {
+                factor = phase.factors().getOrDefault(kind.name(), 1.0);
             }
-            at = until;
         }
+        return factor;
     }
 
     private void arrive(Kind kind) {
@@ -278,7 +287,7 @@
         boolean inTime = request.firstMillis() + 12 <= request.kind.objectiveMillis()
                 && request.longestPause() <= request.kind.pauseMillis();
         tally.late += inTime ? 0 : 1;
-        if (!inTime && System.getProperty("v") != null) {
+        if (!inTime && Boolean.getBoolean("v")) {
             System.out.printf(
                     "late %s tokens %d first %.0f pause %.0f at %.0f%n",
                     request.kind.name(),
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -30,6 +30,9 @@
     /** The first status of errors that another attempt may not meet. */
     private static final int SERVER_ERROR = 500;
 
+    /** How often a stalled attempt is looked at again: an alternative may turn up within a few passes. */
+    private static final Duration STALL_RECHECK = Duration.ofMillis(300);
+
     private final RelayContext context;
     private final RelayExchange exchange;
     private final AttemptId id;
@@ -91,7 +94,7 @@
                 repeatable);
         handle = Optional.of(context.calls().start(call, this));
         if (repeatable) {
-            armStall(StallLimits.first(exchange.route(), assignment.predictedFirst()));
+            armStall(allowedSilence());
         }
         ServerResponse response = exchange.response();
         response.onWritabilityChanged(() -> handle.ifPresent(open -> open.setReading(response.isWritable())));
@@ -109,29 +112,43 @@
     }
 
     private void armStall(Duration delay) {
-        stallTimer =
-                Optional.of(context.loop().schedule(() -> checkStall(delay), delay.toNanos(), TimeUnit.NANOSECONDS));
+        stallTimer = Optional.of(context.loop().schedule(this::checkStall, delay.toNanos(), TimeUnit.NANOSECONDS));
+    }
+
+    /** Returns whether the target has been silent for longer than is waited for. */
+    boolean isStalled() {
+        return stallLeft() <= RelayExchange.TIMER_SLACK_NANOS;
+    }
+
+    private long stallLeft() {
+        return allowedSilence().toNanos() - (context.ticker().read() - progressAt);
     }
 
-    private void checkStall(Duration limit) {
+    private Duration allowedSilence() {
+        return firstMillis < 0
+                ? StallLimits.first(exchange.route(), assignment.predictedFirst())
+                : StallLimits.pause(exchange.route());
+    }
+
+    private void checkStall() {
         if (closed) {
             return;
         }
-        long silent = context.ticker().read() - progressAt;
-        Duration allowed = firstMillis < 0 ? limit : StallLimits.pause(exchange.route());
-        long left = allowed.toNanos() - silent;
-        if (left > RelayExchange.TIMER_SLACK_NANOS) {
-            armStall(Duration.ofNanos(left));
+        if (!isStalled()) {
+            armStall(Duration.ofNanos(stallLeft()));
             return;
         }
-        if (!exchange.response().isWritable()) {
-            // The caller does not read, so the target was not read either.
-            armStall(allowed);
+        if (exchange.response().isWritable() && exchange.mayRepeat(true)) {
+            exchange.seekAlternative(this);
             return;
         }
-        if (exchange.mayRepeat(true)) {
-            exchange.conclude(this, Outcome.SILENT, true, true, "no event for " + allowed.toMillis() + " ms");
-        }
+        // A caller that does not read keeps its target from being read.
+        waitOn();
+    }
+
+    /** Goes on waiting after a stall. */
+    void waitOn() {
+        armStall(STALL_RECHECK);
     }
 
     private void fail(Outcome outcome, boolean ran, String reason) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -135,6 +135,10 @@
             return;
         }
         asked = Optional.empty();
+        if (current.isPresent()) {
+            onAlternative(current.get(), work, effect);
+            return;
+        }
         switch (effect) {
             case AssignEffect.Assigned assigned -> send(work, assigned.assignment());
             case AssignEffect.Refused refused -> {
@@ -144,6 +148,33 @@
         }
     }
 
+    /** Asks for another target while the present one is silent; it is left only if there is another. */
+    void seekAlternative(RelayAttempt silent) {
+        if (asked.isPresent()) {
+            return;
+        }
+        excluded = with(silent.target().id());
+        ask();
+    }
+
+    private void onAlternative(RelayAttempt silent, Work work, AssignEffect.Decided effect) {
+        if (!(effect instanceof AssignEffect.Assigned assigned)) {
+            silent.waitOn();
+            return;
+        }
+        if (!silent.isStalled()) {
+            context.assignments().ended(work.id(), Outcome.WITHDRAWN);
+            silent.waitOn();
+            return;
+        }
+        silent.close(Outcome.SILENT);
+        current = Optional.empty();
+        mayHaveRun = true;
+        trace.attemptFailed(silent, Outcome.SILENT, true, true, "no event for too long");
+        context.metrics().retried();
+        send(work, assigned.assignment());
+    }
+
     private static ErrorKind kindOf(RefusalReason reason) {
         return switch (reason) {
             case NO_TARGET, TOO_LARGE -> ErrorKind.NO_TARGET;
@@ -183,6 +214,10 @@
         ask();
     }
 
+    private ImmutableSet<TargetId> with(TargetId target) {
+        return ImmutableSet.<TargetId>builder().addAll(excluded).add(target).build();
+    }
+
     /** Starts the answer with the head of its first attempt; later attempts go on under it. */
     void begin(TargetCalls.Head head) {
         if (!begun) {
@@ -244,12 +279,16 @@
 
     /** Ends whatever is under way towards a target. */
     private void drop() {
-        asked.ifPresent(id -> context.assignments().ended(id, Outcome.WITHDRAWN));
-        asked = Optional.empty();
+        withdrawQuestion();
         current.ifPresent(attempt -> attempt.close(Outcome.WITHDRAWN));
         current = Optional.empty();
     }
 
+    private void withdrawQuestion() {
+        asked.ifPresent(id -> context.assignments().ended(id, Outcome.WITHDRAWN));
+        asked = Optional.empty();
+    }
+
     private void finish() {
         finished = true;
         limitTimer.ifPresent(timer -> timer.cancel(false));
@@ -257,6 +296,7 @@
     }
 
     void answered(RelayAttempt attempt, int status, long bytes) {
+        withdrawQuestion();
         finish();
         trace.answered(attempt, status, bytes, sentTo);
     }
@@ -276,6 +316,7 @@
         current = Optional.empty();
         mayHaveRun |= ran;
         trace.attemptFailed(attempt, outcome, ran, retried, reason);
+        withdrawQuestion();
         if (retried) {
             context.metrics().retried();
             again(attempt.target().id());
