--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
@@ -21,7 +21,7 @@
     record Ended(AttemptId id, Outcome outcome) implements AssignEvent {}
 
     /** A host holds an assignment that this assigner may not know of. */
-    record Held(Work work, TargetId target, ImmutableList<TargetId> helpers, boolean firstEventSeen)
+    record Held(Work work, TargetId target, ImmutableList<Helper.Ref> helpers, boolean firstEventSeen)
             implements AssignEvent {}
 
     /** A host is gone, with all its attempts. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -137,7 +137,7 @@
             return plain(work, candidates, isNew, now);
         }
         PromptSize size = work.size().orElseGet(() -> usual(profile.get()));
-        if (size.total() > Placement.fittingTokens(profile.get())) {
+        if (size.total() > Placement.fittingTokens(profile.get()) * candidates.size()) {
             return Optional.of(refuse(work, RefusalReason.TOO_LARGE, USUAL_RETURN));
         }
         Placement placement = new Placement(work, size, profile.get(), candidates, now);
@@ -152,7 +152,7 @@
             return Optional.of(refuse(work, RefusalReason.TOO_LATE, SHORT_RETURN));
         }
         Assignment assignment = choice.get().assignment();
-        place(work, assignment.target().id(), ids(assignment.helpers()), now);
+        place(work, assignment.target().id(), assignment.helperRefs(), now);
         return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
     }
 
@@ -225,24 +225,19 @@
         return sound.isEmpty() ? failing : sound;
     }
 
-    private static ImmutableList<TargetId> ids(ImmutableList<FleetTarget> targets) {
-        return targets.stream().map(FleetTarget::id).collect(ImmutableList.toImmutableList());
-    }
-
-    private void place(Work work, TargetId target, ImmutableList<TargetId> helpers, long now) {
+    private void place(Work work, TargetId target, ImmutableList<Helper.Ref> helpers, long now) {
         Optional<EngineProfile> profile = profileOf(work);
-        int parts = helpers.size() + 1;
         ImmutableList.Builder<TargetId> all = ImmutableList.builder();
         TargetLoad owner = loads.get(target);
         if (owner != null) {
-            owner.add(HeldWork.part(work, false, parts, profile, now));
+            owner.add(HeldWork.owned(work, helpers, profile, now));
             all.add(target);
         }
-        for (TargetId helper : helpers) {
-            TargetLoad load = loads.get(helper);
+        for (Helper.Ref helper : helpers) {
+            TargetLoad load = loads.get(helper.target());
             if (load != null) {
-                load.add(HeldWork.part(work, true, parts, profile, now));
-                all.add(helper);
+                load.add(HeldWork.helping(work, helper, helpers.size(), profile, now));
+                all.add(helper.target());
             }
         }
         long until = now + work.remaining().plus(OVERDUE).toNanos();
@@ -260,12 +255,15 @@
             if (load == null) {
                 continue;
             }
-            boolean helper = load.find(id).map(HeldWork::isHelper).orElse(false);
-            if (helper) {
-                load.remove(id);
-            } else {
-                load.find(id).ifPresent(HeldWork::startWriting);
-            }
+            load.find(id).ifPresent(part -> {
+                if (!part.isHelper()) {
+                    part.startWriting();
+                } else if (part.memoryTokens() > 0) {
+                    part.endReading();
+                } else {
+                    load.remove(id);
+                }
+            });
         }
         return serveWaiting(now);
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assignment.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assignment.java
@@ -13,7 +13,7 @@
  * @param helpers targets that read a part of the prompt each, beside the target itself
  * @param predictedFirst the time from now to the first event
  */
-public record Assignment(FleetTarget target, ImmutableList<FleetTarget> helpers, Duration predictedFirst) {
+public record Assignment(FleetTarget target, ImmutableList<Helper> helpers, Duration predictedFirst) {
     public Assignment {
         checkNotNull(target);
         checkNotNull(helpers);
@@ -24,4 +24,9 @@
     public static Assignment of(FleetTarget target, Duration predictedFirst) {
         return new Assignment(target, ImmutableList.of(), predictedFirst);
     }
+
+    /** Returns the helpers without what the fleet says of them. */
+    public ImmutableList<Helper.Ref> helperRefs() {
+        return helpers.stream().map(Helper::ref).collect(ImmutableList.toImmutableList());
+    }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/HeldWork.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/HeldWork.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import com.google.common.collect.ImmutableList;
 import org.boragebarrow.decision.routing.EngineProfile;
 
 /**
@@ -17,24 +18,44 @@
     private final double readTokens;
     private final double readMillis;
     private final long arrivedAt;
+    private final long memoryTokens;
     private double readLeft;
     private boolean writing;
 
-    private HeldWork(Work work, boolean helper, double readTokens, double readMillis, long arrivedAt) {
+    private HeldWork(
+            Work work, boolean helper, double readTokens, double readMillis, long memoryTokens, long arrivedAt) {
         this.work = work;
         this.helper = helper;
         this.readTokens = readTokens;
         this.readMillis = readMillis;
+        this.memoryTokens = memoryTokens;
         this.arrivedAt = arrivedAt;
         this.readLeft = readMillis;
     }
 
-    /** Returns one of so many even parts of the work's prompt. */
-    static HeldWork part(Work work, boolean helper, int parts, Optional<EngineProfile> profile, long now) {
-        double tokens = work.size().map(PromptSize::promptTokens).orElse(0L);
-        double millis = profile.map(p -> p.readMillis((long) tokens)).orElse(0.0);
+    /** Returns the part of the target that answers; the helpers keep some of the prompt's memory. */
+    static HeldWork owned(Work work, ImmutableList<Helper.Ref> helpers, Optional<EngineProfile> profile, long now) {
+        long stored = helpers.stream().mapToLong(Helper.Ref::storedTokens).sum();
+        long total = work.size().map(PromptSize::total).orElse(0L);
+        return part(work, false, helpers.size() + 1, Math.max(0, total - stored), profile, now);
+    }
+
+    /** Returns the part of one of so many helpers. */
+    static HeldWork helping(Work work, Helper.Ref helper, int helpers, Optional<EngineProfile> profile, long now) {
+        return part(work, true, helpers + 1, helper.storedTokens(), profile, now);
+    }
+
+    private static HeldWork part(
+            Work work, boolean helper, int parts, long memory, Optional<EngineProfile> profile, long now) {
+        long tokens = work.size().map(PromptSize::promptTokens).orElse(0L);
+        double millis = profile.map(p -> p.readMillis(tokens)).orElse(0.0);
         return new HeldWork(
-                work, helper, tokens / parts, millis / parts, now - work.age().toNanos());
+                work,
+                helper,
+                (double) tokens / parts,
+                millis / parts,
+                memory,
+                now - work.age().toNanos());
     }
 
     Work work() {
@@ -79,8 +100,13 @@
         writing = true;
     }
 
-    /** Returns the tokens that the work keeps at its target; a helper keeps none after reading. */
+    /** Takes note that a helper's reading is over. */
+    void endReading() {
+        readLeft = 0;
+    }
+
+    /** Returns the tokens that the work keeps at its target. */
     long memoryTokens() {
-        return helper ? 0 : work.size().map(PromptSize::total).orElse(0L);
+        return memoryTokens;
     }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
-import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.routing.EngineProfile;
 
 /**
@@ -29,6 +28,9 @@
     /** Answers are planned for at this multiple of what is expected, as estimates are right only at the median. */
     private static final double ANSWER_MARGIN = 1.3;
 
+    /** The part of its planned memory that the owner of a prompt larger than any target must have free. */
+    private static final double LARGE_OWNER_SHARE = 0.5;
+
     /** What each helper costs: one more target whose failure breaks the request off. */
     private static final double HELPER_LOSS = 0.01;
 
@@ -38,12 +40,15 @@
     /** What any prompt loses at an engine that failed lately. */
     private static final double FAILING_LOSS = 1;
 
-    /** Reading left at a target that may be given a part of a long prompt, in milliseconds: less than a pass. */
-    private static final double READY_MILLIS = 40;
+    /** Reading left at a target that may be given a part of a long prompt, in milliseconds: half of an ordinary part. */
+    private static final double READY_MILLIS = 150;
 
     /** The share of the objective up to which a long prompt may wait for targets. */
     private static final double WAIT_SHARE = 0.75;
 
+    /** The share of the caller's patience up to which a prompt waits that is too long to be on time. */
+    private static final double LATE_WAIT_SHARE = 0.25;
+
     private final Work work;
     private final PromptSize size;
     private final EngineProfile profile;
@@ -89,11 +94,16 @@
                 .toList());
     }
 
-    /** Returns whether the prompt could still be on time if it waited for more targets. */
+    /** Returns whether the prompt could still be on time if it waited for more targets, or is late in any case. */
     boolean mayWait() {
         int parts = Math.min(MAX_HELPERS + 1, candidates.size());
-        double soonest = work.age().toMillis() + readMillis / parts + READY_MILLIS;
-        return soonest < WAIT_SHARE * work.objective().toMillis();
+        double age = work.age().toMillis();
+        double soonest = readMillis / parts + READY_MILLIS;
+        double objective = WAIT_SHARE * work.objective().toMillis();
+        if (soonest > objective) {
+            return age + soonest < LATE_WAIT_SHARE * CostModel.leaveMillis(work);
+        }
+        return age + soonest < objective;
     }
 
     /** Returns whether the choice is on time. */
@@ -118,36 +128,49 @@
     private Optional<Choice> split(List<TargetLoad> among, int parts) {
         double tokens = (double) size.promptTokens() / parts;
         double millis = readMillis / parts;
-        Optional<Part> owner = owner(among, tokens, millis);
+        Optional<Part> owner = owner(among, tokens, millis, parts);
         if (owner.isEmpty()) {
             return Optional.empty();
         }
         List<Part> helpers = helpers(among, owner.get(), tokens, millis, parts - 1);
-        if (helpers.size() < parts - 1) {
+        Optional<ImmutableList<Helper>> stored = store(owner.get(), helpers);
+        if (helpers.size() < parts - 1 || stored.isEmpty()) {
             return Optional.empty();
         }
         double first = owner.get().firstMillis();
         double loss = owner.get().harm();
-        ImmutableList.Builder<FleetTarget> targets = ImmutableList.builder();
         for (Part helper : helpers) {
             first = Math.max(first, helper.firstMillis());
             loss += helper.harm() + HELPER_LOSS;
-            targets.add(helper.load().target());
         }
         double total = work.age().toMillis() + first;
         loss += CostModel.lateLoss(work, total, worth);
         boolean hopeless =
                 total > CostModel.leaveMillis(work) || first > work.remaining().toMillis();
         Assignment assignment =
-                new Assignment(owner.get().load().target(), targets.build(), Duration.ofMillis(Math.round(first)));
+                new Assignment(owner.get().load().target(), stored.get(), Duration.ofMillis(Math.round(first)));
         return Optional.of(new Choice(assignment, loss, hopeless));
     }
 
-    private Optional<Part> owner(List<TargetLoad> among, double tokens, double millis) {
+    /** Shares out the memory that the owner lacks, most to whom has most; empty if all of them together lack some. */
+    private Optional<ImmutableList<Helper>> store(Part owner, List<Part> helpers) {
+        long missing = plannedTokens() - freeTokens(owner.load());
+        List<Part> roomiest = new ArrayList<>(helpers);
+        roomiest.sort(Comparator.comparingDouble(part -> -freeTokens(part.load())));
+        ImmutableList.Builder<Helper> stored = ImmutableList.builder();
+        for (Part part : roomiest) {
+            long tokens = Math.max(0, Math.min(missing, freeTokens(part.load())));
+            missing -= tokens;
+            stored.add(new Helper(part.load().target(), tokens));
+        }
+        return missing > 0 ? Optional.empty() : Optional.of(stored.build());
+    }
+
+    private Optional<Part> owner(List<TargetLoad> among, double tokens, double millis, int parts) {
         Part best = null;
         double least = Double.MAX_VALUE;
         for (TargetLoad load : among) {
-            if (!hasRoom(load)) {
+            if (!mayOwn(load, parts)) {
                 continue;
             }
             double first = CostModel.firstEventMillis(load, profile, tokens, millis, false);
@@ -163,20 +186,30 @@
         return Optional.ofNullable(best);
     }
 
+    /** Returns whether the target can answer; it must hold the whole prompt unless that is larger than any target. */
+    private boolean mayOwn(TargetLoad load, int parts) {
+        boolean larger = plannedTokens() > fittingTokens(profile);
+        double needed = larger && parts > 1 ? fittingTokens(profile) * LARGE_OWNER_SHARE : plannedTokens();
+        return load.owned() < load.target().slots() && needed <= freeTokens(load);
+    }
+
+    private long plannedTokens() {
+        return size.promptTokens() + (long) (ANSWER_MARGIN * size.answerTokens());
+    }
+
+    private long freeTokens(TargetLoad load) {
+        return fittingTokens(profile) - load.memoryTokens();
+    }
+
     private double sideLoss(TargetLoad load) {
         double loss = load.target().zone().equals(work.zone()) ? 0 : CROSSING_LOSS;
         loss += load.health().isOut() ? FAILING_LOSS : 0;
         return loss;
     }
 
-    private boolean hasRoom(TargetLoad load) {
-        double planned = size.promptTokens() + ANSWER_MARGIN * size.answerTokens() + load.memoryTokens();
-        return load.owned() < load.target().slots() && planned <= fittingTokens(profile);
-    }
-
     /** Returns the tokens of context that are planned for at one engine. */
-    static double fittingTokens(EngineProfile profile) {
-        return PLANNED_MEMORY * profile.memoryTokens();
+    static long fittingTokens(EngineProfile profile) {
+        return (long) (PLANNED_MEMORY * profile.memoryTokens());
     }
 
     private List<Part> helpers(List<TargetLoad> among, Part owner, double tokens, double millis, int count) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
@@ -61,8 +61,13 @@
         return owned;
     }
 
+    /** Returns the requests of other targets that are read here. */
     int helping() {
-        return held.size() - owned();
+        int helping = 0;
+        for (HeldWork part : held.values()) {
+            helping += part.isHelper() && part.readLeft() > 0 ? 1 : 0;
+        }
+        return helping;
     }
 
     int writers() {
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
@@ -261,8 +261,8 @@
         int parts = assignment.helpers().size() + 1;
         request.setParts(parts);
         double tokens = (double) request.work.size().orElseThrow().promptTokens() / parts;
-        for (FleetTarget helper : assignment.helpers()) {
-            engines.get(helper.id()).add(new SimulatedEngine.Part(request, true, tokens), now);
+        for (Helper helper : assignment.helpers()) {
+            engines.get(helper.target().id()).add(new SimulatedEngine.Part(request, true, tokens), now);
         }
         engines.get(assignment.target().id()).add(new SimulatedEngine.Part(request, false, tokens), now);
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -18,6 +18,7 @@
 import org.boragebarrow.decision.assign.AssignEvent;
 import org.boragebarrow.decision.assign.AssignerChoice;
 import org.boragebarrow.decision.assign.Assignment;
+import org.boragebarrow.decision.assign.Helper;
 import org.boragebarrow.decision.assign.Outcome;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.assign.Work;
@@ -99,11 +100,11 @@
     private static final class Holding {
         private final Work work;
         private final TargetId target;
-        private final ImmutableList<TargetId> helpers;
+        private final ImmutableList<Helper.Ref> helpers;
         private final long since;
         private boolean firstEventSeen;
 
-        Holding(Work work, TargetId target, ImmutableList<TargetId> helpers, long since) {
+        Holding(Work work, TargetId target, ImmutableList<Helper.Ref> helpers, long since) {
             this.work = work;
             this.target = target;
             this.helpers = helpers;
@@ -245,9 +246,8 @@
         question.stopTimer();
         if (decided instanceof AssignEffect.Assigned assigned) {
             Assignment given = assigned.assignment();
-            ImmutableList<TargetId> helpers =
-                    given.helpers().stream().map(FleetTarget::id).collect(ImmutableList.toImmutableList());
-            holdings.put(decided.id(), new Holding(question.work, given.target().id(), helpers, question.since));
+            holdings.put(
+                    decided.id(), new Holding(question.work, given.target().id(), given.helperRefs(), question.since));
         }
         question.decision.onDecided(decided);
     }
@@ -263,8 +263,8 @@
                     new AssignEvent.Ended(message.id(), Outcome.WITHDRAWN));
             return;
         }
-        ImmutableList<FleetTarget> helpers = message.helpers().stream()
-                .flatMap(id -> fleet.find(id).stream())
+        ImmutableList<Helper> helpers = message.helpers().stream()
+                .flatMap(ref -> fleet.find(ref.target()).stream().map(found -> new Helper(found, ref.storedTokens())))
                 .collect(ImmutableList.toImmutableList());
         decide(new AssignEffect.Assigned(
                 message.id(), new Assignment(target.get(), helpers, message.predictedFirst())));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -12,6 +12,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.util.concurrent.Future;
 import org.boragebarrow.decision.assign.Assignment;
+import org.boragebarrow.decision.assign.Helper;
 import org.boragebarrow.decision.assign.Outcome;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.http.server.ServerResponse;
@@ -37,6 +38,7 @@
     private final RelayExchange exchange;
     private final AttemptId id;
     private final Assignment assignment;
+    private final PromptReservations reservations;
     private final EventSplitter splitter = new EventSplitter(MAX_HELD_BYTES);
     private final ByteArrayOutputStream held = new ByteArrayOutputStream();
     private Optional<EngineClient.Handle> handle = Optional.empty();
@@ -54,6 +56,7 @@
         this.exchange = exchange;
         this.id = id;
         this.assignment = assignment;
+        this.reservations = new PromptReservations(context, assignment.helpers(), reservation());
     }
 
     AttemptId id() {
@@ -77,12 +80,29 @@
         return longestPause;
     }
 
+    /** Sends the request, after the memory that it needs elsewhere was set aside. */
     void start() {
+        if (reservations.isEmpty()) {
+            send();
+            return;
+        }
+        reservations.reserve().whenComplete((done, failure) -> context.loop().execute(() -> onReserved(failure)));
+    }
+
+    private void onReserved(Throwable failure) {
+        if (closed) {
+            return;
+        }
+        if (failure != null) {
+            fail(Outcome.REFUSED, false, "memory could not be set aside: " + failure.getMessage());
+            return;
+        }
+        send();
+    }
+
+    private void send() {
         sentAt = context.ticker().read();
         progressAt = sentAt;
-        ImmutableList<FleetTarget> helpers = assignment.helpers().stream()
-                .filter(context.fleet()::isUsable)
-                .collect(ImmutableList.toImmutableList());
         boolean repeatable = exchange.route().kind().repeatable();
         TargetCalls.Call call = new TargetCalls.Call(
                 exchange.request(),
@@ -90,7 +110,8 @@
                 exchange.organisation(),
                 exchange.remaining(),
                 exchange.sequence().last(),
-                helpers,
+                usableHelpers(),
+                reservation(),
                 repeatable);
         handle = Optional.of(context.calls().start(call, this));
         if (repeatable) {
@@ -100,6 +121,17 @@
         response.onWritabilityChanged(() -> handle.ifPresent(open -> open.setReading(response.isWritable())));
     }
 
+    /** A helper that keeps memory is needed in any case; one that only reads is left out where it has left. */
+    private ImmutableList<Helper> usableHelpers() {
+        return assignment.helpers().stream()
+                .filter(helper -> helper.storedTokens() > 0 || context.fleet().isUsable(helper.target()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private String reservation() {
+        return id.toString().replace('#', '-').replace('/', '-');
+    }
+
     /** Ends the call, if it has not ended, and tells the assigner how. */
     void close(Outcome outcome) {
         if (closed) {
@@ -108,6 +140,7 @@
         closed = true;
         stallTimer.ifPresent(timer -> timer.cancel(false));
         handle.ifPresent(EngineClient.Handle::close);
+        reservations.release();
         context.assignments().ended(id, outcome);
     }
 
@@ -138,7 +171,7 @@
             armStall(Duration.ofNanos(stallLeft()));
             return;
         }
-        if (exchange.response().isWritable() && exchange.mayRepeat(true)) {
+        if (exchange.response().isWritable() && exchange.couldRepeat(true)) {
             exchange.seekAlternative(this);
             return;
         }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -30,6 +30,8 @@
     OVERRULED(7032),
     /** An attempt failed, with what follows. */
     ATTEMPT_FAILED(7033),
+    /** Memory of a target could not be set aside, renewed or given back. */
+    RESERVATION_FAILED(7034),
     /** A request was answered by a target. */
     ANSWERED(7040),
     /** A request was answered by the host itself. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -162,7 +162,7 @@
             silent.waitOn();
             return;
         }
-        if (!silent.isStalled()) {
+        if (!silent.isStalled() || !mayRepeat(true)) {
             context.assignments().ended(work.id(), Outcome.WITHDRAWN);
             silent.waitOn();
             return;
@@ -325,12 +325,15 @@
         fail(mayHaveRun ? unknownKind() : ErrorKind.NO_TARGET, reason, REFUSED_RETURN);
     }
 
+    /** Returns whether the request may go to one more target as far as it itself is concerned. */
+    boolean couldRepeat(boolean ran) {
+        boolean safe = !ran || route().kind().repeatable();
+        return safe && sentTo < route().maxTargets() && remaining().compareTo(LEAST_REMAINING) > 0;
+    }
+
     /** Returns whether the request may go to one more target, and takes that repeat from the host's share. */
     boolean mayRepeat(boolean ran) {
-        boolean safe = !ran || route().kind().repeatable();
-        return safe
-                && sentTo < route().maxTargets()
-                && remaining().compareTo(LEAST_REMAINING) > 0
+        return couldRepeat(ran)
                 && context.retries()
                         .tryRepeat(destination.service(), context.ticker().read());
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import io.netty.buffer.ByteBuf;
+import org.boragebarrow.decision.assign.Helper;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.port.EngineClient;
@@ -21,6 +23,7 @@
      * @param remaining how long the target may work on it
      * @param resumeAfter the last event that the answer need not repeat
      * @param helpers targets that read a part of the prompt each
+     * @param reservation the name under which helpers keep a part of the prompt's memory
      * @param reuse whether a kept-alive connection, which the target may just be closing, may be used
      */
     record Call(
@@ -29,7 +32,8 @@
             Optional<OrganisationId> organisation,
             Duration remaining,
             OptionalLong resumeAfter,
-            ImmutableList<FleetTarget> helpers,
+            ImmutableList<Helper> helpers,
+            String reservation,
             boolean reuse) {}
 
     /**
@@ -72,4 +76,13 @@
 
     /** Sends the call; closing the handle tells the target that nobody waits any more. */
     EngineClient.Handle start(Call call, Listener listener);
+
+    /**
+     * Sets memory of a target aside, or renews that; the future fails if the target refuses or does not answer, and the
+     * memory may be set aside all the same.
+     */
+    CompletableFuture<Void> reserve(FleetTarget target, String reservation, long tokens, Duration hold);
+
+    /** Gives memory back. */
+    CompletableFuture<Void> release(FleetTarget target, String reservation);
 }
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
@@ -7,17 +7,18 @@
 import com.google.common.collect.ImmutableSet;
 import org.boragebarrow.decision.assign.AssignEffect;
 import org.boragebarrow.decision.assign.AssignEvent;
+import org.boragebarrow.decision.assign.Helper;
 import org.boragebarrow.decision.assign.Outcome;
 import org.boragebarrow.decision.assign.PromptSize;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.assign.Work;
-import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.peer.proto.AskTarget;
 import org.boragebarrow.peer.proto.AskedWork;
+import org.boragebarrow.peer.proto.AssignedHelper;
 import org.boragebarrow.peer.proto.AttemptEnded;
 import org.boragebarrow.peer.proto.AttemptProgress;
 import org.boragebarrow.peer.proto.Envelope;
@@ -41,7 +42,7 @@
      *
      * @param predictedFirst the time to the first event
      */
-    public record Assigned(AttemptId id, TargetId target, ImmutableList<TargetId> helpers, Duration predictedFirst) {}
+    public record Assigned(AttemptId id, TargetId target, ImmutableList<Helper.Ref> helpers, Duration predictedFirst) {}
 
     /** Returns the question for a target. */
     public static Envelope ask(Work work) {
@@ -109,9 +110,7 @@
                 .setAttempt(GrantMessages.toAttempt(assigned.id()))
                 .setTarget(assigned.assignment().target().id().value())
                 .setPredictedMillis(assigned.assignment().predictedFirst().toMillis());
-        for (FleetTarget helper : assigned.assignment().helpers()) {
-            message.addHelpers(helper.id().value());
-        }
+        assigned.assignment().helperRefs().forEach(helper -> message.addHelpers(toHelper(helper)));
         return message.build();
     }
 
@@ -120,7 +119,7 @@
         return new Assigned(
                 GrantMessages.fromAttempt(message.getAttempt()),
                 TargetId.of(message.getTarget()),
-                ids(message.getHelpersList()),
+                helpers(message.getHelpersList()),
                 Duration.ofMillis(message.getPredictedMillis()));
     }
 
@@ -161,7 +160,7 @@
                 .setWork(toWork(held.work()))
                 .setTarget(held.target().value())
                 .setFirstEventSeen(held.firstEventSeen());
-        held.helpers().forEach(helper -> message.addHelpers(helper.value()));
+        held.helpers().forEach(helper -> message.addHelpers(toHelper(helper)));
         return Envelope.newBuilder().setHoldTarget(message).build();
     }
 
@@ -170,7 +169,7 @@
         return new AssignEvent.Held(
                 fromWork(message.getWork()),
                 TargetId.of(message.getTarget()),
-                ids(message.getHelpersList()),
+                helpers(message.getHelpersList()),
                 message.getFirstEventSeen());
     }
 
@@ -181,9 +180,17 @@
                 .build();
     }
 
-    private static ImmutableList<TargetId> ids(Iterable<String> texts) {
-        ImmutableList.Builder<TargetId> ids = ImmutableList.builder();
-        texts.forEach(text -> ids.add(TargetId.of(text)));
-        return ids.build();
+    private static AssignedHelper toHelper(Helper.Ref helper) {
+        return AssignedHelper.newBuilder()
+                .setTarget(helper.target().value())
+                .setStoredTokens(helper.storedTokens())
+                .build();
+    }
+
+    private static ImmutableList<Helper.Ref> helpers(Iterable<AssignedHelper> messages) {
+        ImmutableList.Builder<Helper.Ref> helpers = ImmutableList.builder();
+        messages.forEach(
+                helper -> helpers.add(new Helper.Ref(TargetId.of(helper.getTarget()), helper.getStoredTokens())));
+        return helpers.build();
     }
 }
