--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
@@ -23,8 +23,11 @@
 
     private static final double LATE_SHARE = 1.2;
 
-    /** The part of the late loss that each objective of time costs: the sooner of two choices wins, also of late ones. */
-    private static final double SOONER_GAIN = 0.15;
+    /** The part of the worth that each objective of time costs: the sooner of two choices wins, also of late ones. */
+    private static final double SOONER_GAIN = 0.1;
+
+    /** Any answer that comes is better than none. */
+    private static final double MOST_LATE_LOSS = 0.97;
 
     /** What the way between caller, host and target adds to an answer, in milliseconds. */
     private static final double WAY_MILLIS = 12;
@@ -67,7 +70,7 @@
         }
         double share = total / Math.max(1, work.objective().toMillis());
         double late = Math.min(1, Math.max(0, (share - SAFE_SHARE) / (LATE_SHARE - SAFE_SHARE)));
-        return worth * LATE_LOSS * (late + SOONER_GAIN * share);
+        return worth * Math.min(MOST_LATE_LOSS, LATE_LOSS * late + SOONER_GAIN * share);
     }
 
     /** Returns what those lose that still read at an engine when a helper's part goes ahead of them. */
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerChoiceTest.java
@@ -0,0 +1,91 @@
+package org.boragebarrow.decision.assign;
+
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import net.jqwik.api.Example;
+import org.boragebarrow.decision.placement.Rendezvous;
+import org.boragebarrow.model.HostId;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class AssignerChoiceTest {
+    private static final ImmutableSet<HostId> HOSTS =
+            ImmutableSet.of(HostId.of("a"), HostId.of("b"), HostId.of("c"), HostId.of("d"));
+    private static final ImmutableList<HostId> RANKED = Rendezvous.rank("assigner", HOSTS, HOSTS.size());
+    private static final HostId FIRST = RANKED.get(0);
+    private static final HostId SECOND = RANKED.get(1);
+    private static final HostId LAST = RANKED.get(3);
+
+    private final AssignerChoice choice = new AssignerChoice(LAST);
+
+    private static long millis(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    @Example
+    void aHostThatHeardOfNobodyAsksItself() {
+        choice.setHosts(HOSTS);
+
+        assertThat(choice.holder(0)).isEqualTo(LAST);
+    }
+
+    @Example
+    void theFirstHostThatAnsweredIsAsked() {
+        choice.setHosts(HOSTS);
+        choice.heard(SECOND, 0);
+        assertThat(choice.holder(0)).isEqualTo(SECOND);
+        choice.heard(FIRST, 0);
+        assertThat(choice.holder(0)).isEqualTo(FIRST);
+    }
+
+    @Example
+    void anUnansweredQuestionMovesOnAtOnce() {
+        choice.setHosts(HOSTS);
+        choice.heard(FIRST, 0);
+        choice.heard(SECOND, 0);
+        choice.silent(FIRST);
+
+        assertThat(choice.holder(0)).isEqualTo(SECOND);
+    }
+
+    @Example
+    void aHostThatStaysSilentCountsAsGone() {
+        choice.setHosts(HOSTS);
+        choice.heard(FIRST, 0);
+
+        assertThat(choice.holder(millis(AssignerChoice.SILENCE_MILLIS - 1))).isEqualTo(FIRST);
+        assertThat(choice.holder(millis(AssignerChoice.SILENCE_MILLIS))).isEqualTo(LAST);
+    }
+
+    @Example
+    void onlyTheHostInUseAndTheNextAreKeptInTouchWith() {
+        choice.setHosts(HOSTS);
+        choice.heard(FIRST, 0);
+        choice.heard(SECOND, 0);
+
+        assertThat(choice.toProbe(1)).containsExactly(FIRST, SECOND).inOrder();
+    }
+
+    @Example
+    void hostsThatDoNotAnswerAreProbedLessAndLessOften() {
+        choice.setHosts(HOSTS);
+        int probes = 0;
+        for (long now = 0; now < 20_000; now += AssignerChoice.PROBE_MILLIS) {
+            probes += choice.toProbe(millis(now)).contains(FIRST) ? 1 : 0;
+        }
+
+        assertThat(probes).isAtLeast(4);
+        assertThat(probes).isAtMost(10);
+    }
+
+    @Example
+    void aHostThatIsNoLongerListedIsForgotten() {
+        choice.setHosts(HOSTS);
+        choice.heard(FIRST, 0);
+        choice.setHosts(ImmutableSet.of(SECOND, LAST));
+
+        assertThat(choice.holder(0)).isEqualTo(LAST);
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
@@ -0,0 +1,339 @@
+package org.boragebarrow.decision.assign;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import net.jqwik.api.Example;
+import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class AssignerTest {
+    private static final ServiceName MODEL = ServiceName.of("model");
+    private static final ServiceName PLAIN = ServiceName.of("plain");
+    private static final HostLife HOST = HostLife.of(HostId.of("host"), Incarnation.of(1));
+    private static final HostLife OTHER_HOST = HostLife.of(HostId.of("other"), Incarnation.of(1));
+    private static final int SLOTS = 2;
+
+    private final Assigner assigner = new Assigner();
+    private final List<FleetTarget> targets = new ArrayList<>();
+    private long counter;
+
+    private FleetTarget target(ServiceName service, String id, String zone, boolean draining) {
+        return new FleetTarget(
+                TargetId.of(id),
+                service,
+                Endpoint.of("10.0.0." + (targets.size() + 1), 80),
+                AvailabilityZoneId.of(zone),
+                service.equals(MODEL) ? SimulatedLoad.ENGINE.slots() : SLOTS,
+                draining,
+                1);
+    }
+
+    private void fleet(ServiceName service, String... ids) {
+        targets.clear();
+        for (String id : ids) {
+            targets.add(target(service, id, "zone", false));
+        }
+        assigner.apply(new AssignEvent.ProfilesChanged(ImmutableMap.of(MODEL, SimulatedLoad.ENGINE)), 0);
+        assigner.apply(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)), 0);
+    }
+
+    private Work plain(HostLife host, TargetId... excluded) {
+        return new Work(
+                AttemptId.of(host, ++counter),
+                PLAIN,
+                AvailabilityZoneId.of("zone"),
+                Optional.empty(),
+                Duration.ofMillis(300),
+                Optional.empty(),
+                Duration.ZERO,
+                Duration.ofSeconds(2),
+                ImmutableSet.copyOf(excluded));
+    }
+
+    private Work prompt(long tokens, int objectiveMillis, int pauseMillis) {
+        return new Work(
+                AttemptId.of(HOST, ++counter),
+                MODEL,
+                AvailabilityZoneId.of("zone"),
+                Optional.of(new PromptSize(tokens, 700)),
+                Duration.ofMillis(objectiveMillis),
+                Optional.of(Duration.ofMillis(pauseMillis)),
+                Duration.ZERO,
+                Duration.ofSeconds(15),
+                ImmutableSet.of());
+    }
+
+    private ImmutableList<AssignEffect> submit(Work work) {
+        return assigner.apply(new AssignEvent.Submitted(work), 0);
+    }
+
+    private Assignment assigned(Work work) {
+        AssignEffect effect = submit(work).get(0);
+        assertThat(effect).isInstanceOf(AssignEffect.Assigned.class);
+        return ((AssignEffect.Assigned) effect).assignment();
+    }
+
+    private static long millis(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    @Example
+    void workGoesToTheTargetWithMostFreeSlots() {
+        fleet(PLAIN, "a", "b");
+        TargetId first = assigned(plain(HOST)).target().id();
+        TargetId second = assigned(plain(HOST)).target().id();
+
+        assertThat(first).isNotEqualTo(second);
+    }
+
+    @Example
+    void aDrainingTargetGetsNothing() {
+        fleet(PLAIN, "a", "b");
+        targets.set(0, target(PLAIN, "a", "zone", true));
+        assigner.apply(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)), 0);
+
+        for (int i = 0; i < SLOTS; i++) {
+            assertThat(assigned(plain(HOST)).target().id()).isEqualTo(TargetId.of("b"));
+        }
+    }
+
+    @Example
+    void anExcludedTargetGetsNothing() {
+        fleet(PLAIN, "a", "b");
+
+        assertThat(assigned(plain(HOST, TargetId.of("a"))).target().id()).isEqualTo(TargetId.of("b"));
+    }
+
+    @Example
+    void withoutAnyTargetWorkIsRefusedAtOnce() {
+        fleet(PLAIN);
+        AssignEffect effect = submit(plain(HOST)).get(0);
+
+        assertThat(((AssignEffect.Refused) effect).reason()).isEqualTo(RefusalReason.NO_TARGET);
+    }
+
+    @Example
+    void workWaitsForASlotAndGetsTheFirstThatIsFreed() {
+        fleet(PLAIN, "a");
+        Work first = plain(HOST);
+        submit(first);
+        submit(plain(HOST));
+        Work third = plain(HOST);
+
+        assertThat(submit(third)).containsExactly(new AssignEffect.Queued(third.id()));
+        ImmutableList<AssignEffect> effects =
+                assigner.apply(new AssignEvent.Ended(first.id(), Outcome.SUCCEEDED), millis(50));
+        assertThat(effects).hasSize(1);
+        assertThat(effects.get(0)).isInstanceOf(AssignEffect.Assigned.class);
+        assertThat(effects.get(0).id()).isEqualTo(third.id());
+    }
+
+    @Example
+    void noMoreWorkWaitsThanThereAreSlots() {
+        fleet(PLAIN, "a");
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            submit(plain(HOST));
+        }
+        AssignEffect effect = submit(plain(HOST)).get(0);
+
+        assertThat(((AssignEffect.Refused) effect).reason()).isEqualTo(RefusalReason.OVERLOADED);
+    }
+
+    @Example
+    void withdrawnWorkIsNeverAssigned() {
+        fleet(PLAIN, "a");
+        Work first = plain(HOST);
+        submit(first);
+        submit(plain(HOST));
+        Work third = plain(HOST);
+        submit(third);
+        assigner.apply(new AssignEvent.Ended(third.id(), Outcome.WITHDRAWN), 0);
+
+        assertThat(assigner.apply(new AssignEvent.Ended(first.id(), Outcome.SUCCEEDED), 0))
+                .isEmpty();
+    }
+
+    @Example
+    void theSlotsOfALostHostAreFree() {
+        fleet(PLAIN, "a");
+        submit(plain(OTHER_HOST));
+        submit(plain(OTHER_HOST));
+        Work mine = plain(HOST);
+        submit(mine);
+
+        ImmutableList<AssignEffect> effects = assigner.apply(new AssignEvent.HostLost(OTHER_HOST.host()), 0);
+        assertThat(effects.get(0).id()).isEqualTo(mine.id());
+        assertThat(assigner.assigned()).isEqualTo(1);
+    }
+
+    @Example
+    void anAttemptWhoseEndWasNeverHeardOfIsForgottenAfterItsLimit() {
+        fleet(PLAIN, "a");
+        submit(plain(OTHER_HOST));
+        submit(plain(OTHER_HOST));
+
+        Work later = plain(HOST);
+        AssignEffect effect =
+                assigner.apply(new AssignEvent.Submitted(later), millis(3_500)).get(0);
+        assertThat(effect).isInstanceOf(AssignEffect.Assigned.class);
+    }
+
+    @Example
+    void aNewAssignerCountsWhatHostsHold() {
+        fleet(PLAIN, "a");
+        for (int i = 0; i < SLOTS; i++) {
+            assigner.apply(new AssignEvent.Held(plain(HOST), TargetId.of("a"), ImmutableList.of(), true), 0);
+        }
+        Work next = plain(HOST);
+
+        assertThat(submit(next)).containsExactly(new AssignEffect.Queued(next.id()));
+    }
+
+    @Example
+    void aTargetThatCannotBeReachedGetsNothingForASecond() {
+        fleet(PLAIN, "a", "b");
+        Work first = plain(HOST, TargetId.of("b"));
+        submit(first);
+        assigner.apply(new AssignEvent.Ended(first.id(), Outcome.UNREACHABLE), 0);
+
+        for (int i = 0; i < SLOTS; i++) {
+            assertThat(assigned(plain(HOST)).target().id()).isEqualTo(TargetId.of("b"));
+        }
+    }
+
+    @Example
+    void oneSilentAnswerDoesNotTakeATargetOut() {
+        fleet(PLAIN, "a");
+        Work first = plain(HOST);
+        submit(first);
+        assigner.apply(new AssignEvent.Ended(first.id(), Outcome.SILENT), 0);
+        submit(plain(HOST));
+
+        assertThat(assigned(plain(HOST)).target().id()).isEqualTo(TargetId.of("a"));
+    }
+
+    @Example
+    void aTargetThatFailsMuchIsTriedWithSingleRequestsOnly() {
+        fleet(PLAIN, "a", "b");
+        for (int i = 0; i < 4; i++) {
+            Work failing = plain(HOST, TargetId.of("b"));
+            submit(failing);
+            assigner.apply(new AssignEvent.Ended(failing.id(), Outcome.FAILED), 0);
+        }
+        assertThat(assigned(plain(HOST)).target().id()).isEqualTo(TargetId.of("b"));
+        assertThat(assigned(plain(HOST)).target().id()).isEqualTo(TargetId.of("b"));
+        Work probe = plain(HOST);
+        Work second = plain(HOST);
+        long later = millis(1_100);
+
+        AssignEffect probing =
+                assigner.apply(new AssignEvent.Submitted(probe), later).get(0);
+        assertThat(((AssignEffect.Assigned) probing).assignment().target().id()).isEqualTo(TargetId.of("a"));
+        assertThat(assigner.apply(new AssignEvent.Submitted(second), later))
+                .containsExactly(new AssignEffect.Queued(second.id()));
+    }
+
+    @Example
+    void aLongPromptIsReadByAsManyEnginesAsBringItInsideItsObjective() {
+        fleet(MODEL, "a", "b", "c", "d", "e", "f", "g", "h");
+        Assignment assignment = assigned(prompt(182_000, 3_000, 1_000));
+
+        assertThat(assignment.helpers()).isNotEmpty();
+        assertThat(assignment.predictedFirst()).isLessThan(Duration.ofMillis(3_000));
+    }
+
+    @Example
+    void aShortPromptIsReadByOneEngine() {
+        fleet(MODEL, "a", "b", "c");
+
+        assertThat(assigned(prompt(5_000, 300, 250)).helpers()).isEmpty();
+    }
+
+    @Example
+    void aPromptLargerThanAnEngineIsKeptInSeveral() {
+        fleet(MODEL, "a", "b", "c", "d", "e", "f", "g", "h");
+        for (long tokens : new long[] {370_001, 500_003, 900_007}) {
+            Work work = prompt(tokens, 3_000, 1_000);
+            Assignment assignment = assigned(work);
+            long stored = assignment.helpers().stream()
+                    .mapToLong(Helper::storedTokens)
+                    .sum();
+
+            assertThat(tokens + 700 - stored).isAtMost(SimulatedLoad.ENGINE.memoryTokens());
+            for (Helper helper : assignment.helpers()) {
+                assertThat(helper.storedTokens()).isAtMost(SimulatedLoad.ENGINE.memoryTokens());
+            }
+            assigner.apply(new AssignEvent.Ended(work.id(), Outcome.SUCCEEDED), 0);
+        }
+    }
+
+    @Example
+    void aPromptLargerThanAllEnginesTogetherIsRefusedAtOnce() {
+        fleet(MODEL, "a", "b");
+        AssignEffect effect = submit(prompt(900_000, 3_000, 1_000)).get(0);
+
+        assertThat(((AssignEffect.Refused) effect).reason()).isEqualTo(RefusalReason.TOO_LARGE);
+    }
+
+    @Example
+    void memoryOfAnEngineIsNeverPlannedTwice() {
+        fleet(MODEL, "a", "b");
+        long held = 0;
+        for (int i = 0; i < 12; i++) {
+            Work work = prompt(90_000, 60_000, 10_000);
+            if (submit(work).get(0) instanceof AssignEffect.Assigned) {
+                held += 90_700;
+            }
+        }
+
+        assertThat(held).isAtMost(2 * SimulatedLoad.ENGINE.memoryTokens());
+    }
+
+    @Example
+    void workThatCanStillBeOnTimeGoesBeforeWorkThatIsLate() {
+        fleet(PLAIN, "a");
+        Work running = plain(HOST);
+        submit(running);
+        submit(plain(HOST));
+        Work late = plain(HOST);
+        submit(late);
+        Work fresh = plain(HOST);
+        assigner.apply(new AssignEvent.Submitted(fresh), millis(400));
+        ImmutableList<AssignEffect> effects =
+                assigner.apply(new AssignEvent.Ended(running.id(), Outcome.SUCCEEDED), millis(410));
+
+        assertThat(effects.get(0).id()).isEqualTo(fresh.id());
+    }
+
+    @Example
+    void workThatItsCallerIsAboutToGiveUpGoesFirst() {
+        fleet(PLAIN, "a");
+        Work running = plain(HOST);
+        submit(running);
+        submit(plain(HOST));
+        Work old = plain(HOST);
+        submit(old);
+        Work fresh = plain(HOST);
+        assigner.apply(new AssignEvent.Submitted(fresh), millis(1_300));
+        ImmutableList<AssignEffect> effects =
+                assigner.apply(new AssignEvent.Ended(running.id(), Outcome.SUCCEEDED), millis(1_310));
+
+        assertThat(effects.get(0).id()).isEqualTo(old.id());
+    }
+}
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/LoadReplayTest.java
@@ -0,0 +1,79 @@
+package org.boragebarrow.decision.assign;
+
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.Example;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Replays the worst loads of a day; bounds are the stated aims of mean worth on the grown sites. */
+class LoadReplayTest {
+    private static final double AIM = 0.68;
+    private static final int ENGINES = 16;
+
+    private static final SimulatedLoad.Kind SHORT =
+            new SimulatedLoad.Kind("short", 19.7, 4_960, 0.9, 23_800, 38, 300, 250, 1.3);
+    private static final SimulatedLoad.Kind DIGEST =
+            new SimulatedLoad.Kind("digest", 1.1, 45_000, 0.5, 110_000, 23, 1_500, 600, 3.9);
+    private static final SimulatedLoad.Kind LEDGER =
+            new SimulatedLoad.Kind("ledger", 0.513, 182_000, 0.55, 900_000, 19, 3_000, 1_000, 24);
+    private static final List<SimulatedLoad.Kind> ALL = List.of(SHORT, DIGEST, LEDGER);
+
+    private static SimulatedLoad.Phase phase(double from, double shorts, double digests, double ledgers) {
+        return new SimulatedLoad.Phase(from, Map.of("short", shorts, "digest", digests, "ledger", ledgers));
+    }
+
+    private static final List<SimulatedLoad.Phase> SWING =
+            List.of(phase(2, 0.37, 1.3, 2.8), phase(13, 2.4, 0.5, 0.05), phase(23, 0.32, 1.3, 2.7), phase(34, 0, 0, 0));
+
+    @Example
+    void aSwingBetweenLongAndShortPromptsServesAllKinds() {
+        for (long seed = 1; seed <= 4; seed++) {
+            SimulatedLoad load = new SimulatedLoad(seed, ENGINES);
+            load.play(ALL, SWING, 50);
+
+            assertThat(load.share()).isAtLeast(AIM);
+            assertThat(load.tally("short").share()).isAtLeast(AIM);
+            assertThat(load.tally("digest").share()).isAtLeast(AIM);
+            assertThat(load.tally("ledger").share()).isAtLeast(AIM);
+        }
+    }
+
+    @Example
+    void aBurstOfShortPromptsIsServed() {
+        SimulatedLoad load = new SimulatedLoad(7, ENGINES);
+        load.play(ALL, List.of(phase(2, 2.5, 0.5, 0.05), phase(12, 1, 1, 1), phase(20, 0, 0, 0)), 36);
+
+        assertThat(load.tally("short").share()).isAtLeast(AIM);
+    }
+
+    @Example
+    void aClumpOfLongPromptsIsServedInOrderInsteadOfAllLate() {
+        SimulatedLoad load = new SimulatedLoad(3, ENGINES);
+        load.play(List.of(LEDGER), List.of(phase(1, 1, 1, 3), phase(10, 0, 0, 0)), 26);
+
+        assertThat(load.tally("ledger").share()).isAtLeast(AIM);
+    }
+
+    @Example
+    void theLossOfASixthOfTheTargetsLeavesTheRestServing() {
+        SimulatedLoad load = new SimulatedLoad(11, ENGINES);
+        List<SimulatedLoad.Phase> steady = List.of(phase(0, 1, 1, 1), phase(30, 0, 0, 0));
+        load.play(ALL, steady, 10);
+        load.lose(ENGINES / 6);
+        load.play(ALL, steady, 36);
+
+        assertThat(load.share()).isAtLeast(AIM);
+    }
+
+    @Example
+    void theLongestPromptsAreServedToo() {
+        SimulatedLoad load = new SimulatedLoad(2, ENGINES);
+        SimulatedLoad.Kind huge = new SimulatedLoad.Kind("huge", 0.1, 500_000, 0.2, 900_000, 19, 3_000, 1_000, 24);
+        load.play(List.of(SHORT, huge), List.of(phase(0, 1, 1, 1), phase(30, 0, 0, 0)), 50);
+
+        assertThat(load.tally("huge").refused).isEqualTo(0);
+        assertThat(load.tally("huge").left).isEqualTo(0);
+    }
+}
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedEngine.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedEngine.java
@@ -14,7 +14,6 @@
     private final List<Part> parts = new ArrayList<>();
     private double passEnds = -1;
     private boolean passWrites;
-    private boolean dark;
 
     /** What an engine works on for one request; {@code tokensLeft} is counted down as it reads. */
     static final class Part {
@@ -39,10 +38,6 @@
         return passEnds;
     }
 
-    void setDark(boolean value) {
-        dark = value;
-    }
-
     void add(Part part, double now) {
         parts.add(part);
         if (passEnds < 0) {
@@ -50,6 +45,10 @@
         }
     }
 
+    boolean holds(SimulatedRequest request) {
+        return parts.stream().anyMatch(part -> part.request == request);
+    }
+
     void drop(SimulatedRequest request) {
         parts.removeIf(part -> part.request == request);
     }
@@ -57,7 +56,7 @@
     /** Ends the pass and begins the next one. */
     void step(double now) {
         for (Part part : List.copyOf(parts)) {
-            if (!part.helper && part.request.isRead() && part.request.wroteFrom(now, passWrites)) {
+            if (!part.helper && part.request.isRead() && passWrites && part.request.isWriting()) {
                 part.request.onEvent(now);
             }
         }
@@ -69,10 +68,6 @@
     }
 
     private void beginPass(double now) {
-        if (dark) {
-            passEnds = -1;
-            return;
-        }
         double step = profile.stepMillis();
         int writers = 0;
         for (Part part : parts) {
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.collect.ImmutableList;
@@ -52,7 +54,8 @@
     private final List<FleetTarget> targets = new ArrayList<>();
     private final Map<TargetId, SimulatedEngine> engines = new LinkedHashMap<>();
     private final Map<AttemptId, SimulatedRequest> open = new HashMap<>();
-    private final List<SimulatedRequest> waiting = new ArrayList<>();
+    private final Set<SimulatedRequest> returned = new HashSet<>();
+    private final Set<SimulatedRequest> told = new HashSet<>();
     private final List<Return> returns = new ArrayList<>();
     private final Map<Kind, Tally> tallies = new LinkedHashMap<>();
     private long attempts;
@@ -83,7 +86,6 @@
         int refused;
         int late;
         int left;
-        double firstErrors;
 
         double share() {
             return owed == 0 ? 1 : earned / owed;
@@ -114,17 +116,15 @@
         assigner.apply(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)), 0);
     }
 
-    /** Takes targets away, with all that they work on. */
+    /** Takes targets away; the requests that they answer are lost, as are those that they help with. */
     void lose(int count) {
         for (int i = 0; i < count; i++) {
             FleetTarget gone = targets.remove(0);
-            engines.remove(gone.id());
+            SimulatedEngine engine = engines.remove(gone.id());
             for (SimulatedRequest request : List.copyOf(open.values())) {
-                boolean owned = request.work.excluded().isEmpty()
-                        && placeOf.get(request) != null
-                        && placeOf.get(request).equals(gone.id());
-                if (owned) {
+                if (engine.holds(request)) {
                     open.remove(request.work.id());
+                    engines.values().forEach(other -> other.drop(request));
                     send(new AssignEvent.Ended(request.work.id(), Outcome.FAILED));
                 }
             }
@@ -132,8 +132,6 @@
         send(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)));
     }
 
-    private final Map<SimulatedRequest, TargetId> placeOf = new HashMap<>();
-
     /** Plays so many seconds. */
     void play(List<Kind> kinds, List<Phase> phases, double seconds) {
         double end = now + seconds * 1_000;
@@ -237,7 +235,7 @@
         for (AssignEffect effect : assigner.apply(event, TimeUnit.MICROSECONDS.toNanos((long) (now * 1_000)))) {
             SimulatedRequest request = open.get(effect.id());
             switch (effect) {
-                case AssignEffect.Queued ignored -> waiting.add(request);
+                case AssignEffect.Queued ignored -> {}
                 case AssignEffect.Refused refused -> refuse(request, refused);
                 case AssignEffect.Assigned assigned -> place(request, assigned.assignment());
             }
@@ -246,9 +244,7 @@
 
     private void refuse(SimulatedRequest request, AssignEffect.Refused refused) {
         open.remove(request.work.id());
-        waiting.remove(request);
-        boolean first = placeOf.putIfAbsent(request, TargetId.of("returned")) == null;
-        if (first) {
+        if (returned.add(request)) {
             returns.add(new Return(now + refused.retryAfter().toMillis(), request));
         } else {
             tallies.get(request.kind).refused++;
@@ -256,8 +252,6 @@
     }
 
     private void place(SimulatedRequest request, Assignment assignment) {
-        waiting.remove(request);
-        placeOf.put(request, assignment.target().id());
         int parts = assignment.helpers().size() + 1;
         request.setParts(parts);
         double tokens = (double) request.work.size().orElseThrow().promptTokens() / parts;
@@ -280,22 +274,11 @@
         }
     }
 
-    private final java.util.Set<SimulatedRequest> told = new java.util.HashSet<>();
-
     private void settle(SimulatedRequest request) {
         Tally tally = tallies.get(request.kind);
         boolean inTime = request.firstMillis() + 12 <= request.kind.objectiveMillis()
                 && request.longestPause() <= request.kind.pauseMillis();
         tally.late += inTime ? 0 : 1;
-        if (!inTime && Boolean.getBoolean("v")) {
-            System.out.printf(
-                    "late %s tokens %d first %.0f pause %.0f at %.0f%n",
-                    request.kind.name(),
-                    request.work.size().get().promptTokens(),
-                    request.firstMillis(),
-                    request.longestPause(),
-                    request.arrivedAt);
-        }
         tally.earned += worth(request) * (inTime ? 1 : LATE_WORTH);
     }
 
@@ -310,7 +293,6 @@
             double patience = CostModel.leaveMillis(request.work);
             if (!request.hasFirst() && now - request.arrivedAt > patience) {
                 open.remove(request.work.id());
-                waiting.remove(request);
                 engines.values().forEach(engine -> engine.drop(request));
                 tallies.get(request.kind).left++;
                 send(new AssignEvent.Ended(request.work.id(), Outcome.WITHDRAWN));
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedRequest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedRequest.java
@@ -50,9 +50,8 @@
         writing = true;
     }
 
-    /** Returns whether the request wrote in the pass that ends now. */
-    boolean wroteFrom(double now, boolean passWrites) {
-        return writing && passWrites;
+    boolean isWriting() {
+        return writing;
     }
 
     void onEvent(double now) {
--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/fleet/FleetTest.java
@@ -0,0 +1,91 @@
+package org.boragebarrow.decision.fleet;
+
+import com.google.common.collect.ImmutableList;
+import net.jqwik.api.Example;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FleetTest {
+    private static final ServiceName SERVICE = ServiceName.of("service");
+
+    private final Fleet fleet = new Fleet();
+
+    private static FleetTarget target(String id, int port, boolean draining, long started) {
+        return new FleetTarget(
+                TargetId.of(id),
+                SERVICE,
+                Endpoint.of("10.0.0.1", port),
+                AvailabilityZoneId.of("zone"),
+                4,
+                draining,
+                started);
+    }
+
+    @Example
+    void aDrainingTargetTakesNoNewWork() {
+        fleet.put(target("a", 1, false, 1));
+        fleet.put(target("a", 1, true, 1));
+
+        assertThat(fleet.usable(SERVICE)).isEmpty();
+        assertThat(fleet.isUsable(target("a", 1, false, 1))).isFalse();
+    }
+
+    @Example
+    void anotherLifeUnderTheSameIdIsAnotherTarget() {
+        fleet.put(target("a", 1, false, 1));
+        fleet.put(target("a", 1, false, 2));
+
+        assertThat(fleet.isUsable(target("a", 1, false, 1))).isFalse();
+        assertThat(fleet.isUsable(target("a", 1, false, 2))).isTrue();
+    }
+
+    @Example
+    void anEntryThatVanishesWhileTheTableAnswersIsGoneAtOnce() {
+        fleet.put(target("a", 1, false, 1));
+        fleet.tableAnswered(0);
+        fleet.remove(TargetId.of("a"), 10);
+
+        assertThat(fleet.usable(SERVICE)).isEmpty();
+    }
+
+    @Example
+    void anEntryThatIsMissingRightAfterTheTableCameBackIsKeptForTwoSeconds() {
+        fleet.put(target("a", 1, false, 1));
+        fleet.put(target("b", 2, false, 1));
+        fleet.tableLost();
+        fleet.tableAnswered(10_000);
+        fleet.replace(ImmutableList.of(target("b", 2, false, 1)), 10_001);
+
+        assertThat(fleet.usable(SERVICE)).hasSize(2);
+        assertThat(fleet.expire(11_999)).isFalse();
+        assertThat(fleet.expire(12_000)).isTrue();
+        assertThat(fleet.usable(SERVICE)).containsExactly(target("b", 2, false, 1));
+    }
+
+    @Example
+    void anEntryThatComesBackInTimeStays() {
+        fleet.put(target("a", 1, false, 1));
+        fleet.tableLost();
+        fleet.tableAnswered(10_000);
+        fleet.remove(TargetId.of("a"), 10_001);
+        fleet.put(target("a", 1, false, 1));
+
+        assertThat(fleet.expire(20_000)).isFalse();
+        assertThat(fleet.usable(SERVICE)).hasSize(1);
+    }
+
+    @Example
+    void aDrainingWordDuringTheDoubtIsObeyed() {
+        fleet.put(target("a", 1, false, 1));
+        fleet.tableLost();
+        fleet.tableAnswered(10_000);
+        fleet.remove(TargetId.of("a"), 10_001);
+        fleet.put(target("a", 1, true, 1));
+
+        assertThat(fleet.usable(SERVICE)).isEmpty();
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayWorld.java
@@ -0,0 +1,347 @@
+package org.boragebarrow.node.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.boragebarrow.decision.assign.AssignEffect;
+import org.boragebarrow.decision.assign.Assignment;
+import org.boragebarrow.decision.assign.Outcome;
+import org.boragebarrow.decision.assign.PromptSize;
+import org.boragebarrow.decision.assign.RefusalReason;
+import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.fleet.Fleet;
+import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.retry.RetryShare;
+import org.boragebarrow.decision.routing.RequestKind;
+import org.boragebarrow.decision.routing.Route;
+import org.boragebarrow.decision.routing.RoutingFollower;
+import org.boragebarrow.decision.routing.RoutingTable;
+import org.boragebarrow.http.server.ServerResponse;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.node.metrics.HostMetrics;
+import org.boragebarrow.port.EngineClient;
+import org.boragebarrow.port.TargetFailure;
+
+/** A relay with targets, assigner, caller and time under the test's control. */
+final class RelayWorld implements AutoCloseable {
+    static final ServiceName SERVICE = ServiceName.of("service");
+    static final String KEY = "key";
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
+    private final DecisionLog log = new DecisionLog(new PrintStream(lines, true, StandardCharsets.UTF_8));
+    private long nanos;
+    final Fleet fleet = new Fleet();
+    final RoutingFollower routing = new RoutingFollower();
+    final FakeAssignments assignments = new FakeAssignments();
+    final FakeCalls calls = new FakeCalls();
+    final Relay relay;
+
+    RelayWorld(double repeatAllowance) {
+        channel.freezeTime();
+        EventLoop loop = channel.eventLoop();
+        Ticker ticker = new Ticker() {
+            @Override
+            public long read() {
+                return nanos;
+            }
+        };
+        relay = new Relay(new RelayContext(
+                HostLife.of(HostId.of("host"), Incarnation.of(1)),
+                AvailabilityZoneId.of("zone"),
+                loop,
+                ticker,
+                new Random(1),
+                routing,
+                fleet,
+                new RetryShare(0, repeatAllowance, Duration.ofSeconds(10), 1),
+                assignments,
+                calls,
+                log,
+                new HostMetrics(10)));
+    }
+
+    /** Puts one route in force. */
+    void route(RequestKind kind, int maxTargets) {
+        Route route = new Route(
+                "route",
+                "shop",
+                "/a/",
+                kind,
+                Duration.ofSeconds(5),
+                Duration.ofMillis(300),
+                kind.streamed() ? Optional.of(Duration.ofMillis(250)) : Optional.empty(),
+                maxTargets,
+                false,
+                ImmutableList.of(new Route.Share(SERVICE, 1)));
+        long version = routing.current().map(RoutingTable::version).orElse(0L) + 1;
+        routing.offer(RoutingTable.of(
+                version,
+                ImmutableList.of(route),
+                ImmutableList.of(),
+                ImmutableMap.of(KEY, OrganisationId.of("organisation")),
+                Optional.empty()));
+    }
+
+    FleetTarget target(String id) {
+        FleetTarget target = new FleetTarget(
+                TargetId.of(id), SERVICE, Endpoint.of("10.0.0.1", 80), AvailabilityZoneId.of("zone"), 4, false, 1);
+        fleet.put(target);
+        return target;
+    }
+
+    FakeResponse send(String path, String key, OptionalLong resumeAfter) {
+        RelayRequest request = new RelayRequest(
+                "POST",
+                path,
+                "shop",
+                "request",
+                Optional.of(Duration.ofSeconds(4)),
+                Optional.of(key),
+                Optional.of(new PromptSize(1_000, 100)),
+                resumeAfter,
+                ImmutableListMultimap.of(),
+                ImmutableList.of());
+        FakeResponse response = new FakeResponse(channel.eventLoop());
+        relay.accept(request, response);
+        return response;
+    }
+
+    FakeResponse send() {
+        return send("/a/b", KEY, OptionalLong.empty());
+    }
+
+    void pass(long millis) {
+        nanos += TimeUnit.MILLISECONDS.toNanos(millis);
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        channel.runPendingTasks();
+    }
+
+    /** Returns the log's lines so far, once the log's thread has written them. */
+    String log() {
+        log.close();
+        return lines.toString(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() {
+        channel.close();
+    }
+
+    /** The assigner. */
+    static final class FakeAssignments implements Assignments {
+        final List<Work> submitted = new ArrayList<>();
+        final List<Outcome> outcomes = new ArrayList<>();
+        final List<AttemptId> firstEvents = new ArrayList<>();
+        private final List<Decision> decisions = new ArrayList<>();
+
+        @Override
+        public void submit(Work work, Decision decision) {
+            submitted.add(work);
+            decisions.add(decision);
+        }
+
+        @Override
+        public void firstEvent(AttemptId id) {
+            firstEvents.add(id);
+        }
+
+        @Override
+        public void ended(AttemptId id, Outcome outcome) {
+            outcomes.add(outcome);
+        }
+
+        Work last() {
+            return submitted.get(submitted.size() - 1);
+        }
+
+        void assign(FleetTarget target) {
+            decide(new AssignEffect.Assigned(last().id(), Assignment.of(target, Duration.ofMillis(100))));
+        }
+
+        void refuse(RefusalReason reason) {
+            decide(new AssignEffect.Refused(last().id(), reason, Duration.ofMillis(400)));
+        }
+
+        private void decide(AssignEffect.Decided effect) {
+            decisions.get(decisions.size() - 1).onDecided(effect);
+        }
+    }
+
+    /** The targets. */
+    static final class FakeCalls implements TargetCalls {
+        final List<FakeCall> made = new ArrayList<>();
+
+        @Override
+        public EngineClient.Handle start(Call call, Listener listener) {
+            FakeCall fake = new FakeCall(call, listener);
+            made.add(fake);
+            return fake;
+        }
+
+        @Override
+        public CompletableFuture<Void> reserve(FleetTarget target, String name, long tokens, Duration hold) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public CompletableFuture<Void> release(FleetTarget target, String name) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        FakeCall last() {
+            return made.get(made.size() - 1);
+        }
+    }
+
+    /** One call to a target. */
+    static final class FakeCall implements EngineClient.Handle {
+        final TargetCalls.Call call;
+        private final TargetCalls.Listener listener;
+        boolean closed;
+
+        FakeCall(TargetCalls.Call call, TargetCalls.Listener listener) {
+            this.call = call;
+            this.listener = listener;
+        }
+
+        FakeCall head(int status) {
+            listener.onHead(new TargetCalls.Head(
+                    status,
+                    false,
+                    false,
+                    true,
+                    ImmutableListMultimap.of("by", call.target().id().value())));
+            return this;
+        }
+
+        void spoiltHead() {
+            listener.onHead(new TargetCalls.Head(200, false, false, false, ImmutableListMultimap.of()));
+        }
+
+        void refuse() {
+            listener.onHead(new TargetCalls.Head(503, true, false, false, ImmutableListMultimap.of()));
+        }
+
+        FakeCall body(String text) {
+            listener.onBody(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+            return this;
+        }
+
+        void end() {
+            listener.onEnd();
+        }
+
+        void reset() {
+            listener.onFailure(TargetFailure.broken("reset"));
+        }
+
+        void unreachable() {
+            listener.onFailure(TargetFailure.notSent("connection refused"));
+        }
+
+        @Override
+        public void close() {
+            closed = true;
+        }
+
+        @Override
+        public void setReading(boolean wanted) {}
+    }
+
+    /** What the caller sees. */
+    static final class FakeResponse implements ServerResponse {
+        private final EventLoop loop;
+        private Runnable onClose = () -> {};
+        int status;
+        ImmutableListMultimap<String, String> headers = ImmutableListMultimap.of();
+        final StringBuilder body = new StringBuilder();
+        boolean ended;
+        boolean aborted;
+
+        FakeResponse(EventLoop loop) {
+            this.loop = loop;
+        }
+
+        void leave() {
+            onClose.run();
+        }
+
+        @Override
+        public EventLoop eventLoop() {
+            return loop;
+        }
+
+        @Override
+        public boolean isOpen() {
+            return !ended && !aborted;
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+
+        @Override
+        public void send(int code, ImmutableListMultimap<String, String> fields, ByteBuffer bytes) {
+            start(code, fields);
+            write(bytes);
+            end();
+        }
+
+        @Override
+        public void start(int code, ImmutableListMultimap<String, String> fields) {
+            status = code;
+            headers = fields;
+        }
+
+        @Override
+        public void write(ByteBuffer part) {
+            body.append(StandardCharsets.UTF_8.decode(part));
+        }
+
+        @Override
+        public void end() {
+            ended = true;
+        }
+
+        @Override
+        public void abort() {
+            aborted = true;
+        }
+
+        @Override
+        public void onClose(Runnable action) {
+            onClose = action;
+        }
+
+        @Override
+        public void onWritabilityChanged(Runnable action) {}
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
@@ -0,0 +1,168 @@
+package org.boragebarrow.node.watch;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableList;
+import io.netty.channel.embedded.EmbeddedChannel;
+import net.jqwik.api.Example;
+import org.boragebarrow.decision.retry.Backoff;
+import org.boragebarrow.port.WatchedTable;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class TableFollowerTest {
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final FakeTable table = new FakeTable();
+    private final List<String> heard = new ArrayList<>();
+    private final TableFollower follower;
+    private boolean faulty;
+
+    TableFollowerTest() {
+        channel.freezeTime();
+        Backoff backoff = new Backoff(Duration.ofMillis(10), Duration.ofMillis(80), new Random(1));
+        follower = new TableFollower(channel.eventLoop(), table, backoff, new Listener());
+        follower.start();
+    }
+
+    private static WatchedTable.Reading reading(long version) {
+        return new WatchedTable.Reading(ImmutableList.of(), version);
+    }
+
+    private void answer(long version) {
+        table.calls.poll().complete(reading(version));
+        channel.runPendingTasks();
+    }
+
+    private void fail(Exception failure) {
+        table.calls.poll().completeExceptionally(failure);
+        channel.runPendingTasks();
+        channel.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
+    @Example
+    void theTableIsReadOnceAndThenFollowed() {
+        answer(5);
+        answer(8);
+
+        assertThat(table.asked).containsExactly("read", "after 5", "after 8").inOrder();
+        assertThat(heard).containsExactly("reading 5", "changes 8").inOrder();
+    }
+
+    @Example
+    void anOutageIsToldOnceAndFollowingGoesOnWhereItWas() {
+        answer(5);
+        fail(new IOException("down"));
+        fail(new IOException("down"));
+        answer(6);
+
+        assertThat(table.asked)
+                .containsExactly("read", "after 5", "after 5", "after 5", "after 6")
+                .inOrder();
+        assertThat(heard)
+                .containsExactly("reading 5", "lost", "regained", "changes 6")
+                .inOrder();
+    }
+
+    @Example
+    void aLostHistoryLeadsToANewReading() {
+        answer(5);
+        fail(new WatchedTable.HistoryLostException("gone"));
+        answer(9);
+
+        assertThat(table.asked)
+                .containsExactly("read", "after 5", "read", "after 9")
+                .inOrder();
+        assertThat(heard).containsExactly("reading 5", "reading 9").inOrder();
+    }
+
+    @Example
+    void aStaleReadingDoesNotMoveTheVersionBack() {
+        answer(9);
+        fail(new WatchedTable.HistoryLostException("gone"));
+        answer(4);
+
+        assertThat(table.asked)
+                .containsExactly("read", "after 9", "read", "after 9")
+                .inOrder();
+    }
+
+    @Example
+    void aFaultOfTheListenerDoesNotEndTheFollowing() {
+        faulty = true;
+        table.calls.poll().complete(reading(5));
+        channel.runPendingTasks();
+        faulty = false;
+        channel.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        answer(5);
+
+        assertThat(table.asked).containsExactly("read", "read", "after 5").inOrder();
+    }
+
+    private final class Listener implements TableFollower.Listener {
+        @Override
+        public void onReading(WatchedTable.Reading reading) {
+            if (faulty) {
+                throw new IllegalStateException("a fault");
+            }
+            heard.add("reading " + reading.version());
+        }
+
+        @Override
+        public void onChanges(WatchedTable.Reading changes) {
+            heard.add("changes " + changes.version());
+        }
+
+        @Override
+        public void onLost(String reason) {
+            heard.add("lost");
+        }
+
+        @Override
+        public void onRegained() {
+            heard.add("regained");
+        }
+    }
+
+    private static final class FakeTable implements WatchedTable {
+        private final Deque<CompletableFuture<Reading>> calls = new ArrayDeque<>();
+        private final List<String> asked = new ArrayList<>();
+
+        @Override
+        public String name() {
+            return "table";
+        }
+
+        @Override
+        public CompletableFuture<Reading> read() {
+            return call("read");
+        }
+
+        @Override
+        public CompletableFuture<Reading> changes(long after, Duration wait) {
+            return call("after " + after);
+        }
+
+        private CompletableFuture<Reading> call(String what) {
+            asked.add(what);
+            CompletableFuture<Reading> answer = new CompletableFuture<>();
+            calls.add(answer);
+            return answer;
+        }
+
+        @Override
+        public CompletableFuture<Boolean> put(String key, byte[] value, OptionalLong expected) {
+            return CompletableFuture.completedFuture(true);
+        }
+    }
+}
