--- /dev/null
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/LooseAnswersTest.java
@@ -0,0 +1,84 @@
+package org.boragebarrow.http.client;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterProperty;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Answers of servers that close to end, or answer more than once. */
+class LooseAnswersTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+    private static final ClientLimits LOOSE =
+            new ClientLimits(Duration.ofSeconds(2), Duration.ofSeconds(1), false, true);
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final HttpClient client = new HttpClient(group, LOOSE);
+
+    @AfterProperty
+    void shutDown() {
+        client.close();
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private static HttpCall call(String id) {
+        return new HttpCall(
+                "GET",
+                "/",
+                ImmutableListMultimap.of(),
+                ImmutableList.of(),
+                true,
+                Optional.of(new AnswerCheck("Id", id)));
+    }
+
+    private HttpAnswer answer(ScriptedServer server, String id) throws Exception {
+        return client.exchange(server.endpoint(), call(id), TIMEOUT).get();
+    }
+
+    @Example
+    void anAnswerThatTheClosingEndsIsWhole() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhi", false)) {
+            assertThat(answer(server, "1").text()).isEqualTo("hi");
+        }
+    }
+
+    @Example
+    void aShortAnswerOfToldLengthIsStillAFailure() throws Exception {
+        try (ScriptedServer server =
+                ScriptedServer.start("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nhi", false)) {
+            answer(server, "1");
+            throw new AssertionError("a short answer was taken for whole");
+        } catch (ExecutionException e) {
+            assertThat(e).hasCauseThat().isInstanceOf(HttpCallException.class);
+        }
+    }
+
+    @Example
+    void theAnswerOfAnotherCallIsSkipped() throws Exception {
+        String other = "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 5\r\n\r\nother";
+        String own = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nown";
+        try (ScriptedServer server = ScriptedServer.start(other + own, false)) {
+            assertThat(answer(server, "1").text()).isEqualTo("own");
+        }
+    }
+
+    @Example
+    void theCallersHostNameIsSentAsItIs() throws Exception {
+        String answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+        HttpCall call = HttpCall.of("GET", "/").withHeaders(ImmutableListMultimap.of("host", "shop.example"));
+        try (ScriptedServer server = ScriptedServer.start(answer, false)) {
+            client.exchange(server.endpoint(), call, TIMEOUT).get();
+            assertThat(server.lastHead().toLowerCase(Locale.ROOT)).contains("host: shop.example\r\n");
+        }
+    }
+}
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/docs/DocumentsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/docs/DocumentsTest.java
@@ -7,6 +7,7 @@
 import net.jqwik.api.Example;
 import org.boragebarrow.model.ErrorKind;
 import org.boragebarrow.node.log.LogEvent;
+import org.boragebarrow.node.relay.RelayEvent;
 import org.boragebarrow.node.settings.Setting;
 import org.boragebarrow.node.settings.SettingKeys;
 
@@ -48,6 +49,17 @@
         assertExplained(rows);
     }
 
+    @Example
+    void theCatalogueOfDecisionsIsThatOfTheProgram() {
+        ImmutableList<ImmutableList<String>> rows = DocumentTables.rows("EVENTS.md", "decision");
+        assertThat(rows.stream().map(row -> row.subList(0, 2)).toList())
+                .containsExactlyElementsIn(Arrays.stream(RelayEvent.values())
+                        .map(event -> ImmutableList.of(Integer.toString(event.number()), code(event.name())))
+                        .toList())
+                .inOrder();
+        assertExplained(rows);
+    }
+
     @Example
     void theTableOfErrorsIsThatOfTheProgram() {
         ImmutableList<ImmutableList<String>> rows = DocumentTables.rows("ERRORS.md", "kind");
--- /dev/null
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
@@ -0,0 +1,109 @@
+package org.boragebarrow.peer.wire;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import net.jqwik.api.Example;
+import org.boragebarrow.decision.assign.AssignEffect;
+import org.boragebarrow.decision.assign.AssignEvent;
+import org.boragebarrow.decision.assign.Assignment;
+import org.boragebarrow.decision.assign.Helper;
+import org.boragebarrow.decision.assign.Outcome;
+import org.boragebarrow.decision.assign.PromptSize;
+import org.boragebarrow.decision.assign.RefusalReason;
+import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.HostLife;
+import org.boragebarrow.model.Incarnation;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class AssignMessagesTest {
+    private static final AttemptId ID = AttemptId.of(HostLife.of(HostId.of("host"), Incarnation.of(3)), 17);
+
+    private static Work work(Optional<PromptSize> size, Optional<Duration> pause) {
+        return new Work(
+                ID,
+                ServiceName.of("service"),
+                AvailabilityZoneId.of("zone"),
+                size,
+                Duration.ofMillis(300),
+                pause,
+                Duration.ofMillis(12),
+                Duration.ofMillis(9_000),
+                ImmutableSet.of(TargetId.of("a"), TargetId.of("b")));
+    }
+
+    private static FleetTarget target(String id) {
+        return new FleetTarget(
+                TargetId.of(id),
+                ServiceName.of("service"),
+                Endpoint.of("10.0.0.1", 80),
+                AvailabilityZoneId.of("zone"),
+                4,
+                false,
+                1);
+    }
+
+    @Example
+    void workArrivesAsItWasSent() {
+        Work prompt = work(Optional.of(new PromptSize(1_000, 20)), Optional.of(Duration.ofMillis(250)));
+        Work plain = work(Optional.empty(), Optional.empty());
+
+        assertThat(AssignMessages.fromWork(
+                        AssignMessages.ask(prompt).getAskTarget().getWork()))
+                .isEqualTo(prompt);
+        assertThat(AssignMessages.fromWork(
+                        AssignMessages.ask(plain).getAskTarget().getWork()))
+                .isEqualTo(plain);
+    }
+
+    @Example
+    void anAssignmentArrivesWithItsHelpers() {
+        Assignment assignment = new Assignment(
+                target("a"),
+                ImmutableList.of(new Helper(target("b"), 0), new Helper(target("c"), 5_000)),
+                Duration.ofMillis(77));
+        AssignMessages.Assigned read = AssignMessages.fromAssigned(
+                AssignMessages.effect(new AssignEffect.Assigned(ID, assignment)).getTargetAssigned());
+
+        assertThat(read.id()).isEqualTo(ID);
+        assertThat(read.target()).isEqualTo(TargetId.of("a"));
+        assertThat(read.helpers()).isEqualTo(assignment.helperRefs());
+        assertThat(read.predictedFirst()).isEqualTo(Duration.ofMillis(77));
+    }
+
+    @Example
+    void everyReasonAndOutcomeArrives() {
+        for (RefusalReason reason : RefusalReason.values()) {
+            AssignEffect.Refused refused = new AssignEffect.Refused(ID, reason, Duration.ofMillis(900));
+            assertThat(AssignMessages.fromRefused(AssignMessages.effect(refused).getTargetRefused()))
+                    .isEqualTo(refused);
+        }
+        for (Outcome outcome : Outcome.values()) {
+            assertThat(AssignMessages.fromEnded(
+                            AssignMessages.ended(ID, outcome).getAttemptEnded()))
+                    .isEqualTo(new AssignEvent.Ended(ID, outcome));
+        }
+    }
+
+    @Example
+    void whatAHostHoldsArrives() {
+        AssignEvent.Held held = new AssignEvent.Held(
+                work(Optional.of(new PromptSize(9, 9)), Optional.empty()),
+                TargetId.of("a"),
+                ImmutableList.of(new Helper.Ref(TargetId.of("b"), 3)),
+                true);
+
+        assertThat(AssignMessages.fromHold(AssignMessages.hold(held).getHoldTarget()))
+                .isEqualTo(held);
+    }
+}
