Notice a cut between zones from a few attempts

Ruled out: the assigner, which moved within 0.4 s on both sides of the cut.

Change: two failures in a row towards a zone's targets take the whole zone out for work of the asking zone; one attempt a second probes it. Refusals are logged with the target that they name as their cause.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -52,6 +52,7 @@
 
     private final Map<TargetId, TargetLoad> loads = new LinkedHashMap<>();
     private final Map<AttemptId, Place> places = new LinkedHashMap<>();
+    private final ZoneReach reach = new ZoneReach();
     private final Map<AttemptId, Waiting> waiting = new LinkedHashMap<>();
     private ImmutableMap<ServiceName, EngineProfile> profiles = ImmutableMap.of();
     private long expiredAt;
@@ -220,7 +221,8 @@
             if (!fits) {
                 continue;
             }
-            (load.health().allows(now, load.owned()) ? sound : failing).add(load);
+            boolean reachable = reach.allows(work.zone(), target.zone(), now);
+            (reachable && load.health().allows(now, load.owned()) ? sound : failing).add(load);
         }
         return sound.isEmpty() ? failing : sound;
     }
@@ -230,6 +232,7 @@
         ImmutableList.Builder<TargetId> all = ImmutableList.builder();
         TargetLoad owner = loads.get(target);
         if (owner != null) {
+            reach.onSent(work.zone(), owner.target().zone(), now);
             owner.add(HeldWork.owned(work, helpers, profile, now));
             all.add(target);
         }
@@ -282,10 +285,10 @@
             if (load == null) {
                 continue;
             }
-            boolean owner =
-                    load.remove(ended.id()).map(part -> !part.isHelper()).orElse(false);
-            if (owner) {
+            Optional<HeldWork> part = load.remove(ended.id()).filter(held -> !held.isHelper());
+            if (part.isPresent()) {
                 load.health().record(ended.outcome(), now);
+                reach.record(part.get().work().zone(), load.target().zone(), ended.outcome(), now);
             }
         }
         return serveWaiting(now);
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
@@ -336,4 +336,46 @@
 
         assertThat(effects.get(0).id()).isEqualTo(old.id());
     }
+
+    @Example
+    void aZoneThatCannotBeReachedCostsTwoRequestsAndThenOneProbeASecond() {
+        targets.clear();
+        for (int i = 0; i < 5; i++) {
+            targets.add(target(PLAIN, "far-" + i, "far", false));
+        }
+        targets.add(target(PLAIN, "near", "zone", false));
+        assigner.apply(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)), 0);
+        // Half of the near target is taken, so that far ones look better.
+        submit(plain(HOST));
+        int lost = 0;
+        for (long now = 0; now < 1_900; now += 20) {
+            Work work = plain(HOST);
+            AssignEffect effect =
+                    assigner.apply(new AssignEvent.Submitted(work), millis(now)).get(0);
+            TargetId chosen =
+                    ((AssignEffect.Assigned) effect).assignment().target().id();
+            boolean near = chosen.equals(TargetId.of("near"));
+            lost += near ? 0 : 1;
+            Outcome outcome = near ? Outcome.WITHDRAWN : Outcome.UNREACHABLE;
+            assigner.apply(new AssignEvent.Ended(work.id(), outcome), millis(now + 1));
+        }
+
+        assertThat(lost).isAtMost(2 + 1);
+    }
+
+    @Example
+    void aZoneThatIsBackIsUsedAgainWithinASecond() {
+        ZoneReach reach = new ZoneReach();
+        AvailabilityZoneId here = AvailabilityZoneId.of("zone");
+        AvailabilityZoneId far = AvailabilityZoneId.of("far");
+        reach.record(here, far, Outcome.UNREACHABLE, 0);
+        assertThat(reach.allows(here, far, 0)).isTrue();
+        reach.record(here, far, Outcome.SILENT, 0);
+        assertThat(reach.allows(here, far, 0)).isFalse();
+        assertThat(reach.allows(far, here, 0)).isTrue();
+        assertThat(reach.allows(here, far, millis(1_000))).isTrue();
+        reach.record(here, far, Outcome.SUCCEEDED, millis(1_010));
+
+        assertThat(reach.allows(here, far, millis(1_011))).isTrue();
+    }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -198,7 +198,7 @@
             return;
         }
         if (answer.notRun()) {
-            fail(Outcome.REFUSED, false, "refused with status " + answer.status());
+            fail(Outcome.REFUSED, false, "refused with status " + answer.status() + " by " + answer.culprit());
             return;
         }
         if (!answer.genuine()) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
@@ -42,6 +42,7 @@
      * @param notRun whether the target vouches that the request did not run
      * @param otherLife whether another target, or another life of it, has the address now
      * @param genuine whether the answer bears the target's signature, belongs to this request and is not re-encoded
+     * @param culprit the target that the refusal names as its cause, in the target's words; empty if it names none
      * @param headers what is passed on to the caller
      */
     record Head(
@@ -49,6 +50,7 @@
             boolean notRun,
             boolean otherLife,
             boolean genuine,
+            String culprit,
             ImmutableListMultimap<String, String> headers) {
         private static final int SUCCESS = 200;
         private static final int REDIRECTION = 300;
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayWorld.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayWorld.java
@@ -237,16 +237,17 @@
                     false,
                     false,
                     true,
+                    "",
                     ImmutableListMultimap.of("by", call.target().id().value())));
             return this;
         }
 
         void spoiltHead() {
-            listener.onHead(new TargetCalls.Head(200, false, false, false, ImmutableListMultimap.of()));
+            listener.onHead(new TargetCalls.Head(200, false, false, false, "", ImmutableListMultimap.of()));
         }
 
         void refuse() {
-            listener.onHead(new TargetCalls.Head(503, true, false, false, ImmutableListMultimap.of()));
+            listener.onHead(new TargetCalls.Head(503, true, false, false, "", ImmutableListMultimap.of()));
         }
 
         FakeCall body(String text) {
