--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -53,6 +53,12 @@
     /** Longest pause between two calls of a store that fails: a second of 2 in which a change must be in force. */
     private static final Duration LONGEST_RETRY = Duration.ofMillis(800);
 
+    /** Changes this close together are read in one call; a tenth of the time in which the shortest of them must bind. */
+    private static final Duration CHANGE_REST = Duration.ofMillis(200);
+
+    /** Hosts that start together are read in one call; without word of one another each assigns alone meanwhile. */
+    private static final Duration HOST_REST = Duration.ofSeconds(2);
+
     /** How long a host that stops takes new requests: the balancer needs two of its probes, a second apart, and a bit. */
     private static final Duration STOP_ACCEPTING_AFTER = Duration.ofMillis(3_300);
 
@@ -126,9 +132,9 @@
                 calls,
                 log,
                 metrics));
-        this.routingFollower = new TableFollower(loop, tables.routing(), backoff(), new RoutingListener());
-        this.fleetFollower = new TableFollower(loop, tables.fleet(), backoff(), new FleetListener());
-        this.hostFollower = new TableFollower(loop, tables.hosts(), backoff(), assignments.directory());
+        this.routingFollower = new TableFollower(loop, tables.routing(), backoff(), CHANGE_REST, new RoutingListener());
+        this.fleetFollower = new TableFollower(loop, tables.fleet(), backoff(), CHANGE_REST, new FleetListener());
+        this.hostFollower = new TableFollower(loop, tables.hosts(), backoff(), HOST_REST, assignments.directory());
         metrics.gauge("boragebarrow.requests.open", relay::inProgress);
         metrics.gauge("boragebarrow.log.dropped", log::dropped);
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
@@ -41,6 +41,7 @@
     private final EventLoop loop;
     private final WatchedTable table;
     private final Backoff backoff;
+    private final Duration rest;
     private final Listener listener;
     private boolean known;
     private boolean lost;
@@ -48,11 +49,16 @@
     private int failures;
     private long version;
 
-    /** Creates a follower that does nothing before {@link #start}. */
-    public TableFollower(EventLoop loop, WatchedTable table, Backoff backoff, Listener listener) {
+    /**
+     * Creates a follower that does nothing before {@link #start}.
+     *
+     * @param rest the pause after an answer that brought something, so that changes in quick succession come together
+     */
+    public TableFollower(EventLoop loop, WatchedTable table, Backoff backoff, Duration rest, Listener listener) {
         this.loop = checkNotNull(loop);
         this.table = checkNotNull(table);
         this.backoff = checkNotNull(backoff);
+        this.rest = checkNotNull(rest);
         this.listener = checkNotNull(listener);
     }
 
@@ -96,7 +102,11 @@
             onFailure(e);
             return;
         }
-        next();
+        if (reading.rows().isEmpty() || rest.isZero()) {
+            next();
+        } else {
+            loop.schedule(this::next, rest.toMillis(), TimeUnit.MILLISECONDS);
+        }
     }
 
     private void deliver(boolean full, Reading reading) {
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
@@ -29,7 +29,7 @@
     TableFollowerTest() {
         channel.freezeTime();
         Backoff backoff = new Backoff(Duration.ofMillis(10), Duration.ofMillis(80), new Random(1));
-        follower = new TableFollower(channel.eventLoop(), table, backoff, new Listener());
+        follower = new TableFollower(channel.eventLoop(), table, backoff, Duration.ofMillis(500), new Listener());
         follower.start();
     }
 
@@ -58,6 +58,18 @@
         assertThat(heard).containsExactly("reading 5", "changes 8").inOrder();
     }
 
+    @Example
+    void changesThatComeTogetherAreReadInOneCall() {
+        WatchedTable.Row row = new WatchedTable.Row("key", new byte[0], 5, false);
+        table.calls.poll().complete(new WatchedTable.Reading(ImmutableList.of(row), 5));
+        channel.runPendingTasks();
+        assertThat(table.asked).containsExactly("read");
+        channel.advanceTimeBy(500, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+
+        assertThat(table.asked).containsExactly("read", "after 5").inOrder();
+    }
+
     @Example
     void anOutageIsToldOnceAndFollowingGoesOnWhereItWas() {
         answer(5);
