--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -17,6 +17,7 @@
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.http.server.ServerResponse;
 import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.TargetId;
 import org.boragebarrow.port.EngineClient;
 import org.boragebarrow.port.TargetFailure;
 
@@ -67,6 +68,12 @@
         return assignment.target();
     }
 
+    ImmutableList<TargetId> helpers() {
+        return assignment.helpers().stream()
+                .map(helper -> helper.target().id())
+                .collect(ImmutableList.toImmutableList());
+    }
+
     Duration predictedFirst() {
         return assignment.predictedFirst();
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -319,6 +319,10 @@
         withdrawQuestion();
         if (retried) {
             context.metrics().retried();
+            if (outcome == Outcome.REFUSED) {
+                // One of the helpers may be the cause, and naming it is up to the target.
+                attempt.helpers().forEach(helper -> excluded = with(helper));
+            }
             again(attempt.target().id());
             return;
         }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
@@ -348,4 +348,14 @@
         assertThat(log).contains("what=attempt_failed id=request");
         assertThat(log).contains("what=refused id=request route=route kind=OUTCOME_UNKNOWN");
     }
+
+    @Example
+    void aPromptThatWasRefusedIsNotTriedWithTheSameHelpersAgain() {
+        world.route(RequestKind.RESUMABLE_STREAM, 2);
+        world.send();
+        world.assignments.assign(first, second);
+        world.calls.last().refuse();
+
+        assertThat(world.assignments.last().excluded()).containsExactly(first.id(), second.id());
+    }
 }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayWorld.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayWorld.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -22,6 +23,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.boragebarrow.decision.assign.AssignEffect;
 import org.boragebarrow.decision.assign.Assignment;
+import org.boragebarrow.decision.assign.Helper;
 import org.boragebarrow.decision.assign.Outcome;
 import org.boragebarrow.decision.assign.PromptSize;
 import org.boragebarrow.decision.assign.RefusalReason;
@@ -181,8 +183,11 @@
             return submitted.get(submitted.size() - 1);
         }
 
-        void assign(FleetTarget target) {
-            decide(new AssignEffect.Assigned(last().id(), Assignment.of(target, Duration.ofMillis(100))));
+        void assign(FleetTarget target, FleetTarget... helpers) {
+            ImmutableList<Helper> helping = Arrays.stream(helpers)
+                    .map(helper -> new Helper(helper, 0))
+                    .collect(ImmutableList.toImmutableList());
+            decide(new AssignEffect.Assigned(last().id(), new Assignment(target, helping, Duration.ofMillis(100))));
         }
 
         void refuse(RefusalReason reason) {
