Forget an earlier answer to a question that is asked again

Cause: a host that moves to another assigner and back asks the first one the same question twice; the second answer replaced the first in the list of places, and the first target's slot stayed taken until the attempt's limit (found by reading; the test fails before). Ruled out: the way by Held, which looks for the id.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -119,6 +119,10 @@
     private ImmutableList<AssignEffect> submit(Work work, long now) {
         expire(now);
         advance(now);
+        if (places.containsKey(work.id())) {
+            // A host that asked another assigner meanwhile asks this one again.
+            forget(work.id());
+        }
         Optional<AssignEffect> decided = decide(work, now, true);
         if (decided.isPresent()) {
             return ImmutableList.of(decided.get());
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
@@ -378,4 +378,18 @@
 
         assertThat(reach.allows(here, far, millis(1_011))).isTrue();
     }
+
+    @Example
+    void theSameQuestionTwiceTakesOneSlot() {
+        fleet(PLAIN, "a");
+        Work work = plain(HOST);
+        submit(work);
+        submit(work);
+        assertThat(assigner.assigned()).isEqualTo(1);
+        assigner.apply(new AssignEvent.Ended(work.id(), Outcome.SUCCEEDED), 0);
+
+        for (int i = 0; i < SLOTS; i++) {
+            assertThat(submit(plain(HOST)).get(0)).isInstanceOf(AssignEffect.Assigned.class);
+        }
+    }
 }
