--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
@@ -381,14 +381,14 @@
 
     @Example
     void theSameQuestionTwiceTakesOneSlot() {
-        fleet(PLAIN, "a");
+        fleet(PLAIN, "a", "b");
         Work work = plain(HOST);
         submit(work);
         submit(work);
         assertThat(assigner.assigned()).isEqualTo(1);
         assigner.apply(new AssignEvent.Ended(work.id(), Outcome.SUCCEEDED), 0);
 
-        for (int i = 0; i < SLOTS; i++) {
+        for (int i = 0; i < 2 * SLOTS; i++) {
             assertThat(submit(plain(HOST)).get(0)).isInstanceOf(AssignEffect.Assigned.class);
         }
     }
