Wait for an overdue long prompt while its caller stays

Under a clump of long prompts first events are late because passes are long, not because targets are dead: four prompts of 130,000 to 260,000 tokens were given up and read again (213,575 tokens), which delayed all others so that these were given up in turn. Change: a silent target is left early only while another could still be on time; else after 0.65 of the time that the caller stays or the route allows. StallLimitsTest failed before (limit 3.38 s where the caller stays for 12 s).

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/StallLimits.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/StallLimits.java
@@ -10,7 +10,8 @@
  * How long a target may stay silent before the request is tried elsewhere.
  *
  * <p>Load pattern: a target that goes dark without closing its connections, beside targets whose passes are long because
- * long prompts are read. By then the answer is late in any case; what can be saved is that the caller does not leave.
+ * long prompts are read. A first event that is overdue is waited for as long as the caller surely stays, unless another
+ * target could still be on time: an attempt that is given up is read again from its start, which under load delays all.
  */
 final class StallLimits {
     /** What a first event may take: twice the prediction, and the longest ordinary pass. */
@@ -31,7 +32,9 @@
 
     /** Returns how long the first event may take. */
     static Duration first(Route route, Duration predicted) {
-        return within(route, predicted.multipliedBy(PREDICTIONS).plus(FIRST_SLACK));
+        Duration usual = Comparators.max(predicted.multipliedBy(PREDICTIONS).plus(FIRST_SLACK), LEAST);
+        boolean anotherOnTime = usual.plus(predicted).compareTo(route.objective()) < 0;
+        return anotherOnTime ? within(route, usual) : most(route);
     }
 
     /** Returns how long the pause between two events may be. */
@@ -40,8 +43,12 @@
     }
 
     private static Duration within(Route route, Duration usual) {
-        long leave = Patience.of(route.objective(), route.pauseObjective()).toMillis();
-        Duration most = Duration.ofMillis((long) (leave * LEAVE_SHARE));
-        return Comparators.min(Comparators.max(usual, LEAST), most);
+        return Comparators.min(Comparators.max(usual, LEAST), most(route));
+    }
+
+    private static Duration most(Route route) {
+        Duration leave = Patience.of(route.objective(), route.pauseObjective());
+        long millis = Comparators.min(leave, route.timeout()).toMillis();
+        return Duration.ofMillis((long) (millis * LEAVE_SHARE));
     }
 }
--- /dev/null
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/StallLimitsTest.java
@@ -0,0 +1,58 @@
+package org.boragebarrow.node.relay;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableList;
+import net.jqwik.api.Example;
+import org.boragebarrow.decision.routing.RequestKind;
+import org.boragebarrow.decision.routing.Route;
+import org.boragebarrow.model.ServiceName;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class StallLimitsTest {
+    private static Route route(int objectiveMillis, int pauseMillis, int timeoutMillis) {
+        return new Route(
+                "route",
+                "host",
+                "/",
+                RequestKind.RESUMABLE_STREAM,
+                Duration.ofMillis(timeoutMillis),
+                Duration.ofMillis(objectiveMillis),
+                Optional.of(Duration.ofMillis(pauseMillis)),
+                2,
+                false,
+                ImmutableList.of(new Route.Share(ServiceName.of("service"), 1)));
+    }
+
+    @Example
+    void aSilentTargetIsLeftSoonWhileAnotherCanBeOnTime() {
+        Duration limit = StallLimits.first(route(4_000, 1_000, 15_000), Duration.ofMillis(500));
+
+        assertThat(limit).isEqualTo(Duration.ofMillis(2_000));
+    }
+
+    @Example
+    void anOverdueLongPromptIsNotReadAgainWhileItsCallerStays() {
+        // The caller of a prompt with an objective of 3 s stays for 12 s; reading it anew would be late in any case.
+        Duration limit = StallLimits.first(route(3_000, 1_000, 15_000), Duration.ofMillis(1_190));
+
+        assertThat(limit).isAtLeast(Duration.ofSeconds(7));
+        assertThat(limit).isLessThan(Duration.ofSeconds(12).minusMillis(1_190));
+    }
+
+    @Example
+    void aTimeoutBeforeTheCallerLeavesBoundsTheWait() {
+        Duration limit = StallLimits.first(route(4_000, 1_000, 6_000), Duration.ofMillis(1_500));
+
+        assertThat(limit).isLessThan(Duration.ofMillis(6_000 - 1_500));
+    }
+
+    @Example
+    void aShortPromptIsTriedElsewhereBeforeItsCallerLeaves() {
+        Duration limit = StallLimits.first(route(300, 250, 10_000), Duration.ofMillis(80));
+
+        assertThat(limit).isEqualTo(Duration.ofMillis(1_300));
+    }
+}
