Read a table again where a reading is older than what is known

Cause: found by reading: after the store dropped its history the table is read anew, and a reading as of an older version (the trouble platform_compact names stale reads) was handed to the fleet and the routing; a target that had begun to drain became usable again until the next change. Ruled out: the routing, which takes newer versions only. Change: such a reading counts as a failed call; the table is read again after the usual delay. Test: aReadingOlderThanWhatIsKnownIsNotTakenAndTheTableIsReadAgain replaces aStaleReadingDoesNotMoveTheVersionBack, which demanded only that following goes on from the newer version and let the stale rows through; the new one is stricter and failed before.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
@@ -109,7 +109,11 @@
         }
     }
 
+    /** Takes what the store answered; a reading older than what is known would take the listener back. */
     private void deliver(boolean full, Reading reading) {
+        if (full && reading.version() < version) {
+            throw new IllegalStateException("a reading of version " + reading.version() + " after version " + version);
+        }
         version = Math.max(version, reading.version());
         known = true;
         if (full) {
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
@@ -98,13 +98,19 @@
     }
 
     @Example
-    void aStaleReadingDoesNotMoveTheVersionBack() {
+    void aReadingOlderThanWhatIsKnownIsNotTakenAndTheTableIsReadAgain() {
         answer(9);
         fail(new WatchedTable.HistoryLostException("gone"));
         answer(4);
+        channel.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        answer(10);
 
         assertThat(table.asked)
-                .containsExactly("read", "after 9", "read", "after 9")
+                .containsExactly("read", "after 9", "read", "read", "after 10")
+                .inOrder();
+        assertThat(heard)
+                .containsExactly("reading 9", "lost", "regained", "reading 10")
                 .inOrder();
     }
 
