Give an engine one part of a long prompt at a time

The model took them in order of arrival, so parts were stacked on engines that were almost done, and the oldest prompt starved.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -167,7 +167,7 @@
             return placement.best();
         }
         Optional<Placement.Choice> ready = placement.bestOfReady();
-        if (ready.isPresent() && placement.isSafe(ready.get())) {
+        if (ready.isPresent() && (placement.isSafe(ready.get()) || placement.areAllReady())) {
             return ready;
         }
         return placement.mayWait() ? Optional.empty() : placement.best();
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
@@ -1,5 +1,7 @@
 package org.boragebarrow.decision.assign;
 
+import java.time.Duration;
+
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.decision.routing.Patience;
 
@@ -50,7 +52,8 @@
     /** Returns the time until an engine has read its part and sends the first event, in milliseconds. */
     static double firstEventMillis(
             TargetLoad load, EngineProfile profile, double partTokens, double partMillis, boolean helper) {
-        double ahead = helper ? load.helperBacklogMillis() : load.backlogMillis();
+        // An engine reads a helper's part before all that is there already.
+        double ahead = helper ? 0 : load.backlogMillis();
         double reading = ahead + partMillis;
         double pass = profile.passMillis();
         if (load.writers() == 0) {
@@ -98,16 +101,23 @@
             if (part.isHelper() || part.work().pauseObjective().isEmpty()) {
                 continue;
             }
-            double bound = part.work().pauseObjective().get().toMillis() - PAUSE_MARGIN_MILLIS;
             // Work that still reads will write beside the rest of what is added.
             double exposed = part.isWriting() ? 1 : Math.min(1, partMillis / Math.max(1, part.readLeft() + partMillis));
-            if (after > bound && before <= bound) {
-                loss += exposed * LATE_LOSS * worth(part.work(), profile);
-            }
+            double lost = pauseLoss(part.work(), after) - pauseLoss(part.work(), before);
+            loss += exposed * lost * worth(part.work(), profile);
         }
         return loss;
     }
 
+    /** Returns the part of its worth that work loses by a pause: callers leave after a very long one. */
+    private static double pauseLoss(Work work, double millis) {
+        double objective = work.pauseObjective().map(Duration::toMillis).orElse(Long.MAX_VALUE) - PAUSE_MARGIN_MILLIS;
+        if (millis <= objective) {
+            return 0;
+        }
+        return millis <= leaveMillis(work) - PAUSE_MARGIN_MILLIS ? LATE_LOSS : 1;
+    }
+
     /** Returns the loss of a prompt that itself will write beside reading that is already there. */
     static double ownPauseLoss(Work work, TargetLoad load, EngineProfile profile, double firstMillis, double worth) {
         if (work.pauseObjective().isEmpty()) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/HeldWork.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/HeldWork.java
@@ -21,6 +21,7 @@
     private final long memoryTokens;
     private double readLeft;
     private boolean writing;
+    private boolean finished;
 
     private HeldWork(
             Work work, boolean helper, double readTokens, double readMillis, long memoryTokens, long arrivedAt) {
@@ -103,6 +104,12 @@
     /** Takes note that a helper's reading is over. */
     void endReading() {
         readLeft = 0;
+        finished = true;
+    }
+
+    /** Returns whether a helper's reading is known to be over, whatever was predicted. */
+    boolean isFinished() {
+        return finished;
     }
 
     /** Returns the tokens that the work keeps at its target. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -47,7 +47,7 @@
     private static final double WAIT_SHARE = 0.75;
 
     /** The share of the caller's patience up to which a prompt waits that is too long to be on time. */
-    private static final double LATE_WAIT_SHARE = 0.25;
+    private static final double LATE_WAIT_SHARE = 0.6;
 
     private final Work work;
     private final PromptSize size;
@@ -89,9 +89,21 @@
      * therefore waits here instead, where the order is kept.
      */
     Optional<Choice> bestOfReady() {
-        return best(candidates.stream()
-                .filter(load -> load.backlogMillis() <= READY_MILLIS)
-                .toList());
+        return best(candidates.stream().filter(Placement::isReady).toList());
+    }
+
+    /** Returns whether waiting would make no more targets ready. */
+    boolean areAllReady() {
+        return candidates.stream().allMatch(Placement::mayHelp);
+    }
+
+    /** An engine reads the newest part first, so what it reads already would wait for the whole of one more. */
+    private static boolean mayHelp(TargetLoad load) {
+        return isReady(load) && !load.helpsUnfinished();
+    }
+
+    private static boolean isReady(TargetLoad load) {
+        return load.backlogMillis() <= READY_MILLIS;
     }
 
     /** Returns whether the prompt could still be on time if it waited for more targets, or is late in any case. */
@@ -218,9 +230,7 @@
             return parts;
         }
         for (TargetLoad load : among) {
-            if (load == owner.load()
-                    || load.helping() >= load.target().slots()
-                    || load.health().isOut()) {
+            if (load == owner.load() || !mayHelp(load) || load.health().isOut()) {
                 continue;
             }
             double first = CostModel.firstEventMillis(load, profile, tokens, millis, true);
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 
 import org.boragebarrow.decision.fleet.FleetTarget;
@@ -14,7 +13,7 @@
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final TargetHealth health = new TargetHealth();
-    private final Map<AttemptId, HeldWork> held = new LinkedHashMap<>();
+    private final LinkedHashMap<AttemptId, HeldWork> held = new LinkedHashMap<>();
     private FleetTarget target;
     private long readUntil;
 
@@ -61,13 +60,14 @@
         return owned;
     }
 
-    /** Returns the requests of other targets that are read here. */
-    int helping() {
-        int helping = 0;
+    /** Returns whether a part of another target's prompt may still be read here: one more would go ahead of it. */
+    boolean helpsUnfinished() {
         for (HeldWork part : held.values()) {
-            helping += part.isHelper() && part.readLeft() > 0 ? 1 : 0;
+            if (part.isHelper() && !part.isFinished()) {
+                return true;
+            }
         }
-        return helping;
+        return false;
     }
 
     int writers() {
@@ -86,7 +86,7 @@
         return tokens;
     }
 
-    /** Lets the time since the last call go into reading, helpers' parts first as the engines do. */
+    /** Lets the time since the last call go into reading: helpers' parts first, the newest before all, as engines do. */
     void advance(long now, Optional<EngineProfile> profile) {
         double millis = (now - readUntil) / NANOS_PER_MILLI;
         readUntil = now;
@@ -97,7 +97,7 @@
             double passRead = passReadMillis(profile.get(), 0, 0);
             millis *= passRead / (passRead + profile.get().passMillis());
         }
-        for (HeldWork part : held.values()) {
+        for (HeldWork part : held.sequencedValues().reversed()) {
             millis = part.isHelper() ? part.read(millis) : millis;
         }
         for (HeldWork part : held.values()) {
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import net.jqwik.api.Example;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.model.AttemptId;
@@ -392,4 +394,42 @@
             assertThat(submit(plain(HOST)).get(0)).isInstanceOf(AssignEffect.Assigned.class);
         }
     }
+
+    /** Returns the helpers of an assignment, none while the work waits. */
+    private static ImmutableSet<TargetId> helpersOf(ImmutableList<AssignEffect> effects) {
+        return effects.stream()
+                .flatMap(effect -> effect instanceof AssignEffect.Assigned assigned
+                        ? assigned.assignment().helpers().stream()
+                        : Stream.of())
+                .map(helper -> helper.target().id())
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    @Example
+    void aTargetIsGivenNoSecondPartBeforeTheFirstOneIsKnownToBeRead() {
+        fleet(MODEL, "a", "b", "c", "d", "e", "f", "g", "h");
+        Work before = prompt(259_000, 3_000, 1_000);
+        ImmutableSet<TargetId> busy = helpersOf(submit(before));
+        assertThat(busy).isNotEmpty();
+        // By the prediction nothing is left to read, but a newer part would go ahead of what may be left.
+        long later = millis(2_500);
+        Work next = prompt(224_000, 3_000, 1_000);
+        ImmutableSet<TargetId> helpers = helpersOf(assigner.apply(new AssignEvent.Submitted(next), later));
+
+        assertThat(Sets.intersection(helpers, busy)).isEmpty();
+    }
+
+    @Example
+    void aTargetMayHelpAgainOnceThePromptBeforeIsAnswered() {
+        fleet(MODEL, "a", "b", "c", "d", "e", "f", "g", "h");
+        Work before = prompt(259_000, 3_000, 1_000);
+        ImmutableSet<TargetId> busy = helpersOf(submit(before));
+        assigner.apply(new AssignEvent.FirstEventSeen(before.id()), millis(2_500));
+        assigner.apply(new AssignEvent.Ended(before.id(), Outcome.SUCCEEDED), millis(3_000));
+        Work next = prompt(259_000, 3_000, 1_000);
+        ImmutableSet<TargetId> helpers = helpersOf(assigner.apply(new AssignEvent.Submitted(next), millis(3_000)));
+
+        assertThat(busy).isNotEmpty();
+        assertThat(helpers).hasSize(busy.size());
+    }
 }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/LoadReplayTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/LoadReplayTest.java
@@ -56,6 +56,18 @@
         assertThat(load.tally("ledger").share()).isAtLeast(AIM);
     }
 
+    @Example
+    void aClumpOfLongPromptsWithAHugeOneLeavesNoneBehindNewerOnes() {
+        SimulatedLoad.Kind huge = new SimulatedLoad.Kind("huge", 0.15, 500_000, 0.2, 900_000, 19, 3_000, 1_000, 24);
+        for (long seed = 1; seed <= 6; seed++) {
+            SimulatedLoad load = new SimulatedLoad(seed, ENGINES);
+            load.play(List.of(SHORT, LEDGER, huge), List.of(phase(1, 0.3, 1, 2.7), phase(10, 0, 0, 0)), 30);
+
+            assertThat(load.tally("ledger").left).isEqualTo(0);
+            assertThat(load.tally("huge").left).isEqualTo(0);
+        }
+    }
+
     @Example
     void theLossOfASixthOfTheTargetsLeavesTheRestServing() {
         SimulatedLoad load = new SimulatedLoad(11, ENGINES);
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedEngine.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedEngine.java
@@ -6,8 +6,8 @@
 import org.boragebarrow.decision.routing.EngineProfile;
 
 /**
- * An engine that works in passes: each writer gets one event a pass, and prompts are read in between, helpers' parts
- * first. Times are milliseconds.
+ * An engine that works in passes: each writer gets one event a pass, and prompts are read in between. A helper's part is
+ * read ahead of all that is there already, other helpers' parts included. Times are milliseconds.
  */
 final class SimulatedEngine {
     private final EngineProfile profile;
@@ -39,7 +39,7 @@
     }
 
     void add(Part part, double now) {
-        parts.add(part);
+        parts.add(part.helper ? 0 : parts.size(), part);
         if (passEnds < 0) {
             beginPass(now);
         }
@@ -88,20 +88,15 @@
     private double read(double most) {
         double left = most;
         double millis = 0;
-        for (int turn = 0; turn < 2; turn++) {
-            for (Part part : parts) {
-                if (part.helper != (turn == 0) || part.tokensLeft <= 0) {
-                    continue;
-                }
-                double tokens = Math.min(left, part.tokensLeft);
-                millis += part.request.readMillis(profile, part.tokens - part.tokensLeft, tokens, part.tokens);
-                part.tokensLeft -= tokens;
-                part.request.onRead(tokens);
-                left -= tokens;
-                if (left <= 0) {
-                    return millis;
-                }
+        for (Part part : parts) {
+            double tokens = Math.min(left, part.tokensLeft);
+            if (tokens <= 0) {
+                continue;
             }
+            millis += part.request.readMillis(profile, part.tokens - part.tokensLeft, tokens, part.tokens);
+            part.tokensLeft -= tokens;
+            part.request.onRead(tokens);
+            left -= tokens;
         }
         return millis;
     }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
@@ -30,7 +30,7 @@
  * Replays a load against an {@link Assigner} and simulated engines, and adds up what callers got.
  *
  * <p>A caller gets the full worth of an answer that begins within its objective and has no pause over its objective, a
- * quarter of it for a later one, nothing if it left before. A refused caller comes back once.
+ * quarter of it for a later one, nothing if it left before its end, as it does after a long silence. A refused caller comes back once.
  */
 final class SimulatedLoad {
     /** Today's engines. */
@@ -291,7 +291,7 @@
         }
         for (SimulatedRequest request : List.copyOf(open.values())) {
             double patience = CostModel.leaveMillis(request.work);
-            if (!request.hasFirst() && now - request.arrivedAt > patience) {
+            if (now - request.heardAt() > patience) {
                 open.remove(request.work.id());
                 engines.values().forEach(engine -> engine.drop(request));
                 tallies.get(request.kind).left++;
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedRequest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedRequest.java
@@ -75,6 +75,11 @@
         return endedAt >= 0;
     }
 
+    /** Returns the time of the last event, or of the arrival before there is one. */
+    double heardAt() {
+        return hasFirst() ? lastAt : arrivedAt;
+    }
+
     double firstMillis() {
         return firstAt < 0 ? Double.MAX_VALUE : firstAt - arrivedAt;
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.boragebarrow.decision.assign.AssignEffect;
 import org.boragebarrow.decision.assign.Assignment;
@@ -78,7 +79,7 @@
                         "at",
                         assignment.target().endpoint(),
                         "helpers",
-                        assignment.helpers().size(),
+                        helpers(assignment),
                         "tokens",
                         request.size().map(PromptSize::promptTokens).orElse(0L),
                         "predicted_ms",
@@ -89,6 +90,14 @@
                         work.remaining().toMillis());
     }
 
+    private static String helpers(Assignment assignment) {
+        return assignment.helpers().isEmpty()
+                ? "none"
+                : assignment.helpers().stream()
+                        .map(helper -> helper.target().id().value())
+                        .collect(Collectors.joining(","));
+    }
+
     void attemptFailed(RelayAttempt attempt, Outcome outcome, boolean ran, boolean retried, String reason) {
         context.log()
                 .write(
