Let one host of a large zone tell the others of the store's tables

Ways weighed: longer rests between calls (saves at most 40 %, and delays drains); one feed a host (the store's feeds name one table); watchers that push (a message that was held up on its way looks fresh); chosen: hosts of a zone of 8 or more ask one of theirs, ranked by rendezvous hashing, which holds the question up to 0.5 s; what the store confirmed more than a second before, counted from the question, is not taken and the store is asked. So a change binds everywhere at the latest 1.8 s and one call after it was written. Sites of today have three hosts a zone and do as before.

--- /dev/null
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/watch/WatcherChoiceTest.java
@@ -0,0 +1,68 @@
+package org.boragebarrow.decision.watch;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import com.google.common.collect.ImmutableSet;
+import net.jqwik.api.Example;
+import org.boragebarrow.model.HostId;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class WatcherChoiceTest {
+    private static final long LATER = Duration.ofSeconds(10).toNanos();
+
+    private static ImmutableSet<HostId> hosts(int count) {
+        return IntStream.range(0, count).mapToObj(i -> HostId.of("host-" + i)).collect(ImmutableSet.toImmutableSet());
+    }
+
+    private static WatcherChoice choice(HostId self, int count) {
+        WatcherChoice choice = new WatcherChoice(self, "table");
+        choice.setHosts(hosts(count));
+        return choice;
+    }
+
+    @Example
+    void allHostsOfALargeZoneAskTheSameOneWhichAsksTheStore() {
+        Set<Optional<HostId>> asked = new HashSet<>();
+        for (HostId host : hosts(30)) {
+            asked.add(choice(host, 30).watcher(0));
+        }
+
+        assertThat(asked).hasSize(2);
+        HostId watcher = asked.stream().flatMap(Optional::stream).findAny().orElseThrow();
+        assertThat(choice(watcher, 30).watcher(0)).isEmpty();
+    }
+
+    @Example
+    void hostsOfASmallZoneAskTheStore() {
+        for (HostId host : hosts(3)) {
+            assertThat(choice(host, 3).watcher(0)).isEmpty();
+        }
+    }
+
+    @Example
+    void anotherHostIsAskedWhileTheFirstOneIsPassedOver() {
+        HostId self = HostId.of("other");
+        WatcherChoice choice = choice(self, 30);
+        HostId first = choice.watcher(0).orElseThrow();
+        choice.failed(first, 0);
+        HostId second = choice.watcher(0).orElseThrow();
+
+        assertThat(second).isNotEqualTo(first);
+        assertThat(choice.watcher(LATER)).hasValue(first);
+    }
+
+    @Example
+    void theStoreIsAskedOnceAllCandidatesFailed() {
+        WatcherChoice choice = choice(HostId.of("other"), 30);
+        for (int i = 0; i < 3; i++) {
+            choice.watcher(0).ifPresent(host -> choice.failed(host, 0));
+        }
+
+        assertThat(choice.watcher(0)).isEmpty();
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -12,6 +12,7 @@
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import org.boragebarrow.decision.assign.AssignEffect;
@@ -35,6 +36,7 @@
 import org.boragebarrow.node.relay.DecisionLog;
 import org.boragebarrow.node.relay.RelayEvent;
 import org.boragebarrow.node.watch.TableFollower;
+import org.boragebarrow.node.watch.TableSharing;
 import org.boragebarrow.peer.link.PeerIdentity;
 import org.boragebarrow.peer.link.PeerKey;
 import org.boragebarrow.peer.link.PeerLinks;
@@ -75,6 +77,7 @@
     private final Map<HostId, HostLife> lives = new HashMap<>();
     private ImmutableMap<HostId, HostRecord> hosts = ImmutableMap.of();
     private Optional<PeerLinks> links = Optional.empty();
+    private Optional<TableSharing> sharing = Optional.empty();
     private HostId holder;
 
     /** A question without a decision. */
@@ -217,7 +220,13 @@
         }
     }
 
-    private void send(HostId host, Envelope message) {
+    /** Lets hosts of a zone follow tables of the store for one another over the links of this host. */
+    public void share(TableSharing tables) {
+        sharing = Optional.of(tables);
+    }
+
+    /** Sends a message to a host, if it is known and there are links. */
+    public void send(HostId host, Envelope message) {
         HostRecord record = hosts.get(host);
         if (record != null) {
             links.ifPresent(open -> open.send(record.endpoint(), message));
@@ -349,12 +358,20 @@
         public void onHosts(ImmutableMap<HostId, HostRecord> read) {
             hosts = read;
             choice.setHosts(read.keySet());
+            sharing.ifPresent(tables -> tables.setHosts(hostsOfOwnZone()));
             for (HostId host : choice.toProbe(ticker.read())) {
                 send(host, AssignMessages.probe(false));
             }
         }
     }
 
+    private ImmutableSet<HostId> hostsOfOwnZone() {
+        return hosts.values().stream()
+                .filter(host -> host.zone().equals(self.zone()))
+                .map(host -> host.life().host())
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Messages of other hosts. */
     private final class Messages implements PeerListener {
         @Override
@@ -393,8 +410,11 @@
                 case TARGET_ASSIGNED -> onAssigned(AssignMessages.fromAssigned(message.getTargetAssigned()));
                 case TARGET_REFUSED -> decide(AssignMessages.fromRefused(message.getTargetRefused()));
                 case PROBE -> onProbe(host, message.getProbe().getAnswer());
-                default ->
-                    log.write(RelayEvent.UNUSABLE, "host", host, "reason", "unexpected " + message.getBodyCase());
+                default -> {
+                    if (!sharing.map(tables -> tables.receive(host, message)).orElse(false)) {
+                        log.write(RelayEvent.UNUSABLE, "host", host, "reason", "unexpected " + message.getBodyCase());
+                    }
+                }
             }
         }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -44,6 +44,8 @@
     PEER(7050),
     /** The host that assigns changed. */
     ASSIGNER(7051),
+    /** The host that tells of a table of the store is passed over for a while. */
+    WATCHER(7052),
     /** Lines were dropped because the log was full. */
     LINES_DROPPED(7099);
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -19,6 +19,7 @@
 import org.boragebarrow.decision.routing.RoutingTable;
 import org.boragebarrow.http.server.ServerLimits;
 import org.boragebarrow.http.server.ServerResponse;
+import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.HostLife;
 import org.boragebarrow.model.Ids;
 import org.boragebarrow.model.Incarnation;
@@ -27,8 +28,11 @@
 import org.boragebarrow.node.assign.RegionAssignments;
 import org.boragebarrow.node.metrics.HostMetrics;
 import org.boragebarrow.node.settings.RelaySettings;
+import org.boragebarrow.node.watch.SharedTable;
 import org.boragebarrow.node.watch.TableFollower;
+import org.boragebarrow.node.watch.TableSharing;
 import org.boragebarrow.peer.link.PeerIdentity;
+import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.port.WatchedTable;
 import org.boragebarrow.port.WatchedTable.Reading;
 import org.boragebarrow.port.WatchedTable.Row;
@@ -117,6 +121,9 @@
                 fleet,
                 tables.hosts(),
                 log);
+        SharedTable sharedRouting = shared(tables.routing());
+        SharedTable sharedFleet = shared(tables.fleet());
+        assignments.share(new TableSharing(ImmutableList.of(sharedRouting, sharedFleet)));
         this.retries = new RetryShare(
                 settings.repeatRatio(), settings.repeatAllowance(), settings.repeatWindow(), ASSUMED_HOSTS);
         this.relay = new Relay(new RelayContext(
@@ -132,8 +139,8 @@
                 calls,
                 log,
                 metrics));
-        this.routingFollower = new TableFollower(loop, tables.routing(), backoff(), CHANGE_REST, new RoutingListener());
-        this.fleetFollower = new TableFollower(loop, tables.fleet(), backoff(), CHANGE_REST, new FleetListener());
+        this.routingFollower = new TableFollower(loop, sharedRouting, backoff(), CHANGE_REST, new RoutingListener());
+        this.fleetFollower = new TableFollower(loop, sharedFleet, backoff(), CHANGE_REST, new FleetListener());
         this.hostFollower = new TableFollower(loop, tables.hosts(), backoff(), HOST_REST, assignments.directory());
         metrics.gauge("boragebarrow.requests.open", relay::inProgress);
         metrics.gauge("boragebarrow.log.dropped", log::dropped);
@@ -142,6 +149,10 @@
     /** The tables of the store that a host follows, and how they are read. */
     public record Tables(WatchedTable routing, WatchedTable fleet, WatchedTable hosts, Decoders decoders) {}
 
+    private SharedTable shared(WatchedTable table) {
+        return new SharedTable(table, settings.id(), loop, ticker, new TablePeers());
+    }
+
     private Backoff backoff() {
         return new Backoff(FIRST_RETRY, LONGEST_RETRY, random);
     }
@@ -272,6 +283,29 @@
         log.write(RelayEvent.REGAINED, "dependency", "store", "table", table);
     }
 
+    private final class TablePeers implements SharedTable.Peers {
+        @Override
+        public void send(HostId host, Envelope message) {
+            assignments.send(host, message);
+        }
+
+        @Override
+        public void onPassedOver(HostId host, String table, Duration asked, String reason) {
+            log.write(
+                    RelayEvent.WATCHER,
+                    "host",
+                    host,
+                    "table",
+                    table,
+                    "state",
+                    "passed over",
+                    "asked_ms",
+                    asked.toMillis(),
+                    "reason",
+                    reason);
+        }
+    }
+
     private final class RoutingListener implements TableFollower.Listener {
         private static final String TABLE = "routing";
 
--- /dev/null
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/SharedTableTest.java
@@ -0,0 +1,247 @@
+package org.boragebarrow.node.watch;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.netty.channel.embedded.EmbeddedChannel;
+import net.jqwik.api.Example;
+import org.boragebarrow.decision.watch.WatcherChoice;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.port.WatchedTable;
+import org.boragebarrow.port.WatchedTable.Reading;
+import org.boragebarrow.port.WatchedTable.Row;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** A large zone of which two hosts are played: the one that follows a table and one that asks it. */
+class SharedTableTest {
+    private static final String NAME = "table";
+    private static final Duration LONG_WAIT = Duration.ofSeconds(9);
+    private static final ImmutableSet<HostId> ZONE =
+            IntStream.range(0, 20).mapToObj(i -> HostId.of("host-" + i)).collect(ImmutableSet.toImmutableSet());
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final Map<HostId, TableSharing> sharing = new HashMap<>();
+    private final FakeStore watcherStore = new FakeStore();
+    private final FakeStore followerStore = new FakeStore();
+    private final HostId watcherHost = watcherOf(ZONE);
+    private final HostId followerHost =
+            ZONE.stream().filter(host -> !host.equals(watcherHost)).findFirst().orElseThrow();
+    private final SharedTable watcher;
+    private final SharedTable follower;
+    private final List<HostId> passedOver = new ArrayList<>();
+    private long delayMillis;
+    private boolean cut;
+    private long now = TimeUnit.SECONDS.toNanos(100);
+
+    SharedTableTest() {
+        channel.freezeTime();
+        watcher = table(watcherHost, watcherStore);
+        follower = table(followerHost, followerStore);
+        read(watcher, watcherStore, 5);
+        read(follower, followerStore, 5);
+    }
+
+    private static HostId watcherOf(ImmutableSet<HostId> zone) {
+        WatcherChoice choice = new WatcherChoice(HostId.of("outside"), NAME);
+        choice.setHosts(zone);
+        return choice.watcher(0).orElseThrow();
+    }
+
+    private SharedTable table(HostId self, FakeStore store) {
+        Ticker ticker = new Ticker() {
+            @Override
+            public long read() {
+                return now;
+            }
+        };
+        SharedTable.Peers peers = new SharedTable.Peers() {
+            @Override
+            public void send(HostId host, Envelope message) {
+                deliver(self, host, message);
+            }
+
+            @Override
+            public void onPassedOver(HostId host, String name, Duration asked, String reason) {
+                passedOver.add(host);
+            }
+        };
+        SharedTable table = new SharedTable(store, self, channel.eventLoop(), ticker, peers);
+        TableSharing shared = new TableSharing(ImmutableList.of(table));
+        shared.setHosts(ZONE);
+        sharing.put(self, shared);
+        return table;
+    }
+
+    private void deliver(HostId from, HostId to, Envelope message) {
+        TableSharing there = sharing.get(to);
+        if (there == null || cut) {
+            return;
+        }
+        channel.eventLoop().schedule(() -> there.receive(from, message), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void read(SharedTable table, FakeStore store, long version) {
+        CompletableFuture<Reading> reading = table.read();
+        store.answer(reading(version));
+        settle();
+        assertThat(reading.isDone()).isTrue();
+    }
+
+    private static Reading reading(long version, Row... rows) {
+        return new Reading(ImmutableList.copyOf(rows), version);
+    }
+
+    private void settle() {
+        for (int i = 0; i < 10; i++) {
+            channel.runPendingTasks();
+            channel.runScheduledPendingTasks();
+        }
+    }
+
+    private void pass(long millis) {
+        for (long passed = 0; passed < millis; passed += 10) {
+            now += TimeUnit.MILLISECONDS.toNanos(10);
+            channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+            settle();
+        }
+    }
+
+    @Example
+    void aHostThatIsToldDoesNotAskTheStore() {
+        CompletableFuture<Reading> changes = follower.changes(5, LONG_WAIT);
+        settle();
+        assertThat(changes.isDone()).isFalse();
+        CompletableFuture<Reading> own = watcher.changes(5, LONG_WAIT);
+        watcherStore.answer(reading(7, new Row("a", new byte[0], 7, false)));
+        settle();
+
+        assertThat(own.join().version()).isEqualTo(7);
+        assertThat(changes.join().rows()).hasSize(1);
+        assertThat(followerStore.calls).isEmpty();
+    }
+
+    @Example
+    void aHostThatTellsOthersAsksTheStoreOften() {
+        follower.changes(5, LONG_WAIT);
+        settle();
+        watcher.changes(5, LONG_WAIT);
+
+        assertThat(watcherStore.waits.getLast()).isEqualTo(SharedTable.WATCHER_WAIT);
+    }
+
+    @Example
+    void whatIsKnownForTooLongIsConfirmedBeforeItIsTold() {
+        pass(5_000);
+        CompletableFuture<Reading> changes = follower.changes(5, LONG_WAIT);
+        settle();
+        assertThat(watcherStore.waits).containsExactly(Duration.ZERO);
+        watcherStore.answer(reading(9, new Row("a", new byte[0], 9, true)));
+        settle();
+
+        assertThat(changes.join().version()).isEqualTo(9);
+        assertThat(followerStore.calls).isEmpty();
+    }
+
+    @Example
+    void theStoreIsAskedOnceTheOtherHostIsSilent() {
+        cut = true;
+        CompletableFuture<Reading> changes = follower.changes(5, LONG_WAIT);
+        pass(SharedTable.HOLD.plus(SharedTable.ANSWER_SLACK).toMillis());
+        followerStore.answer(reading(6));
+        settle();
+
+        assertThat(changes.join().version()).isEqualTo(6);
+        assertThat(followerStore.waits).containsExactly(LONG_WAIT);
+        assertThat(passedOver).containsExactly(watcherHost);
+    }
+
+    @Example
+    void theStoreIsAskedIfItTurnsTheOtherHostAway() {
+        pass(5_000);
+        CompletableFuture<Reading> changes = follower.changes(5, LONG_WAIT);
+        settle();
+        for (int i = 0; i < 3; i++) {
+            watcherStore.fail();
+            pass(400);
+        }
+        followerStore.answer(reading(8));
+        settle();
+
+        assertThat(changes.join().version()).isEqualTo(8);
+    }
+
+    @Example
+    void anAnswerThatWasLongOnItsWayIsNotTakenAsFresh() {
+        // The question arrives at once; its answer takes longer than anything may be old.
+        CompletableFuture<Reading> changes = follower.changes(5, LONG_WAIT);
+        settle();
+        pass(400);
+        delayMillis = SharedTable.MAX_AGE.toMillis();
+        watcher.changes(5, LONG_WAIT);
+        watcherStore.answer(reading(6));
+        pass(1_200);
+
+        assertThat(followerStore.calls).hasSize(1);
+        followerStore.answer(reading(8));
+        settle();
+        assertThat(changes.join().version()).isEqualTo(8);
+    }
+
+    private static final class FakeStore implements WatchedTable {
+        private final Deque<CompletableFuture<Reading>> calls = new ArrayDeque<>();
+        private final Deque<Duration> waits = new ArrayDeque<>();
+
+        void answer(Reading reading) {
+            calls.remove().complete(reading);
+        }
+
+        void fail() {
+            CompletableFuture<Reading> call = calls.poll();
+            if (call != null) {
+                call.completeExceptionally(new IOException("turned away"));
+            }
+        }
+
+        @Override
+        public String name() {
+            return NAME;
+        }
+
+        @Override
+        public CompletableFuture<Reading> read() {
+            return call();
+        }
+
+        @Override
+        public CompletableFuture<Reading> changes(long after, Duration wait) {
+            waits.add(wait);
+            return call();
+        }
+
+        private CompletableFuture<Reading> call() {
+            CompletableFuture<Reading> answer = new CompletableFuture<>();
+            calls.add(answer);
+            return answer;
+        }
+
+        @Override
+        public CompletableFuture<Boolean> put(String key, byte[] value, OptionalLong expected) {
+            return CompletableFuture.completedFuture(true);
+        }
+    }
+}
