--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/retry/RetryShare.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/retry/RetryShare.java
@@ -26,9 +26,9 @@
     /** The part of the fixed allowance that is shared out; the rest covers hosts that come and go. */
     private static final double USED_ALLOWANCE = 0.6;
 
-    private final double ratio;
-    private final double allowance;
-    private final long windowNanos;
+    private double ratio;
+    private double allowance;
+    private long windowNanos;
     private final Map<ServiceName, Deque<Long>> requests = new HashMap<>();
     private final Map<ServiceName, Deque<Long>> repeats = new HashMap<>();
     private int hosts;
@@ -41,13 +41,18 @@
      * @param hosts the number of hosts until {@link #setHosts} tells a better one
      */
     public RetryShare(double ratio, double allowance, Duration window, int hosts) {
-        checkArgument(ratio >= 0, "negative ratio: %s", ratio);
-        checkArgument(allowance >= 0, "negative allowance: %s", allowance);
         checkArgument(hosts > 0, "hosts must be positive: %s", hosts);
-        this.ratio = ratio;
-        this.allowance = allowance;
-        this.windowNanos = window.toNanos();
         this.hosts = hosts;
+        setTerms(ratio, allowance, window);
+    }
+
+    /** Sets what all hosts together may send; repeats that were sent before count as well. */
+    public void setTerms(double newRatio, double newAllowance, Duration newWindow) {
+        checkArgument(newRatio >= 0, "negative ratio: %s", newRatio);
+        checkArgument(newAllowance >= 0, "negative allowance: %s", newAllowance);
+        ratio = newRatio;
+        allowance = newAllowance;
+        windowNanos = newWindow.toNanos();
     }
 
     /** Sets the number of hosts that share the allowance. */
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/retry/RetryShareTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/retry/RetryShareTest.java
@@ -74,4 +74,15 @@
 
         assertThat(share.tryRepeat(SERVICE, 0)).isFalse();
     }
+
+    @Example
+    void newTermsHoldForRepeatsThatWereSentBeforeToo() {
+        RetryShare share = new RetryShare(0, 10, Duration.ofSeconds(10), 1);
+        share.tryRepeat(SERVICE, 0);
+        share.tryRepeat(SERVICE, 0);
+        share.setTerms(0, 4, Duration.ofSeconds(5));
+
+        assertThat(share.tryRepeat(SERVICE, SECOND)).isFalse();
+        assertThat(share.tryRepeat(SERVICE, 6 * SECOND)).isTrue();
+    }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -75,7 +75,7 @@
     private static final ServerLimits STARTING_LIMITS =
             new ServerLimits(3_000, 16 << 10, 4 << 20, 64L << 20, Duration.ofSeconds(15), Duration.ofSeconds(3));
 
-    private final RelaySettings settings;
+    private volatile RelaySettings settings;
     private final EventLoop loop;
     private final DecisionLog log;
     private final HostMetrics metrics = new HostMetrics(MAX_ORGANISATION_SERIES);
@@ -174,6 +174,20 @@
         loop.execute(hostFollower::start);
     }
 
+    /** Takes over what may change while the host runs: the store's address, the bounds of repeats, the time to stop in. */
+    public void reload(RelaySettings changed) {
+        boolean storeMoved = !changed.store().equals(settings.store());
+        settings = checkNotNull(changed);
+        loop.execute(() -> {
+            retries.setTerms(changed.repeatRatio(), changed.repeatAllowance(), changed.repeatWindow());
+            if (storeMoved) {
+                routingFollower.callAnew();
+                fleetFollower.callAnew();
+                hostFollower.callAnew();
+            }
+        });
+    }
+
     /** Takes a whole request. */
     public void accept(RelayRequest request, ServerResponse response) {
         retries.setHosts(Math.max(ASSUMED_HOSTS, assignments.hostCount()));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
@@ -48,6 +48,7 @@
     private boolean stopped;
     private int failures;
     private long version;
+    private long round;
 
     /**
      * Creates a follower that does nothing before {@link #start}.
@@ -67,6 +68,11 @@
         next();
     }
 
+    /** Gives up the call in progress, as the store is to be reached at another address, and makes the next one. */
+    public void callAnew() {
+        next();
+    }
+
     /** Makes no more calls. */
     public void stop() {
         stopped = true;
@@ -78,13 +84,15 @@
         }
         CompletableFuture<Reading> call = known ? table.changes(version, WAIT) : table.read();
         boolean full = !known;
-        call.whenComplete((reading, failure) -> loop.execute(() -> onAnswer(full, reading, failure)));
+        long current = ++round;
+        call.whenComplete((reading, failure) -> loop.execute(() -> {
+            if (current == round && !stopped) {
+                onAnswer(full, reading, failure);
+            }
+        }));
     }
 
     private void onAnswer(boolean full, Reading reading, Throwable failure) {
-        if (stopped) {
-            return;
-        }
         if (failure != null) {
             onFailure(failure instanceof CompletionException ? failure.getCause() : failure);
             return;
@@ -105,10 +113,22 @@
         if (reading.rows().isEmpty() || rest.isZero()) {
             next();
         } else {
-            loop.schedule(this::next, rest.toMillis(), TimeUnit.MILLISECONDS);
+            nextAfter(rest);
         }
     }
 
+    private void nextAfter(Duration delay) {
+        long current = round;
+        loop.schedule(
+                () -> {
+                    if (current == round) {
+                        next();
+                    }
+                },
+                delay.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
     /** Takes what the store answered; a reading older than what is known would take the listener back. */
     private void deliver(boolean full, Reading reading) {
         if (full && reading.version() < version) {
@@ -131,7 +151,6 @@
             lost = true;
             listener.onLost(String.valueOf(failure.getMessage()));
         }
-        long delay = backoff.delay(failures).toMillis();
-        loop.schedule(this::next, delay, TimeUnit.MILLISECONDS);
+        nextAfter(backoff.delay(failures));
     }
 }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
@@ -114,6 +114,33 @@
                 .inOrder();
     }
 
+    @Example
+    void aCallThatWaitsAtAnOldAddressIsGivenUp() {
+        answer(5);
+        CompletableFuture<WatchedTable.Reading> old = table.calls.poll();
+        follower.callAnew();
+        answer(6);
+        old.complete(reading(5));
+        channel.runPendingTasks();
+
+        assertThat(table.asked)
+                .containsExactly("read", "after 5", "after 5", "after 6")
+                .inOrder();
+        assertThat(heard).containsExactly("reading 5", "changes 6").inOrder();
+    }
+
+    @Example
+    void aDelayedCallIsNotMadeTwiceAfterAnotherWasMadeAtOnce() {
+        answer(5);
+        table.calls.poll().completeExceptionally(new IOException("down"));
+        channel.runPendingTasks();
+        follower.callAnew();
+        channel.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+
+        assertThat(table.asked).containsExactly("read", "after 5", "after 5").inOrder();
+    }
+
     @Example
     void aFaultOfTheListenerDoesNotEndTheFollowing() {
         faulty = true;
