Ask for the hosts' own table less often, and give the two feeds files of their own

Ruled out: the shared tables (about 3 calls a second for each zone by their waits). Change: it is followed with a wait of 25 s, a rest of 5 s and retries up to 3 s apart; TableFollower takes its pace from its owner. Test: theTableIsReadOnceAndThenFollowed checks the wait that is asked for.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/RoutingTable.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/RoutingTable.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.Optional;
 
-import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
@@ -89,9 +88,11 @@
         return Optional.ofNullable(services.get(name));
     }
 
-    /** Returns all services. */
-    public ImmutableCollection<ServiceProfile> services() {
-        return services.values();
+    /** Returns the published speeds of the services whose targets are engines. */
+    public ImmutableMap<ServiceName, EngineProfile> engines() {
+        ImmutableMap.Builder<ServiceName, EngineProfile> engines = ImmutableMap.builder();
+        services.values().forEach(service -> service.engine().ifPresent(engine -> engines.put(service.name(), engine)));
+        return engines.build();
     }
 
     /** Returns what callers may send, if the version says so. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/HostDirectory.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/HostDirectory.java
@@ -12,7 +12,7 @@
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.node.relay.DecisionLog;
 import org.boragebarrow.node.relay.RelayEvent;
-import org.boragebarrow.node.watch.TableFollower;
+import org.boragebarrow.node.relay.StoreListener;
 import org.boragebarrow.peer.link.PeerKey;
 import org.boragebarrow.port.WatchedTable;
 import org.boragebarrow.port.WatchedTable.Reading;
@@ -26,7 +26,7 @@
  * <p>Confined to the event loop. The key is written once, by whichever host finds none; a write whose answer is lost
  * shows in the table like any other.
  */
-final class HostDirectory implements TableFollower.Listener {
+final class HostDirectory extends StoreListener {
     private static final String KEY_ROW = "key";
     private static final String HOST_ROWS = "host/";
     private static final int KEY_BYTES = 32;
@@ -46,16 +46,15 @@
     private final HostRecord self;
     private final WatchedTable table;
     private final EventLoop loop;
-    private final DecisionLog log;
     private final Listener listener;
     private final Map<HostId, HostRecord> hosts = new HashMap<>();
     private Optional<PeerKey> key = Optional.empty();
 
     HostDirectory(HostRecord self, WatchedTable table, EventLoop loop, DecisionLog log, Listener listener) {
+        super(log, table.name());
         this.self = checkNotNull(self);
         this.table = checkNotNull(table);
         this.loop = checkNotNull(loop);
-        this.log = checkNotNull(log);
         this.listener = checkNotNull(listener);
     }
 
@@ -91,7 +90,7 @@
             hosts.put(host.life().host(), host);
             return true;
         } catch (IllegalArgumentException e) {
-            log.write(RelayEvent.UNUSABLE, "table", table.name(), "key", row.key(), "reason", e.getMessage());
+            logUnusable(row, e);
             return false;
         }
     }
@@ -103,7 +102,7 @@
         try {
             key = Optional.of(PeerKey.of(row.value()));
         } catch (IllegalArgumentException e) {
-            log.write(RelayEvent.UNUSABLE, "table", table.name(), "key", row.key(), "reason", e.getMessage());
+            logUnusable(row, e);
             return;
         }
         listener.onKey(key.get());
@@ -129,18 +128,8 @@
     private void put(String row, byte[] value, OptionalLong expected) {
         table.put(row, value, expected).whenComplete((written, failure) -> {
             if (failure != null) {
-                log.write(RelayEvent.UNUSABLE, "table", table.name(), "key", row, "reason", failure.getMessage());
+                log().write(RelayEvent.UNUSABLE, "table", table.name(), "key", row, "reason", failure.getMessage());
             }
         });
     }
-
-    @Override
-    public void onLost(String reason) {
-        log.write(RelayEvent.LOST, "dependency", "store", "table", table.name(), "reason", reason);
-    }
-
-    @Override
-    public void onRegained() {
-        log.write(RelayEvent.REGAINED, "dependency", "store", "table", table.name());
-    }
 }
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/FleetFeed.java
@@ -0,0 +1,113 @@
+package org.boragebarrow.node.relay;
+
+import java.util.function.LongSupplier;
+
+import com.google.common.collect.ImmutableList;
+import org.boragebarrow.decision.fleet.Fleet;
+import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.model.Ids;
+import org.boragebarrow.model.TargetId;
+import org.boragebarrow.port.WatchedTable.Reading;
+import org.boragebarrow.port.WatchedTable.Row;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Takes the targets' entries from the store; confined to the event loop but for {@link #isRead}. */
+final class FleetFeed extends StoreListener {
+    private final Decoders decoders;
+    private final Fleet fleet;
+    private final LongSupplier millis;
+    private final Runnable onChange;
+    private volatile boolean read;
+
+    /**
+     * Creates a feed.
+     *
+     * @param millis tells the monotonic time in milliseconds
+     * @param onChange runs after the fleet changed
+     */
+    FleetFeed(Decoders decoders, Fleet fleet, DecisionLog log, LongSupplier millis, Runnable onChange) {
+        super(log, "fleet");
+        this.decoders = checkNotNull(decoders);
+        this.fleet = checkNotNull(fleet);
+        this.millis = checkNotNull(millis);
+        this.onChange = checkNotNull(onChange);
+    }
+
+    /** Returns whether the targets were read once. */
+    boolean isRead() {
+        return read;
+    }
+
+    @Override
+    public void onReading(Reading reading) {
+        ImmutableList.Builder<FleetTarget> targets = ImmutableList.builder();
+        for (Row row : reading.rows()) {
+            try {
+                targets.add(decoders.target(row));
+            } catch (IllegalArgumentException e) {
+                logUnusable(row, e);
+            }
+        }
+        fleet.replace(targets.build(), millis.getAsLong());
+        read = true;
+        log().write(RelayEvent.TARGET, "read", reading.rows().size(), "row_version", reading.version());
+        onChange.run();
+    }
+
+    @Override
+    public void onChanges(Reading changes) {
+        changes.rows().forEach(this::take);
+        if (!changes.rows().isEmpty()) {
+            onChange.run();
+        }
+    }
+
+    private void take(Row row) {
+        if (row.removed()) {
+            log().write(RelayEvent.TARGET, "target", row.key(), "state", "removed", "row_version", row.version());
+            remove(row);
+            return;
+        }
+        try {
+            put(decoders.target(row), row);
+        } catch (IllegalArgumentException e) {
+            logUnusable(row, e);
+            remove(row);
+        }
+    }
+
+    private void put(FleetTarget target, Row row) {
+        log().write(
+                        RelayEvent.TARGET,
+                        "target",
+                        target.id(),
+                        "at",
+                        target.endpoint(),
+                        "service",
+                        target.service(),
+                        "state",
+                        target.draining() ? "draining" : "ready",
+                        "row_version",
+                        row.version());
+        fleet.put(target);
+    }
+
+    private void remove(Row row) {
+        if (Ids.isValid(row.key())) {
+            fleet.remove(TargetId.of(row.key()), millis.getAsLong());
+        }
+    }
+
+    @Override
+    public void onLost(String reason) {
+        fleet.tableLost();
+        super.onLost(reason);
+    }
+
+    @Override
+    public void onRegained() {
+        fleet.tableAnswered(millis.getAsLong());
+        super.onRegained();
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -7,24 +7,18 @@
 
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import io.netty.channel.EventLoop;
 import org.boragebarrow.decision.fleet.Fleet;
-import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.retry.Backoff;
 import org.boragebarrow.decision.retry.RetryShare;
 import org.boragebarrow.decision.routing.CallerLimits;
-import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.decision.routing.RoutingFollower;
 import org.boragebarrow.decision.routing.RoutingTable;
 import org.boragebarrow.http.server.ServerLimits;
 import org.boragebarrow.http.server.ServerResponse;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.HostLife;
-import org.boragebarrow.model.Ids;
 import org.boragebarrow.model.Incarnation;
-import org.boragebarrow.model.ServiceName;
-import org.boragebarrow.model.TargetId;
 import org.boragebarrow.node.assign.RegionAssignments;
 import org.boragebarrow.node.metrics.HostMetrics;
 import org.boragebarrow.node.settings.RelaySettings;
@@ -34,8 +28,6 @@
 import org.boragebarrow.peer.link.PeerIdentity;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.port.WatchedTable;
-import org.boragebarrow.port.WatchedTable.Reading;
-import org.boragebarrow.port.WatchedTable.Row;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
@@ -57,11 +49,22 @@
     /** Longest pause between two calls of a store that fails: a second of 2 in which a change must be in force. */
     private static final Duration LONGEST_RETRY = Duration.ofMillis(800);
 
-    /** Changes this close together are read in one call; a tenth of the time in which the shortest of them must bind. */
-    private static final Duration CHANGE_REST = Duration.ofMillis(200);
+    /**
+     * How the routing and the fleet are followed: a lost answer is noticed within 9 s where the kernel's probes do not show
+     * it, and changes rest for a tenth of the 2 s in which the shortest of them must bind.
+     */
+    private static final TableFollower.Pace CHANGES =
+            new TableFollower.Pace(Duration.ofSeconds(9), Duration.ofMillis(200));
+
+    /**
+     * How the hosts' own table is followed: no promise hangs on it, as a host that starts reads it whole and makes itself
+     * known to those that it asks; the store lets a call wait for 30 s at most.
+     */
+    private static final TableFollower.Pace HOSTS =
+            new TableFollower.Pace(Duration.ofSeconds(25), Duration.ofSeconds(5));
 
-    /** Hosts that start together are read in one call; without word of one another each assigns alone meanwhile. */
-    private static final Duration HOST_REST = Duration.ofSeconds(2);
+    /** Longest pause between two calls for the hosts' own table; alone, a host assigns its own requests. */
+    private static final Duration LONGEST_HOSTS_RETRY = Duration.ofSeconds(3);
 
     /** How long a host that stops takes new requests: the balancer needs two of its probes, a second apart, and a bit. */
     private static final Duration STOP_ACCEPTING_AFTER = Duration.ofMillis(3_300);
@@ -82,15 +85,14 @@
     private final RoutingFollower routing = new RoutingFollower();
     private final Fleet fleet = new Fleet();
     private final RegionAssignments assignments;
-    private final Decoders decoders;
     private final Ticker ticker = Ticker.systemTicker();
     private final RandomGenerator random;
     private final RetryShare retries;
     private final Relay relay;
+    private final FleetFeed fleetFeed;
     private final TableFollower routingFollower;
     private final TableFollower fleetFollower;
     private final TableFollower hostFollower;
-    private volatile boolean fleetRead;
     private volatile boolean stopping;
     private boolean told;
 
@@ -111,7 +113,7 @@
         this.settings = checkNotNull(settings);
         this.loop = checkNotNull(loop);
         this.random = checkNotNull(random);
-        this.decoders = tables.decoders();
+        Decoders decoders = tables.decoders();
         this.log = checkNotNull(log);
         HostLife self = HostLife.of(settings.id(), incarnation);
         this.assignments = new RegionAssignments(
@@ -139,9 +141,12 @@
                 calls,
                 log,
                 metrics));
-        this.routingFollower = new TableFollower(loop, sharedRouting, backoff(), CHANGE_REST, new RoutingListener());
-        this.fleetFollower = new TableFollower(loop, sharedFleet, backoff(), CHANGE_REST, new FleetListener());
-        this.hostFollower = new TableFollower(loop, tables.hosts(), backoff(), HOST_REST, assignments.directory());
+        RoutingFeed routingFeed = new RoutingFeed(decoders, routing, log, this::onRouting);
+        this.fleetFeed = new FleetFeed(decoders, fleet, log, this::millis, this::publishFleet);
+        this.routingFollower = new TableFollower(loop, sharedRouting, backoff(LONGEST_RETRY), CHANGES, routingFeed);
+        this.fleetFollower = new TableFollower(loop, sharedFleet, backoff(LONGEST_RETRY), CHANGES, fleetFeed);
+        this.hostFollower =
+                new TableFollower(loop, tables.hosts(), backoff(LONGEST_HOSTS_RETRY), HOSTS, assignments.directory());
         metrics.gauge("boragebarrow.requests.open", relay::inProgress);
         metrics.gauge("boragebarrow.log.dropped", log::dropped);
     }
@@ -153,8 +158,8 @@
         return new SharedTable(table, settings.id(), loop, ticker, new TablePeers());
     }
 
-    private Backoff backoff() {
-        return new Backoff(FIRST_RETRY, LONGEST_RETRY, random);
+    private Backoff backoff(Duration longest) {
+        return new Backoff(FIRST_RETRY, longest, random);
     }
 
     /** Starts to follow the store. */
@@ -196,7 +201,7 @@
 
     /** Returns whether the balancer should send connections. */
     public boolean isReady() {
-        return routing.current().isPresent() && fleetRead && !stopping;
+        return routing.current().isPresent() && fleetFeed.isRead() && !stopping;
     }
 
     /** Returns what callers may send, by the version in force. */
@@ -265,6 +270,11 @@
         }
     }
 
+    private void onRouting(RoutingTable table) {
+        assignments.setProfiles(table.engines());
+        tellReadiness();
+    }
+
     private void publishFleet() {
         assignments.setFleet(fleet.all());
         scheduleExpiry();
@@ -289,14 +299,6 @@
         return TimeUnit.NANOSECONDS.toMillis(ticker.read());
     }
 
-    private void logLost(String table, String reason) {
-        log.write(RelayEvent.LOST, "dependency", "store", "table", table, "reason", reason);
-    }
-
-    private void logRegained(String table) {
-        log.write(RelayEvent.REGAINED, "dependency", "store", "table", table);
-    }
-
     private final class TablePeers implements SharedTable.Peers {
         @Override
         public void send(HostId host, Envelope message) {
@@ -319,144 +321,4 @@
                     reason);
         }
     }
-
-    private final class RoutingListener implements TableFollower.Listener {
-        private static final String TABLE = "routing";
-
-        @Override
-        public void onReading(Reading reading) {
-            onChanges(reading);
-        }
-
-        @Override
-        public void onChanges(Reading changes) {
-            for (Row row : changes.rows()) {
-                if (!row.removed()) {
-                    take(row);
-                }
-            }
-        }
-
-        private void take(Row row) {
-            RoutingTable table;
-            try {
-                table = decoders.routing(row).orElse(null);
-            } catch (IllegalArgumentException e) {
-                log.write(RelayEvent.UNUSABLE, "table", TABLE, "key", row.key(), "reason", e.getMessage());
-                return;
-            }
-            if (table == null) {
-                return;
-            }
-            boolean newer = routing.offer(table);
-            log.write(
-                    RelayEvent.ROUTING,
-                    "version",
-                    table.version(),
-                    "row_version",
-                    row.version(),
-                    "routes",
-                    table.size(),
-                    "taken",
-                    newer);
-            if (newer) {
-                assignments.setProfiles(profiles(table));
-                tellReadiness();
-            }
-        }
-
-        private ImmutableMap<ServiceName, EngineProfile> profiles(RoutingTable table) {
-            ImmutableMap.Builder<ServiceName, EngineProfile> profiles = ImmutableMap.builder();
-            table.services()
-                    .forEach(service -> service.engine().ifPresent(engine -> profiles.put(service.name(), engine)));
-            return profiles.build();
-        }
-
-        @Override
-        public void onLost(String reason) {
-            logLost(TABLE, reason);
-        }
-
-        @Override
-        public void onRegained() {
-            logRegained(TABLE);
-        }
-    }
-
-    private final class FleetListener implements TableFollower.Listener {
-        private static final String TABLE = "fleet";
-
-        @Override
-        public void onReading(Reading reading) {
-            ImmutableList.Builder<FleetTarget> targets = ImmutableList.builder();
-            for (Row row : reading.rows()) {
-                try {
-                    targets.add(decoders.target(row));
-                } catch (IllegalArgumentException e) {
-                    logUnusable(row, e);
-                }
-            }
-            fleet.replace(targets.build(), millis());
-            fleetRead = true;
-            log.write(RelayEvent.TARGET, "read", reading.rows().size(), "row_version", reading.version());
-            publishFleet();
-        }
-
-        @Override
-        public void onChanges(Reading changes) {
-            changes.rows().forEach(this::take);
-            if (!changes.rows().isEmpty()) {
-                publishFleet();
-            }
-        }
-
-        private void take(Row row) {
-            if (row.removed()) {
-                log.write(RelayEvent.TARGET, "target", row.key(), "state", "removed", "row_version", row.version());
-                remove(row);
-                return;
-            }
-            try {
-                FleetTarget target = decoders.target(row);
-                log.write(
-                        RelayEvent.TARGET,
-                        "target",
-                        target.id(),
-                        "at",
-                        target.endpoint(),
-                        "service",
-                        target.service(),
-                        "state",
-                        target.draining() ? "draining" : "ready",
-                        "row_version",
-                        row.version());
-                fleet.put(target);
-            } catch (IllegalArgumentException e) {
-                logUnusable(row, e);
-                remove(row);
-            }
-        }
-
-        private void remove(Row row) {
-            if (Ids.isValid(row.key())) {
-                fleet.remove(TargetId.of(row.key()), millis());
-            }
-        }
-
-        private void logUnusable(Row row, IllegalArgumentException reason) {
-            log.write(RelayEvent.UNUSABLE, "table", TABLE, "key", row.key(), "reason", reason.getMessage());
-        }
-
-        @Override
-        public void onLost(String reason) {
-            fleet.tableLost();
-            logLost(TABLE, reason);
-        }
-
-        @Override
-        public void onRegained() {
-            fleet.tableAnswered(millis());
-            logRegained(TABLE);
-        }
-    }
 }
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RoutingFeed.java
@@ -0,0 +1,66 @@
+package org.boragebarrow.node.relay;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.boragebarrow.decision.routing.RoutingFollower;
+import org.boragebarrow.decision.routing.RoutingTable;
+import org.boragebarrow.port.WatchedTable.Reading;
+import org.boragebarrow.port.WatchedTable.Row;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Takes the operator's configurations from the store; confined to the event loop. */
+final class RoutingFeed extends StoreListener {
+    private final Decoders decoders;
+    private final RoutingFollower routing;
+    private final Consumer<RoutingTable> onNewer;
+
+    RoutingFeed(Decoders decoders, RoutingFollower routing, DecisionLog log, Consumer<RoutingTable> onNewer) {
+        super(log, "routing");
+        this.decoders = checkNotNull(decoders);
+        this.routing = checkNotNull(routing);
+        this.onNewer = checkNotNull(onNewer);
+    }
+
+    @Override
+    public void onReading(Reading reading) {
+        onChanges(reading);
+    }
+
+    @Override
+    public void onChanges(Reading changes) {
+        for (Row row : changes.rows()) {
+            if (!row.removed()) {
+                decode(row).ifPresent(table -> take(table, row));
+            }
+        }
+    }
+
+    /** Returns the configuration; a row that cannot be read leaves the present one in force. */
+    private Optional<RoutingTable> decode(Row row) {
+        try {
+            return decoders.routing(row);
+        } catch (IllegalArgumentException e) {
+            logUnusable(row, e);
+            return Optional.empty();
+        }
+    }
+
+    private void take(RoutingTable table, Row row) {
+        boolean newer = routing.offer(table);
+        log().write(
+                        RelayEvent.ROUTING,
+                        "version",
+                        table.version(),
+                        "row_version",
+                        row.version(),
+                        "routes",
+                        table.size(),
+                        "taken",
+                        newer);
+        if (newer) {
+            onNewer.accept(table);
+        }
+    }
+}
--- /dev/null
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/StoreListener.java
@@ -0,0 +1,42 @@
+package org.boragebarrow.node.relay;
+
+import org.boragebarrow.node.watch.TableFollower;
+import org.boragebarrow.port.WatchedTable.Row;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/** Writes to the decision log what becomes of a table of the store; confined to the event loop. */
+public abstract class StoreListener implements TableFollower.Listener {
+    private final DecisionLog log;
+    private final String table;
+
+    /**
+     * Creates a listener.
+     *
+     * @param table the name that log lines give
+     */
+    protected StoreListener(DecisionLog log, String table) {
+        this.log = checkNotNull(log);
+        this.table = checkNotNull(table);
+    }
+
+    /** Returns the log. */
+    protected final DecisionLog log() {
+        return log;
+    }
+
+    /** Takes note that a row could not be read. */
+    protected final void logUnusable(Row row, IllegalArgumentException reason) {
+        log.write(RelayEvent.UNUSABLE, "table", table, "key", row.key(), "reason", reason.getMessage());
+    }
+
+    @Override
+    public void onLost(String reason) {
+        log.write(RelayEvent.LOST, "dependency", "store", "table", table, "reason", reason);
+    }
+
+    @Override
+    public void onRegained() {
+        log.write(RelayEvent.REGAINED, "dependency", "store", "table", table);
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
@@ -20,8 +20,13 @@
  * the history is gone.
  */
 public final class TableFollower {
-    /** How long a call waits for changes: few calls while idle, and a lost answer is noticed within it. */
-    private static final Duration WAIT = Duration.ofSeconds(9);
+    /**
+     * How often the store is asked.
+     *
+     * @param patience how long a call waits for changes: longer ones make fewer calls, and a lost answer is noticed later
+     * @param rest the pause after an answer that brought something, so that changes in quick succession come together
+     */
+    public record Pace(Duration patience, Duration rest) {}
 
     /** Receives the table's state; called on the event loop. */
     public interface Listener {
@@ -41,7 +46,7 @@
     private final EventLoop loop;
     private final WatchedTable table;
     private final Backoff backoff;
-    private final Duration rest;
+    private final Pace pace;
     private final Listener listener;
     private boolean known;
     private boolean lost;
@@ -50,16 +55,12 @@
     private long version;
     private long round;
 
-    /**
-     * Creates a follower that does nothing before {@link #start}.
-     *
-     * @param rest the pause after an answer that brought something, so that changes in quick succession come together
-     */
-    public TableFollower(EventLoop loop, WatchedTable table, Backoff backoff, Duration rest, Listener listener) {
+    /** Creates a follower that does nothing before {@link #start}. */
+    public TableFollower(EventLoop loop, WatchedTable table, Backoff backoff, Pace pace, Listener listener) {
         this.loop = checkNotNull(loop);
         this.table = checkNotNull(table);
         this.backoff = checkNotNull(backoff);
-        this.rest = checkNotNull(rest);
+        this.pace = checkNotNull(pace);
         this.listener = checkNotNull(listener);
     }
 
@@ -82,7 +83,7 @@
         if (stopped) {
             return;
         }
-        CompletableFuture<Reading> call = known ? table.changes(version, WAIT) : table.read();
+        CompletableFuture<Reading> call = known ? table.changes(version, pace.patience()) : table.read();
         boolean full = !known;
         long current = ++round;
         call.whenComplete((reading, failure) -> loop.execute(() -> {
@@ -110,10 +111,10 @@
             onFailure(e);
             return;
         }
-        if (reading.rows().isEmpty() || rest.isZero()) {
+        if (reading.rows().isEmpty() || pace.rest().isZero()) {
             next();
         } else {
-            nextAfter(rest);
+            nextAfter(pace.rest());
         }
     }
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
@@ -20,6 +20,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 class TableFollowerTest {
+    private static final TableFollower.Pace PACE =
+            new TableFollower.Pace(Duration.ofSeconds(9), Duration.ofMillis(500));
+
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final FakeTable table = new FakeTable();
     private final List<String> heard = new ArrayList<>();
@@ -29,7 +32,7 @@
     TableFollowerTest() {
         channel.freezeTime();
         Backoff backoff = new Backoff(Duration.ofMillis(10), Duration.ofMillis(80), new Random(1));
-        follower = new TableFollower(channel.eventLoop(), table, backoff, Duration.ofMillis(500), new Listener());
+        follower = new TableFollower(channel.eventLoop(), table, backoff, PACE, new Listener());
         follower.start();
     }
 
@@ -56,6 +59,7 @@
 
         assertThat(table.asked).containsExactly("read", "after 5", "after 8").inOrder();
         assertThat(heard).containsExactly("reading 5", "changes 8").inOrder();
+        assertThat(table.waits).containsExactly(PACE.patience(), PACE.patience());
     }
 
     @Example
@@ -182,6 +186,7 @@
     private static final class FakeTable implements WatchedTable {
         private final Deque<CompletableFuture<Reading>> calls = new ArrayDeque<>();
         private final List<String> asked = new ArrayList<>();
+        private final List<Duration> waits = new ArrayList<>();
 
         @Override
         public String name() {
@@ -195,6 +200,7 @@
 
         @Override
         public CompletableFuture<Reading> changes(long after, Duration wait) {
+            waits.add(wait);
             return call("after " + after);
         }
 
