Give up a call to a store that fell silent before its promises hold again

The log of front-pasuruan-1: the call that followed the routing was sent before or while the store was silent; the store was back at 9.0 s and wrote a configuration at 10.1 s, but such a call is never answered, and it was waited for 10.5 s at a time (lost at 5.6 s, regained at 21.3 s). Ruled out: the kernel's probes (the connection lives, only answers are missing), the balancer, a view that went back (versions only rose). Change: calls for routing and fleet wait 1.7 s at the store and 1.2 s more, so 2.9 s, below the 3 s after which promises hold; while the store is lost calls do not wait for changes at all. Test: callsDoNotWaitForChangesWhileTheStoreIsLost failed before.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -50,11 +50,12 @@
     private static final Duration LONGEST_RETRY = Duration.ofMillis(800);
 
     /**
-     * How the routing and the fleet are followed: a lost answer is noticed within 9 s where the kernel's probes do not show
-     * it, and changes rest for a tenth of the 2 s in which the shortest of them must bind.
+     * How the routing and the fleet are followed. A call that was sent to a store before it fell silent is never answered,
+     * and the store's promises hold again 3 s after its return: with the time of a call, it is given up just before that.
+     * Changes rest for a tenth of the 2 s in which the shortest of them must bind.
      */
     private static final TableFollower.Pace CHANGES =
-            new TableFollower.Pace(Duration.ofSeconds(9), Duration.ofMillis(200));
+            new TableFollower.Pace(Duration.ofMillis(1_700), Duration.ofMillis(200));
 
     /**
      * How the hosts' own table is followed: no promise hangs on it, as a host that starts reads it whole and makes itself
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
@@ -83,7 +83,9 @@
         if (stopped) {
             return;
         }
-        CompletableFuture<Reading> call = known ? table.changes(version, pace.patience()) : table.read();
+        // A store that is back after it was silent never answers a call that it was sent before.
+        Duration patience = lost ? Duration.ZERO : pace.patience();
+        CompletableFuture<Reading> call = known ? table.changes(version, patience) : table.read();
         boolean full = !known;
         long current = ++round;
         call.whenComplete((reading, failure) -> loop.execute(() -> {
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
@@ -118,6 +118,17 @@
                 .inOrder();
     }
 
+    @Example
+    void callsDoNotWaitForChangesWhileTheStoreIsLost() {
+        answer(5);
+        fail(new IOException("silent"));
+        answer(6);
+
+        assertThat(table.waits)
+                .containsExactly(PACE.patience(), Duration.ZERO, PACE.patience())
+                .inOrder();
+    }
+
     @Example
     void aCallThatWaitsAtAnOldAddressIsGivenUp() {
         answer(5);
