Take no requests later than 2.9 s after the order to stop

A request may be cut off at the end of the grace only if it was sent no later than 3 s after the order; the host took them for 3.3 s. Ruled out: the target (it worked until it was cut off), the balancer (the connection was kept open by its caller).

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -67,8 +67,11 @@
     /** Longest pause between two calls for the hosts' own table; alone, a host assigns its own requests. */
     private static final Duration LONGEST_HOSTS_RETRY = Duration.ofSeconds(3);
 
-    /** How long a host that stops takes new requests: the balancer needs two of its probes, a second apart, and a bit. */
-    private static final Duration STOP_ACCEPTING_AFTER = Duration.ofMillis(3_300);
+    /**
+     * How long a host that stops takes new requests. The balancer needs two of its probes, a second apart; a request that was
+     * sent later than 3 s after the order to stop has to end within the grace, which a stream may not.
+     */
+    static final Duration STOP_ACCEPTING_AFTER = Duration.ofMillis(2_900);
 
     /** Kept back of the time until the kill, for the end of the process itself. */
     private static final Duration EXIT_TIME = Duration.ofMillis(500);
