Log how a change of a table reached a host and how busy the host was

Change: no logic. WATCHER lines tell of changes that another host told (bytes, time since the question, age of the confirmation), ROUTING lines give the size of a version, LEFT lines the state in which a request was when its caller left, and BUSY lines a late event loop or bytes that wait on links to other hosts, looked at where the host probes anyway.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/port/WatchedTable.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/port/WatchedTable.java
@@ -17,7 +17,12 @@
     record Row(String key, byte[] value, long version, boolean removed) {}
 
     /** Rows as of one version of the store. */
-    record Reading(ImmutableList<Row> rows, long version) {}
+    record Reading(ImmutableList<Row> rows, long version) {
+        /** Returns the size of all values. */
+        public long bytes() {
+            return rows.stream().mapToLong(row -> row.value().length).sum();
+        }
+    }
 
     /** Reports that the changes after the version are no longer kept, so that the table has to be read anew. */
     final class HistoryLostException extends Exception {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -60,6 +60,12 @@
     /** How long the assigner may stay silent before the next one is asked: far longer than any ordinary answer. */
     private static final long ANSWER_MILLIS = 200;
 
+    /** A delay of the event loop that is logged: half of the time in which a target must learn that a caller left. */
+    private static final long LATE_MILLIS = 250;
+
+    /** Bytes on links to other hosts that are logged: a tenth of a second of a link of 14 Mbit/s. */
+    private static final long WAITING_BYTES = 175_000;
+
     /** Silence after which the attempts of another host count as gone: three of its probes. */
     private static final long HOST_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(3 * AssignerChoice.PROBE_MILLIS);
 
@@ -79,6 +85,7 @@
     private Optional<PeerLinks> links = Optional.empty();
     private Optional<TableSharing> sharing = Optional.empty();
     private HostId holder;
+    private long probeDueAt;
 
     /** A question without a decision. */
     private static final class Pending {
@@ -314,6 +321,7 @@
 
     private void probe() {
         long now = ticker.read();
+        tellBusy(now);
         for (HostId host : choice.toProbe(now)) {
             send(host, AssignMessages.probe(false));
         }
@@ -327,9 +335,18 @@
                 duty.offerSurely(new AssignEvent.HostLost(entry.getKey()));
             }
         }
+        probeDueAt = now + TimeUnit.MILLISECONDS.toNanos(AssignerChoice.PROBE_MILLIS);
         loop.schedule(this::probe, AssignerChoice.PROBE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void tellBusy(long now) {
+        long lateMillis = probeDueAt == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(now - probeDueAt);
+        long waiting = links.map(PeerLinks::waitingBytes).orElse(0L);
+        if (lateMillis > LATE_MILLIS || waiting > WAITING_BYTES) {
+            log.write(RelayEvent.BUSY, "late_ms", lateMillis, "waiting_bytes", waiting, "held", holdings.size());
+        }
+    }
+
     @Override
     public void close() {
         duty.close();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -87,6 +87,14 @@
         return longestPause;
     }
 
+    /** Returns how far the attempt is, for the log. */
+    String state() {
+        if (handle.isEmpty()) {
+            return "reserving";
+        }
+        return firstMillis < 0 ? "sent" : "streaming";
+    }
+
     /** Sends the request, after the memory that it needs elsewhere was set aside. */
     void start() {
         if (reservations.isEmpty()) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -44,8 +44,10 @@
     PEER(7050),
     /** The host that assigns changed. */
     ASSIGNER(7051),
-    /** The host that tells of a table of the store is passed over for a while. */
+    /** The host that tells of a table of the store told a change, or is passed over for a while. */
     WATCHER(7052),
+    /** The event loop ran late, or bytes wait on links to other hosts. */
+    BUSY(7060),
     /** Lines were dropped because the log was full. */
     LINES_DROPPED(7099);
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -271,7 +271,7 @@
         if (finished) {
             return;
         }
-        trace.left(sequence.last(), sentTo);
+        trace.left(current.map(RelayAttempt::state).orElse("unassigned"), sequence.last(), sentTo);
         context.metrics().callerGone();
         drop();
         finish();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -159,7 +159,7 @@
     public record Tables(WatchedTable routing, WatchedTable fleet, WatchedTable hosts, Decoders decoders) {}
 
     private SharedTable shared(WatchedTable table) {
-        return new SharedTable(table, settings.id(), loop, ticker, new TablePeers());
+        return new SharedTable(table, settings.id(), loop, ticker, new TablePeers(table.name()));
     }
 
     private Backoff backoff(Duration longest) {
@@ -304,13 +304,39 @@
     }
 
     private final class TablePeers implements SharedTable.Peers {
+        private final String table;
+
+        TablePeers(String table) {
+            this.table = table;
+        }
+
         @Override
         public void send(HostId host, Envelope message) {
             assignments.send(host, message);
         }
 
         @Override
-        public void onPassedOver(HostId host, String table, Duration asked, String reason) {
+        public void onTold(HostId host, WatchedTable.Reading changes, Duration asked, Duration age) {
+            log.write(
+                    RelayEvent.WATCHER,
+                    "host",
+                    host,
+                    "table",
+                    table,
+                    "state",
+                    "told",
+                    "row_version",
+                    changes.version(),
+                    "bytes",
+                    changes.bytes(),
+                    "asked_ms",
+                    asked.toMillis(),
+                    "age_ms",
+                    age.toMillis());
+        }
+
+        @Override
+        public void onPassedOver(HostId host, Duration asked, String reason) {
             log.write(
                     RelayEvent.WATCHER,
                     "host",
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
@@ -158,12 +158,14 @@
                         reason);
     }
 
-    void left(OptionalLong lastEvent, int attempts) {
+    void left(String state, OptionalLong lastEvent, int attempts) {
         context.log()
                 .write(
                         RelayEvent.LEFT,
                         "id",
                         request.id(),
+                        "state",
+                        state,
                         "age_ms",
                         ageMillis(),
                         "attempts",
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RoutingFeed.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RoutingFeed.java
@@ -57,6 +57,8 @@
                         row.version(),
                         "routes",
                         table.size(),
+                        "bytes",
+                        row.value().length,
                         "taken",
                         newer);
         if (newer) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
@@ -67,8 +67,11 @@
         /** Sends a message to a host; one that cannot be sent is dropped. */
         void send(HostId host, Envelope message);
 
+        /** Takes note of changes that a host told, confirmed by the store so long ago at most. */
+        void onTold(HostId host, Reading changes, Duration asked, Duration age);
+
         /** Takes note that the store is asked instead of a host, which is passed over for a while. */
-        void onPassedOver(HostId host, String table, Duration asked, String reason);
+        void onPassedOver(HostId host, Duration asked, String reason);
     }
 
     /** A question of this host. */
@@ -179,7 +182,7 @@
         if (question != null) {
             long now = ticker.read();
             choice.failed(question.host(), now);
-            peers.onPassedOver(question.host(), name(), Duration.ofNanos(now - question.at()), reason);
+            peers.onPassedOver(question.host(), Duration.ofNanos(now - question.at()), reason);
             question.answer().completeExceptionally(new UntoldException(question.host() + ": " + reason));
         }
     }
@@ -197,9 +200,14 @@
             return;
         }
         asked.remove(answer.number());
-        mirror.add(answer.reading().get());
+        Reading changes = answer.reading().get();
+        if (!changes.rows().isEmpty()) {
+            long now = ticker.read();
+            peers.onTold(host, changes, Duration.ofNanos(now - question.at()), Duration.ofNanos(now - asOf));
+        }
+        mirror.add(changes);
         confirm(asOf);
-        question.answer().complete(answer.reading().get());
+        question.answer().complete(changes);
     }
 
     /** Takes another host's question, which is answered at the next change or when its time is over. */
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/SharedTableTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/SharedTableTest.java
@@ -44,6 +44,7 @@
     private final SharedTable watcher;
     private final SharedTable follower;
     private final List<HostId> passedOver = new ArrayList<>();
+    private final List<Long> told = new ArrayList<>();
     private long delayMillis;
     private boolean cut;
     private long now = TimeUnit.SECONDS.toNanos(100);
@@ -76,7 +77,12 @@
             }
 
             @Override
-            public void onPassedOver(HostId host, String name, Duration asked, String reason) {
+            public void onTold(HostId host, Reading changes, Duration asked, Duration age) {
+                told.add(changes.bytes());
+            }
+
+            @Override
+            public void onPassedOver(HostId host, Duration asked, String reason) {
                 passedOver.add(host);
             }
         };
@@ -127,11 +133,12 @@
         settle();
         assertThat(changes.isDone()).isFalse();
         CompletableFuture<Reading> own = watcher.changes(5, LONG_WAIT);
-        watcherStore.answer(reading(7, new Row("a", new byte[0], 7, false)));
+        watcherStore.answer(reading(7, new Row("a", new byte[9], 7, false)));
         settle();
 
         assertThat(own.join().version()).isEqualTo(7);
         assertThat(changes.join().rows()).hasSize(1);
+        assertThat(told).containsExactly(9L);
         assertThat(followerStore.calls).isEmpty();
     }
 
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/Link.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/Link.java
@@ -9,6 +9,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.peer.proto.Envelope;
@@ -77,6 +78,11 @@
         return true;
     }
 
+    synchronized long waitingBytes() {
+        ChannelOutboundBuffer buffer = channel == null ? null : channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
     private void open() {
         ChannelInitializer<SocketChannel> initializer = new ChannelInitializer<>() {
             @Override
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
@@ -98,6 +98,11 @@
         return traffic;
     }
 
+    /** Returns the bytes that wait on all links until the network takes them. */
+    public long waitingBytes() {
+        return links.values().stream().mapToLong(Link::waitingBytes).sum();
+    }
+
     /** Closes the link to a peer that is gone for good. */
     public void forget(Endpoint peer) {
         Link link = links.remove(checkNotNull(peer));
