--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -44,18 +44,17 @@
     /** The host count that the shared retry budget is divided by until the hosts are known; today's largest site has 9. */
     private static final int ASSUMED_HOSTS = 9;
 
-    private static final Duration FIRST_RETRY = Duration.ofMillis(100);
+    static final Duration FIRST_RETRY = Duration.ofMillis(100);
 
     /** Longest pause between two calls of a store that fails: a second of 2 in which a change must be in force. */
-    private static final Duration LONGEST_RETRY = Duration.ofMillis(800);
+    static final Duration LONGEST_RETRY = Duration.ofMillis(800);
 
     /**
      * How the routing and the fleet are followed. A call that was sent to a store before it fell silent is never answered,
      * and the store's promises hold again 3 s after its return: with the time of a call, it is given up just before that.
      * Changes rest for a tenth of the 2 s in which the shortest of them must bind.
      */
-    private static final TableFollower.Pace CHANGES =
-            new TableFollower.Pace(Duration.ofMillis(1_700), Duration.ofMillis(200));
+    static final TableFollower.Pace CHANGES = new TableFollower.Pace(Duration.ofMillis(1_700), Duration.ofMillis(200));
 
     /**
      * How the hosts' own table is followed: no promise hangs on it, as a host that starts reads it whole and makes itself
--- /dev/null
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
@@ -0,0 +1,282 @@
+package org.boragebarrow.node.relay;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.boragebarrow.decision.retry.Backoff;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.node.watch.SharedTable;
+import org.boragebarrow.node.watch.TableFollower;
+import org.boragebarrow.node.watch.TableSharing;
+import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.port.WatchedTable;
+import org.boragebarrow.port.WatchedTable.Reading;
+import org.boragebarrow.port.WatchedTable.Row;
+
+/**
+ * The hosts of one availability zone that follow a table of one row, over links of a given rate, in simulated time.
+ *
+ * <p>A host's link carries one message after another in each direction, so that a large one delays those behind it.
+ */
+final class SimulatedZone {
+    static final String TABLE = "table";
+
+    private static final long STEP_MILLIS = 5;
+    private static final double STORE_MILLIS = 4;
+    private static final double HOP_MILLIS = 0.2;
+
+    /** What a store call may take beyond its wait, as the platform's client has it. */
+    private static final Duration CALL_TIME = Duration.ofMillis(1_200);
+
+    /** Values travel from the store as base64. */
+    private static final double STORE_ENCODING = 4.0 / 3;
+
+    private static final int HEAD_BYTES = 200;
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final Map<HostId, SimulatedHost> hosts = new LinkedHashMap<>();
+    private final Random random;
+    private final double bytesPerMilli;
+    private long nowMillis = 100_000;
+    private Row row;
+    private int storeCalls;
+
+    SimulatedZone(int size, double megabits, long seed) {
+        channel.freezeTime();
+        random = new Random(seed);
+        bytesPerMilli = megabits * 1e6 / 8 / 1_000;
+        row = new Row("row", new byte[10], 1, false);
+        for (int i = 0; i < size; i++) {
+            HostId id = HostId.of("host-" + i);
+            hosts.put(id, new SimulatedHost(id));
+        }
+        ImmutableSet<HostId> all = ImmutableSet.copyOf(hosts.keySet());
+        hosts.values().forEach(host -> host.start(all));
+        pass(Duration.ofSeconds(5));
+    }
+
+    ImmutableList<SimulatedHost> hosts() {
+        return ImmutableList.copyOf(hosts.values());
+    }
+
+    int storeCalls() {
+        return storeCalls;
+    }
+
+    /** Writes the row; the store acknowledges at once. */
+    void write(int bytes) {
+        row = new Row("row", new byte[bytes], row.version() + 1, false);
+        hosts.values().forEach(SimulatedHost::wake);
+        settle();
+    }
+
+    void pass(Duration time) {
+        for (long passed = 0; passed < time.toMillis(); passed += STEP_MILLIS) {
+            nowMillis += STEP_MILLIS;
+            channel.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+            settle();
+        }
+    }
+
+    private void settle() {
+        for (int i = 0; i < 4; i++) {
+            channel.runPendingTasks();
+            channel.runScheduledPendingTasks();
+        }
+    }
+
+    /** Returns how long the newest version took to reach the host that got it last, or the time so far. */
+    Duration slowest(long writtenAtMillis) {
+        long slowest = 0;
+        for (SimulatedHost host : hosts.values()) {
+            long known = host.knownAt.getOrDefault(row.version(), nowMillis);
+            slowest = Math.max(slowest, known - writtenAtMillis);
+        }
+        return Duration.ofMillis(slowest);
+    }
+
+    /** Returns the longest that a byte had to wait for a host's link, on the way out. */
+    Duration longestQueue() {
+        return Duration.ofMillis((long) hosts.values().stream()
+                .mapToDouble(host -> host.longestQueue)
+                .max()
+                .orElse(0));
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    /** How the store treats a host. */
+    enum Access {
+        SERVED,
+        REFUSED,
+        SILENT
+    }
+
+    final class SimulatedHost implements SharedTable.Peers, WatchedTable, TableFollower.Listener {
+        private final HostId id;
+        private final SharedTable table;
+        private final TableSharing sharing;
+        private final TableFollower follower;
+        private final Map<Long, Long> knownAt = new HashMap<>();
+        private final List<Waiting> waiting = new ArrayList<>();
+        private Access access = Access.SERVED;
+        private boolean cutFromHosts;
+        private double upFreeAt;
+        private double downFreeAt;
+        private double longestQueue;
+
+        private record Waiting(long after, CompletableFuture<Reading> answer) {}
+
+        SimulatedHost(HostId id) {
+            this.id = id;
+            Ticker ticker = new Ticker() {
+                @Override
+                public long read() {
+                    return TimeUnit.MILLISECONDS.toNanos(nowMillis);
+                }
+            };
+            this.table = new SharedTable(this, id, channel.eventLoop(), ticker, this);
+            this.sharing = new TableSharing(ImmutableList.of(table));
+            Backoff backoff = new Backoff(RelayHost.FIRST_RETRY, RelayHost.LONGEST_RETRY, random);
+            this.follower = new TableFollower(channel.eventLoop(), table, backoff, RelayHost.CHANGES, this);
+        }
+
+        HostId id() {
+            return id;
+        }
+
+        void start(ImmutableSet<HostId> all) {
+            sharing.setHosts(all);
+            channel.eventLoop().schedule(follower::start, random.nextInt(300), TimeUnit.MILLISECONDS);
+        }
+
+        void access(Access changed) {
+            access = changed;
+        }
+
+        /** Loses all messages to and from other hosts. */
+        void cutFromHosts(boolean cut) {
+            cutFromHosts = cut;
+        }
+
+        @Override
+        public void send(HostId to, Envelope message) {
+            SimulatedHost host = hosts.get(to);
+            int bytes = message.getSerializedSize();
+            after(
+                    occupyUplink(bytes) + HOP_MILLIS,
+                    () -> host.download(bytes, () -> {
+                        if (!cutFromHosts && !host.cutFromHosts) {
+                            host.sharing.receive(id, message);
+                        }
+                    }));
+        }
+
+        private double occupyUplink(int bytes) {
+            double begun = Math.max(upFreeAt, nowMillis);
+            longestQueue = Math.max(longestQueue, begun - nowMillis);
+            upFreeAt = begun + bytes / bytesPerMilli;
+            return upFreeAt;
+        }
+
+        /** Runs the step once so many bytes that arrive now have passed the host's link. */
+        private void download(double bytes, Runnable step) {
+            downFreeAt = Math.max(downFreeAt, nowMillis) + bytes / bytesPerMilli;
+            after(downFreeAt, step);
+        }
+
+        private void after(double atMillis, Runnable step) {
+            long delay = Math.max(0, (long) Math.ceil(atMillis - nowMillis));
+            channel.eventLoop().schedule(step, delay, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void onTold(HostId host, Reading changes, Duration asked, Duration age) {}
+
+        @Override
+        public void onPassedOver(HostId host, Duration asked, String reason) {}
+
+        @Override
+        public String name() {
+            return TABLE;
+        }
+
+        @Override
+        public CompletableFuture<Reading> read() {
+            return changes(0, Duration.ZERO);
+        }
+
+        @Override
+        public CompletableFuture<Reading> changes(long after, Duration wait) {
+            CompletableFuture<Reading> answer = new CompletableFuture<>();
+            storeCalls++;
+            after(
+                    nowMillis + wait.plus(CALL_TIME).toMillis(),
+                    () -> answer.completeExceptionally(new IOException("no answer in time")));
+            if (access == Access.REFUSED) {
+                after(nowMillis + STORE_MILLIS, () -> answer.completeExceptionally(new IOException("turned away")));
+            } else if (access == Access.SERVED) {
+                Waiting call = new Waiting(after, answer);
+                waiting.add(call);
+                after(nowMillis + STORE_MILLIS, this::wake);
+                after(nowMillis + STORE_MILLIS + wait.toMillis(), () -> answer(call));
+            }
+            return answer;
+        }
+
+        /** Answers the calls for which there is a change. */
+        void wake() {
+            List.copyOf(waiting).stream()
+                    .filter(call -> call.after() < row.version())
+                    .forEach(this::answer);
+        }
+
+        private void answer(Waiting call) {
+            if (!waiting.remove(call) || access != Access.SERVED) {
+                return;
+            }
+            ImmutableList<Row> changed = call.after() < row.version() ? ImmutableList.of(row) : ImmutableList.of();
+            Reading reading = new Reading(changed, row.version());
+            double bytes = HEAD_BYTES + reading.bytes() * STORE_ENCODING;
+            after(
+                    nowMillis + STORE_MILLIS,
+                    () -> download(bytes, () -> call.answer().complete(reading)));
+        }
+
+        @Override
+        public CompletableFuture<Boolean> put(String key, byte[] value, OptionalLong expected) {
+            throw new UnsupportedOperationException("hosts only read");
+        }
+
+        @Override
+        public void onReading(Reading reading) {
+            onChanges(reading);
+        }
+
+        @Override
+        public void onChanges(Reading changes) {
+            changes.rows().forEach(known -> knownAt.putIfAbsent(known.version(), nowMillis));
+        }
+
+        @Override
+        public void onLost(String reason) {}
+
+        @Override
+        public void onRegained() {}
+    }
+}
