Replay the late version itself and hosts that are cut off beside it

What callers saw: a confirmed change was not in force in time (CONFIG).

Evidence: a host's calls of the store pass its link too. While the host that tells others sends copies of a large version, its own question for the next version waits behind them.

Change: tests only.

--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
@@ -50,6 +50,7 @@
     private final Map<HostId, SimulatedHost> hosts = new LinkedHashMap<>();
     private final Random random;
     private final double bytesPerMilli;
+    private final Map<Long, Long> writtenAt = new LinkedHashMap<>();
     private long nowMillis = 100_000;
     private Row row;
     private int storeCalls;
@@ -79,6 +80,7 @@
     /** Writes the row; the store acknowledges at once. */
     void write(int bytes) {
         row = new Row("row", new byte[bytes], row.version() + 1, false);
+        writtenAt.put(row.version(), nowMillis);
         hosts.values().forEach(SimulatedHost::wake);
         settle();
     }
@@ -108,6 +110,23 @@
         return Duration.ofMillis(slowest);
     }
 
+    /**
+     * Returns the longest that a version took to reach a host which was left alone for a while before the write and
+     * until it had the version.
+     */
+    Duration slowestOfCalm(Duration alone) {
+        long slowest = 0;
+        for (Map.Entry<Long, Long> written : writtenAt.entrySet()) {
+            for (SimulatedHost host : hosts.values()) {
+                long known = host.knownAt(written.getKey());
+                if (host.isCalm(written.getValue() - alone.toMillis(), known)) {
+                    slowest = Math.max(slowest, known - written.getValue());
+                }
+            }
+        }
+        return Duration.ofMillis(slowest);
+    }
+
     /** Returns the longest that a byte had to wait for a host's link, on the way out. */
     Duration longestQueue() {
         return Duration.ofMillis((long) hosts.values().stream()
@@ -134,6 +153,7 @@
         private final TableFollower follower;
         private final Map<Long, Long> knownAt = new HashMap<>();
         private final List<Waiting> waiting = new ArrayList<>();
+        private final List<Long> disturbedAt = new ArrayList<>();
         private Access access = Access.SERVED;
         private boolean cutFromHosts;
         private double upFreeAt;
@@ -167,11 +187,30 @@
 
         void access(Access changed) {
             access = changed;
+            disturbedAt.add(nowMillis);
+        }
+
+        boolean isDisturbed() {
+            return access != Access.SERVED || cutFromHosts;
+        }
+
+        private boolean isCalm(long from, long until) {
+            return !isDisturbed() && disturbedAt.stream().noneMatch(at -> at >= from && at <= until);
+        }
+
+        /** Returns when the host knew the version or a later one, or the time so far. */
+        private long knownAt(long version) {
+            return knownAt.entrySet().stream()
+                    .filter(known -> known.getKey() >= version)
+                    .mapToLong(Map.Entry::getValue)
+                    .min()
+                    .orElse(nowMillis);
         }
 
         /** Loses all messages to and from other hosts. */
         void cutFromHosts(boolean cut) {
             cutFromHosts = cut;
+            disturbedAt.add(nowMillis);
         }
 
         @Override
@@ -228,17 +267,22 @@
             after(
                     nowMillis + wait.plus(CALL_TIME).toMillis(),
                     () -> answer.completeExceptionally(new IOException("no answer in time")));
-            if (access == Access.REFUSED) {
-                after(nowMillis + STORE_MILLIS, () -> answer.completeExceptionally(new IOException("turned away")));
-            } else if (access == Access.SERVED) {
-                Waiting call = new Waiting(after, answer);
-                waiting.add(call);
-                after(nowMillis + STORE_MILLIS, this::wake);
-                after(nowMillis + STORE_MILLIS + wait.toMillis(), () -> answer(call));
-            }
+            after(occupyUplink(HEAD_BYTES) + STORE_MILLIS, () -> arrive(new Waiting(after, answer), wait));
             return answer;
         }
 
+        private void arrive(Waiting call, Duration wait) {
+            switch (access) {
+                case SERVED -> {
+                    waiting.add(call);
+                    wake();
+                    after(nowMillis + wait.toMillis(), () -> answer(call));
+                }
+                case REFUSED -> call.answer().completeExceptionally(new IOException("turned away"));
+                case SILENT -> {}
+            }
+        }
+
         /** Answers the calls for which there is a change. */
         void wake() {
             List.copyOf(waiting).stream()
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/ZoneReplayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/ZoneReplayTest.java
@@ -1,8 +1,12 @@
 package org.boragebarrow.node.relay;
 
 import java.time.Duration;
+import java.util.Random;
 
+import com.google.common.collect.ImmutableList;
 import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -34,6 +38,18 @@
         assertThat(zone.longestQueue()).isAtMost(PASSED_ON);
     }
 
+    @Example
+    void aVersionThatFollowsALargeOneIsInForceInTimeOnTheTellingHostToo() {
+        SimulatedZone zone = new SimulatedZone(HOSTS, MEGABITS, 3);
+        zone.write(LARGE_BYTES);
+        zone.pass(Duration.ofSeconds(2));
+        long written = zone.nowMillis();
+        zone.write(LARGE_BYTES);
+        zone.pass(Duration.ofSeconds(10));
+
+        assertThat(zone.slowest(written)).isAtMost(IN_FORCE);
+    }
+
     @Example
     void versionsInQuickSuccessionDoNotHoldUpAHostsOwnCallers() {
         SimulatedZone zone = new SimulatedZone(HOSTS, MEGABITS, 2);
@@ -48,4 +64,38 @@
         assertThat(zone.slowest(written)).isAtMost(IN_FORCE);
         assertThat(zone.longestQueue()).isAtMost(PASSED_ON);
     }
+
+    /** How long a host is left alone before its promises hold, of the grown deployments. */
+    private static final Duration CONTACT = Duration.ofSeconds(4);
+
+    @Property(tries = 12, seed = "14")
+    void calmHostsFollowInTimeWhileOthersAreCutOff(@ForAll long seed) {
+        Random random = new Random(seed);
+        SimulatedZone zone = new SimulatedZone(HOSTS, MEGABITS, seed);
+        for (int i = 0; i < 40; i++) {
+            if (random.nextBoolean()) {
+                zone.write(random.nextBoolean() ? USUAL_BYTES : LARGE_BYTES);
+            }
+            disturb(zone.hosts(), random);
+            zone.pass(Duration.ofMillis(50 + random.nextInt(1_500)));
+        }
+        zone.pass(Duration.ofSeconds(8));
+
+        assertThat(zone.slowestOfCalm(CONTACT)).isAtMost(IN_FORCE);
+    }
+
+    /** Disturbs some hosts, and ends the disturbance of others. */
+    private static void disturb(ImmutableList<SimulatedZone.SimulatedHost> hosts, Random random) {
+        for (SimulatedZone.SimulatedHost host : hosts) {
+            double draw = random.nextDouble();
+            if (host.isDisturbed() && draw < 0.2) {
+                host.access(SimulatedZone.Access.SERVED);
+                host.cutFromHosts(false);
+            } else if (!host.isDisturbed() && draw < 0.02) {
+                host.access(random.nextBoolean() ? SimulatedZone.Access.SILENT : SimulatedZone.Access.REFUSED);
+            } else if (!host.isDisturbed() && draw < 0.04) {
+                host.cutFromHosts(true);
+            }
+        }
+    }
 }
