Set no more memory aside for an attempt that has ended

What callers saw: nothing directly; a caller that left while memory was set aside for its prompt at several targets let the remaining targets set theirs aside as well, for 2.8 s and for nobody.

Cause: the orders follow one another in a chain that did not look at whether the attempt had ended meanwhile. The class, work that is under way when its caller leaves: waiting for an assignment, sending, streaming and renewing were looked through and end at once.

Change: an order that is due after the end of its attempt is not sent.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/PromptReservations.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/PromptReservations.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -54,6 +55,9 @@
     }
 
     private CompletableFuture<Void> reserve(Helper helper) {
+        if (released) {
+            return CompletableFuture.failedFuture(new CancellationException("the attempt ended"));
+        }
         return context.calls().reserve(helper.target(), name, helper.storedTokens(), HOLD);
     }
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
@@ -1,6 +1,7 @@
 package org.boragebarrow.node.relay;
 
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
@@ -238,6 +239,22 @@
         assertThat(world.assignments.outcomes).contains(Outcome.WITHDRAWN);
     }
 
+    @Example
+    void aCallerThatLeavesWhileMemoryIsSetAsideLetsNoMoreBeSetAside() {
+        world.route(RequestKind.RESUMABLE_STREAM, 2);
+        FakeResponse response = world.send();
+        world.calls.reservation = new CompletableFuture<>();
+        world.assignments.assign(first, 1_000, second, world.target("third"));
+        assertThat(world.calls.reserved).hasSize(1);
+        response.leave();
+        world.calls.reservation.complete(null);
+        world.pass(10_000);
+
+        assertThat(world.calls.reserved).hasSize(1);
+        assertThat(world.calls.made).isEmpty();
+        assertThat(world.calls.released).containsAtLeastElementsIn(world.calls.reserved);
+    }
+
     @Example
     void theLimitIsAnsweredAtOnceWhileATargetWorks() {
         FakeResponse response = sent(RequestKind.ONCE, 1);
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayWorld.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayWorld.java
@@ -184,8 +184,13 @@
         }
 
         void assign(FleetTarget target, FleetTarget... helpers) {
+            assign(target, 0, helpers);
+        }
+
+        /** Assigns helpers that keep so many tokens each. */
+        void assign(FleetTarget target, long storedTokens, FleetTarget... helpers) {
             ImmutableList<Helper> helping = Arrays.stream(helpers)
-                    .map(helper -> new Helper(helper, 0))
+                    .map(helper -> new Helper(helper, storedTokens))
                     .collect(ImmutableList.toImmutableList());
             decide(new AssignEffect.Assigned(last().id(), new Assignment(target, helping, Duration.ofMillis(100))));
         }
@@ -202,6 +207,9 @@
     /** The targets. */
     static final class FakeCalls implements TargetCalls {
         final List<FakeCall> made = new ArrayList<>();
+        final List<TargetId> reserved = new ArrayList<>();
+        final List<TargetId> released = new ArrayList<>();
+        CompletableFuture<Void> reservation = CompletableFuture.completedFuture(null);
 
         @Override
         public EngineClient.Handle start(Call call, Listener listener) {
@@ -212,11 +220,13 @@
 
         @Override
         public CompletableFuture<Void> reserve(FleetTarget target, String name, long tokens, Duration hold) {
-            return CompletableFuture.completedFuture(null);
+            reserved.add(target.id());
+            return reservation;
         }
 
         @Override
         public CompletableFuture<Void> release(FleetTarget target, String name) {
+            released.add(target.id());
             return CompletableFuture.completedFuture(null);
         }
 
