--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
@@ -272,14 +272,12 @@
         }
 
         private void arrive(Waiting call, Duration wait) {
-            switch (access) {
-                case SERVED -> {
-                    waiting.add(call);
-                    wake();
-                    after(nowMillis + wait.toMillis(), () -> answer(call));
-                }
-                case REFUSED -> call.answer().completeExceptionally(new IOException("turned away"));
-                case SILENT -> {}
+            if (access == Access.REFUSED) {
+                call.answer().completeExceptionally(new IOException("turned away"));
+            } else if (access == Access.SERVED) {
+                waiting.add(call);
+                wake();
+                after(nowMillis + wait.toMillis(), () -> answer(call));
             }
         }
 
