Reset the connection of a call that is given up

What callers saw: targets that worked on for callers that had left (GONE). Whether this is the cause is not shown; it is a part of the class.

Cause: a call that was given up closed its connection in order, so that the network went on delivering what it had: a request that was sent into a partition reaches its target when the partition heals, seconds after its caller left, and runs there.

Change: closing in the middle of a call resets the connection, which drops the undelivered bytes here and on their way. A call that ended keeps its connection or closes it as before.

Figures: aCallThatIsGivenUpResetsItsConnectionSoThatNoBytesArriveLater saw an orderly end before and sees a reset.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -144,7 +144,7 @@
             return;
         }
         done = true;
-        channel.ifPresent(open -> open.pipeline().get(Connection.class).close(open));
+        channel.ifPresent(open -> open.pipeline().get(Connection.class).reset(open));
     }
 
     private void checkWritten(ChannelFuture written) {
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
@@ -49,6 +50,17 @@
         channel.close();
     }
 
+    /**
+     * Closes the connection in the middle of a call, dropping what the network has not delivered: behind a network partition
+     * a request would otherwise arrive when the partition heals, long after its caller left.
+     */
+    void reset(Channel channel) {
+        if (channel.isActive()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        close(channel);
+    }
+
     private void expire(Channel channel) {
         if (pool.remove(endpoint, channel)) {
             channel.close();
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
@@ -1,7 +1,11 @@
 package org.boragebarrow.http.client;
 
+import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
@@ -12,6 +16,7 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterProperty;
 import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.port.EngineClient;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -98,6 +103,22 @@
         }
     }
 
+    @Example
+    void aCallThatIsGivenUpResetsItsConnectionSoThatNoBytesArriveLater() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Endpoint endpoint = Endpoint.of("127.0.0.1", server.getLocalPort());
+            EngineClient.Handle call = client.stream(endpoint, CALL, new WholeAnswer(HttpClient.MAX_ANSWER_BYTES));
+            try (Socket connection = server.accept()) {
+                connection.setSoTimeout((int) TIMEOUT.toMillis());
+                InputStream input = connection.getInputStream();
+                assertThat(input.read()).isEqualTo('G');
+                call.close();
+
+                assertThat(endsByReset(input)).isTrue();
+            }
+        }
+    }
+
     @Example
     void aRequestThatCannotBeWrittenIsNotSent() throws Exception {
         HttpCall forged = CALL.withHeaders(ImmutableListMultimap.of("Name", "value\r\nForged: 1"));
@@ -106,6 +127,15 @@
         }
     }
 
+    private static boolean endsByReset(InputStream input) throws IOException {
+        try {
+            input.readAllBytes();
+            return false;
+        } catch (SocketException e) {
+            return true;
+        }
+    }
+
     private void assertBroken(String answer) throws Exception {
         try (ScriptedServer server = ScriptedServer.start(answer, false)) {
             assertThat(failure(server.endpoint(), TIMEOUT).sent()).isTrue();
