Use no idle connection again after a call to its endpoint got no answer

For the store that is 2.9 s for the call in progress and 1.2 s for each idle connection, where a change must bind within 3 s.

Cause: a call that got no answer closed its own connection only.

Change: a whole call that times out closes the idle connections to its endpoint.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -60,7 +60,7 @@
         WholeAnswer answer = new WholeAnswer(MAX_ANSWER_BYTES);
         ActiveCall active = start(endpoint, call, answer);
         if (!answer.future().isDone()) {
-            arm(active, answer, "no answer from " + endpoint + " within " + timeout, timeout);
+            arm(active, answer, endpoint, timeout);
         }
         return answer.future();
     }
@@ -89,11 +89,18 @@
         return active;
     }
 
-    private static void arm(ActiveCall active, WholeAnswer answer, String message, Duration timeout) {
-        var timer = active.loop().schedule(() -> active.fail(message), timeout.toMillis(), TimeUnit.MILLISECONDS);
+    private void arm(ActiveCall active, WholeAnswer answer, Endpoint endpoint, Duration timeout) {
+        var timer = active.loop()
+                .schedule(() -> giveUp(active, endpoint, timeout), timeout.toMillis(), TimeUnit.MILLISECONDS);
         answer.future().whenComplete((done, failure) -> timer.cancel(false));
     }
 
+    /** What silenced one connection may have silenced the idle ones too, each of which would cost a timeout more. */
+    private void giveUp(ActiveCall active, Endpoint endpoint, Duration timeout) {
+        pool.closeAll(endpoint);
+        active.fail("no answer from " + endpoint + " within " + timeout);
+    }
+
     private void send(ActiveCall active, Endpoint endpoint, Optional<Channel> idle) {
         if (idle.isPresent() && idle.get().isActive()) {
             active.start(idle.get());
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/IdlePool.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/IdlePool.java
@@ -48,6 +48,14 @@
         return removed;
     }
 
+    /** Closes the idle connections to one endpoint. */
+    synchronized void closeAll(Endpoint endpoint) {
+        ArrayDeque<Channel> channels = idle.remove(endpoint);
+        if (channels != null) {
+            channels.forEach(Channel::close);
+        }
+    }
+
     synchronized void close() {
         closed = true;
         for (ArrayDeque<Channel> channels : idle.values()) {
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.collect.ImmutableListMultimap;
@@ -119,6 +120,22 @@
         }
     }
 
+    @Example
+    void noIdleConnectionIsUsedAgainAfterACallToItsEndpointGotNoAnswer() throws Exception {
+        String answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+        try (ScriptedServer server = ScriptedServer.startThatIsSilentOnUsedConnections(answer)) {
+            CompletableFuture<HttpAnswer> one = client.exchange(server.endpoint(), CALL, TIMEOUT);
+            CompletableFuture<HttpAnswer> two = client.exchange(server.endpoint(), CALL, TIMEOUT);
+            one.join();
+            two.join();
+            assertThat(server.connections()).isEqualTo(2);
+            assertThat(failure(server.endpoint(), Duration.ofMillis(300)).sent())
+                    .isTrue();
+
+            assertThat(get(server.endpoint()).text()).isEqualTo("hi");
+        }
+    }
+
     @Example
     void aRequestThatCannotBeWrittenIsNotSent() throws Exception {
         HttpCall forged = CALL.withHeaders(ImmutableListMultimap.of("Name", "value\r\nForged: 1"));
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/ScriptedServer.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/ScriptedServer.java
@@ -21,29 +21,41 @@
     private final ServerSocket server;
     private final byte[] answer;
     private final int answers;
-    private final boolean dying;
+    private final End end;
     private final AtomicInteger connections = new AtomicInteger();
     private volatile String lastHead = "";
 
-    private ScriptedServer(String answer, int answers, boolean dying) throws IOException {
+    /** What becomes of a connection after its last answer. */
+    private enum End {
+        CLOSED,
+        CLOSED_AT_THE_NEXT_REQUEST,
+        SILENT
+    }
+
+    private ScriptedServer(String answer, int answers, End end) throws IOException {
         this.server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
         this.answer = answer.getBytes(StandardCharsets.UTF_8);
         this.answers = answers;
-        this.dying = dying;
+        this.end = end;
     }
 
     /** Starts a server that closes each connection after its answer, unless it keeps it alive. */
     public static ScriptedServer start(String answer, boolean keepAlive) throws IOException {
-        return start(answer, keepAlive ? Integer.MAX_VALUE : 1, false);
+        return start(answer, keepAlive ? Integer.MAX_VALUE : 1, End.CLOSED);
     }
 
     /** Starts a server that answers the first request on each connection and dies at the second. */
     public static ScriptedServer startThatDiesAtTheSecond(String answer) throws IOException {
-        return start(answer, 1, true);
+        return start(answer, 1, End.CLOSED_AT_THE_NEXT_REQUEST);
     }
 
-    private static ScriptedServer start(String answer, int answers, boolean dying) throws IOException {
-        ScriptedServer scripted = new ScriptedServer(answer, answers, dying);
+    /** Starts a server that answers the first request on each connection and none after it, without closing. */
+    public static ScriptedServer startThatIsSilentOnUsedConnections(String answer) throws IOException {
+        return start(answer, 1, End.SILENT);
+    }
+
+    private static ScriptedServer start(String answer, int answers, End end) throws IOException {
+        ScriptedServer scripted = new ScriptedServer(answer, answers, end);
         Thread.ofVirtual().start(scripted::accept);
         return scripted;
     }
@@ -86,9 +98,12 @@
             for (int i = 0; i < answers && readRequest(in); i++) {
                 socket.getOutputStream().write(answer);
             }
-            if (dying) {
+            if (end == End.CLOSED_AT_THE_NEXT_REQUEST) {
                 readRequest(in);
             }
+            while (end == End.SILENT && readRequest(in)) {
+                // The request stays unanswered.
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
