Let hosts that the store turns away ask any host of their zone

Cause: a host asks the three hosts that follow a table for its zone, and with all of those turned away too it can only wait for the store; hosts of small zones asked nobody.

Change: for 3 s after a call of the store failed, a host asks the other hosts of its zone in turn, whatever the zone's size. A lost history does not count as being turned away.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/WatcherChoice.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/WatcherChoice.java
@@ -34,7 +34,8 @@
     private final HostId self;
     private final String duty;
     private final Map<HostId, Long> passedOverUntil = new HashMap<>();
-    private ImmutableList<HostId> ranked = ImmutableList.of();
+    private ImmutableList<HostId> candidates = ImmutableList.of();
+    private ImmutableList<HostId> others = ImmutableList.of();
 
     /** Creates a choice for a table that knows no other host. */
     public WatcherChoice(HostId self, String table) {
@@ -46,7 +47,9 @@
     public void setHosts(Collection<HostId> hosts) {
         ImmutableSet<HostId> all =
                 ImmutableSet.<HostId>builder().addAll(hosts).add(self).build();
-        ranked = all.size() < LEAST_HOSTS ? ImmutableList.of() : Rendezvous.rank(duty, all, CANDIDATES);
+        ImmutableList<HostId> ranked = Rendezvous.rank(duty, all, all.size());
+        candidates = all.size() < LEAST_HOSTS ? ImmutableList.of() : ranked.subList(0, CANDIDATES);
+        others = ranked.stream().filter(host -> !host.equals(self)).collect(ImmutableList.toImmutableList());
         passedOverUntil.keySet().retainAll(all);
     }
 
@@ -57,15 +60,24 @@
 
     /** Returns the host to ask, or empty if this host should ask the store. */
     public Optional<HostId> watcher(long now) {
-        for (HostId host : ranked) {
+        for (HostId host : candidates) {
             if (host.equals(self)) {
                 return Optional.empty();
             }
-            Long until = passedOverUntil.get(host);
-            if (until == null || now - until >= 0) {
+            if (!isPassedOver(host, now)) {
                 return Optional.of(host);
             }
         }
         return Optional.empty();
     }
+
+    /** Returns any host to ask while the store does not serve this one, in a zone of any size, or empty without one. */
+    public Optional<HostId> other(long now) {
+        return others.stream().filter(host -> !isPassedOver(host, now)).findFirst();
+    }
+
+    private boolean isPassedOver(HostId host, long now) {
+        Long until = passedOverUntil.get(host);
+        return until != null && now - until < 0;
+    }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.base.Throwables;
 import com.google.common.base.Ticker;
 import io.netty.channel.EventLoop;
 import org.boragebarrow.decision.watch.TableMirror;
@@ -54,6 +55,9 @@
     /** How long after the last question a host still counts as one that others ask. */
     private static final Duration ASKED_LATELY = Duration.ofSeconds(3);
 
+    /** How long after a call that failed other hosts are asked in place of the store; then it is tried again. */
+    private static final Duration TURNED_AWAY = Duration.ofSeconds(3);
+
     private static final int MAX_REMOVED = 1_000;
 
     private final WatchedTable store;
@@ -66,6 +70,7 @@
     private final List<Held> held = new ArrayList<>();
     private Optional<Long> confirmedAt = Optional.empty();
     private Optional<Long> questionedAt = Optional.empty();
+    private Optional<Long> failedAt = Optional.empty();
     private boolean confirming;
     private long questions;
 
@@ -139,11 +144,12 @@
 
     @Override
     public CompletableFuture<Reading> changes(long after, Duration wait) {
-        Optional<HostId> watcher = choice.watcher(ticker.read());
-        if (watcher.isEmpty()) {
+        long now = ticker.read();
+        Optional<HostId> teller = isTurnedAway(now) ? choice.other(now) : choice.watcher(now);
+        if (teller.isEmpty()) {
             return fromStore(after, wait);
         }
-        return ask(watcher.get(), after)
+        return ask(teller.get(), after)
                 .handle((reading, failure) ->
                         failure == null ? CompletableFuture.completedFuture(reading) : fromStore(after, wait))
                 .thenCompose(answer -> answer);
@@ -153,7 +159,23 @@
         long now = ticker.read();
         boolean tellsOthers = isWithin(questionedAt, ASKED_LATELY, now);
         Duration shorter = tellsOthers && wait.compareTo(WATCHER_WAIT) > 0 ? WATCHER_WAIT : wait;
-        return store.changes(after, shorter).thenApplyAsync(changes -> takeChanges(after, changes, now), loop);
+        return fromStoreNow(after, shorter, now);
+    }
+
+    private CompletableFuture<Reading> fromStoreNow(long after, Duration wait, long now) {
+        return store.changes(after, wait)
+                .whenCompleteAsync((changes, failure) -> noteServed(Optional.ofNullable(failure), now), loop)
+                .thenApply(changes -> takeChanges(after, changes, now));
+    }
+
+    /** A store that lost its history serves, though not what it was asked for. */
+    private void noteServed(Optional<Throwable> failure, long now) {
+        failedAt = failure.filter(thrown -> !(Throwables.getRootCause(thrown) instanceof HistoryLostException))
+                .map(thrown -> now);
+    }
+
+    private boolean isTurnedAway(long now) {
+        return isWithin(failedAt, TURNED_AWAY, now);
     }
 
     private Reading takeChanges(long after, Reading changes, long asOf) {
@@ -243,7 +265,7 @@
         for (Held waiting : List.copyOf(held)) {
             if (fresh && (isChanged(waiting) || waiting.isDue(now))) {
                 held.remove(waiting);
-                answer(waiting, now);
+                answer(waiting, content(waiting.question().after()), now);
             }
         }
         if (!fresh && !held.isEmpty()) {
@@ -258,11 +280,11 @@
                 .orElse(true);
     }
 
-    private void answer(Held waiting, long now) {
+    private void answer(Held waiting, TableMessages.Content content, long now) {
         TableMessages.Answer answer = new TableMessages.Answer(
                 waiting.question().number(),
                 name(),
-                content(waiting.question().after()),
+                content,
                 Duration.ofNanos(now - confirmedAt.orElse(now)),
                 Duration.ofNanos(now - waiting.since()));
         peers.send(waiting.host(), TableMessages.toEnvelope(answer));
@@ -283,28 +305,26 @@
             return;
         }
         if (confirmedAt.isEmpty()) {
-            dropOverdue();
+            giveUpHeld();
+            return;
+        }
+        if (isTurnedAway(ticker.read())) {
+            giveUpHeld();
             return;
         }
         confirming = true;
-        long now = ticker.read();
-        long version = mirror.version();
-        store.changes(version, Duration.ZERO)
-                .whenCompleteAsync(
-                        (changes, failure) -> {
-                            confirming = false;
-                            if (failure == null) {
-                                takeChanges(version, changes, now);
-                            } else {
-                                dropOverdue();
-                            }
-                        },
-                        loop);
+        fromStoreNow(mirror.version(), Duration.ZERO, ticker.read()).whenComplete((changes, failure) -> {
+            confirming = false;
+            if (failure != null) {
+                giveUpHeld();
+            }
+        });
     }
 
-    /** Leaves questions unanswered that can't be answered in time; their hosts ask the store. */
-    private void dropOverdue() {
+    /** Tells all hosts that wait for an answer that they have to look elsewhere. */
+    private void giveUpHeld() {
         long now = ticker.read();
-        held.removeIf(waiting -> waiting.isDue(now));
+        List.copyOf(held).forEach(waiting -> answer(waiting, new TableMessages.Unknown(), now));
+        held.clear();
     }
 }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/ZoneReplayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/ZoneReplayTest.java
@@ -1,12 +1,16 @@
 package org.boragebarrow.node.relay;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Random;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.boragebarrow.decision.watch.WatcherChoice;
+import org.boragebarrow.model.HostId;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -65,6 +69,39 @@
         assertThat(zone.longestQueue()).isAtMost(PASSED_ON);
     }
 
+    @Example
+    void hostsThatTheStoreTurnsAwayAreToldByOthers() {
+        SimulatedZone zone = new SimulatedZone(HOSTS, MEGABITS, 4);
+        ImmutableSet<HostId> candidates = candidates(zone);
+        int refused = 0;
+        for (SimulatedZone.SimulatedHost host : zone.hosts()) {
+            if (candidates.contains(host.id()) || refused++ < HOSTS / 4) {
+                host.access(SimulatedZone.Access.REFUSED);
+            }
+        }
+        zone.pass(Duration.ofSeconds(4));
+        long written = zone.nowMillis();
+        zone.write(1_000);
+        zone.pass(Duration.ofSeconds(10));
+
+        assertThat(zone.slowest(written)).isAtMost(IN_FORCE);
+    }
+
+    /** Returns the hosts that follow the table for the others. */
+    private static ImmutableSet<HostId> candidates(SimulatedZone zone) {
+        WatcherChoice choice = new WatcherChoice(HostId.of("outside"), SimulatedZone.TABLE);
+        choice.setHosts(
+                zone.hosts().stream().map(SimulatedZone.SimulatedHost::id).toList());
+        ImmutableSet.Builder<HostId> found = ImmutableSet.builder();
+        Optional<HostId> next = choice.watcher(0);
+        while (next.isPresent()) {
+            found.add(next.get());
+            choice.failed(next.get(), 0);
+            next = choice.watcher(0);
+        }
+        return found.build();
+    }
+
     /** How long a host is left alone before its promises hold, of the grown deployments. */
     private static final Duration CONTACT = Duration.ofSeconds(4);
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/SharedTableTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/SharedTableTest.java
@@ -208,6 +208,30 @@
         assertThat(changes.join().version()).isEqualTo(8);
     }
 
+    @Example
+    void aHostThatTellsOthersAsksAnotherOneWhileTheStoreTurnsItAway() {
+        watcher.changes(5, LONG_WAIT);
+        watcherStore.fail(new IOException("turned away"));
+        settle();
+        watcher.changes(5, LONG_WAIT);
+        settle();
+
+        assertThat(watcherStore.calls).isEmpty();
+        pass(SharedTable.HOLD.plus(SharedTable.ANSWER_SLACK).toMillis());
+        assertThat(watcherStore.calls).hasSize(1);
+    }
+
+    @Example
+    void aHostWhoseStoreLostItsHistoryStillAsksTheStore() {
+        watcher.changes(5, LONG_WAIT);
+        watcherStore.fail(new WatchedTable.HistoryLostException("gone"));
+        settle();
+        watcher.changes(5, LONG_WAIT);
+        settle();
+
+        assertThat(watcherStore.calls).hasSize(1);
+    }
+
     @Example
     void anAnswerThatWasLongOnItsWayIsNotTakenAsFresh() {
         // The question arrives at once; its answer takes longer than anything may be old.
@@ -234,12 +258,15 @@
         }
 
         void fail() {
-            CompletableFuture<Reading> call = calls.poll();
-            if (call != null) {
-                call.completeExceptionally(new IOException("turned away"));
+            if (!calls.isEmpty()) {
+                fail(new IOException("turned away"));
             }
         }
 
+        void fail(Exception failure) {
+            calls.remove().completeExceptionally(failure);
+        }
+
         @Override
         public String name() {
             return NAME;
