Notice a caller that left while the host was busy before its request is sent

Cause: where the event loop runs late, a request and the end of its connection wait in the socket together. One read takes the request, and by default the end is only read a round of the event loop later. On the host that assigns for the region the decision comes back within that round, so that the request is sent for a caller that has left.

Change: connections of callers are read until nothing is left, at the price of one read more each time; an assignment whose caller's connection is closed is not used.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
@@ -6,10 +6,12 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
@@ -29,6 +31,9 @@
     private static final int BACKLOG = 1_024;
     private static final WriteBufferWaterMark ANSWER_BUFFER_BYTES = new WriteBufferWaterMark(32 << 10, 128 << 10);
 
+    /** Reads of one connection before others have their turn; the library's own figure for sockets. */
+    private static final int MAX_READS = 16;
+
     private final Supplier<ServerLimits> limits;
     private final ServerHandler handler;
     private final BodyBudget budget;
@@ -49,12 +54,21 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, ANSWER_BUFFER_BYTES)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readToEnd())
                 .childHandler(new Initializer())
                 .bind(new InetSocketAddress(endpoint.address(), endpoint.port()))
                 .syncUninterruptibly()
                 .channel();
     }
 
+    /**
+     * Reads on until nothing is left, so that a caller's leaving is known together with the request before it. By
+     * default it would show one round of the event loop later, when the request may have been passed on.
+     */
+    private static RecvByteBufAllocator readToEnd() {
+        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS);
+    }
+
     /**
      * Starts listening.
      *
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
@@ -2,14 +2,18 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterProperty;
 import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.RequestException;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -89,6 +93,34 @@
         }
     }
 
+    @Example
+    void aCallerThatLeftWhileTheHostWasBusyIsKnownToHaveLeftOnceItsRequestIsRead() throws Exception {
+        CompletableFuture<Boolean> open = new CompletableFuture<>();
+        ServerLimits limits = new ServerLimits(100, 1_024, MAX_BODY, 2 * MAX_BODY, LONG, LONG);
+        server = HttpServer.start(group, Endpoint.of("127.0.0.1", 0), limits, new ServerHandler() {
+            @Override
+            public void onRequest(ServerRequest request, ServerResponse response) {
+                response.eventLoop().execute(() -> open.complete(response.isOpen()));
+            }
+
+            @Override
+            public void onRefused(RequestException refusal, ServerResponse response) {
+                open.completeExceptionally(refusal);
+            }
+        });
+        CountDownLatch busy = new CountDownLatch(1);
+        try (RawCaller caller = new RawCaller(server.endpoint())) {
+            while (server.connections() == 0) {
+                TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+            }
+            group.execute(() -> Uninterruptibles.awaitUninterruptibly(busy));
+            caller.send("GET / HTTP/1.1\r\n\r\n");
+        }
+        busy.countDown();
+
+        assertThat(open.get(STEADY.toSeconds(), TimeUnit.SECONDS)).isFalse();
+    }
+
     @Example
     void anIdleConnectionIsClosedSilently() throws Exception {
         try (RawCaller caller = call(SHORT, LONG)) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -185,6 +185,11 @@
 
     private void send(Work work, Assignment assignment) {
         FleetTarget target = assignment.target();
+        if (!response.isOpen()) {
+            context.assignments().ended(work.id(), Outcome.WITHDRAWN);
+            onCallerLeft();
+            return;
+        }
         if (!context.fleet().isUsable(target)) {
             trace.overruled(target);
             context.assignments().ended(work.id(), Outcome.WITHDRAWN);
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
@@ -239,6 +239,18 @@
         assertThat(world.assignments.outcomes).contains(Outcome.WITHDRAWN);
     }
 
+    @Example
+    void theRequestOfACallerWhoseConnectionIsClosedAlreadyIsNotSent() {
+        world.route(RequestKind.RESUMABLE_STREAM, 2);
+        FakeResponse response = world.send();
+        response.closed = true;
+        world.assignments.assign(first);
+
+        assertThat(world.calls.made).isEmpty();
+        assertThat(world.assignments.outcomes).containsExactly(Outcome.WITHDRAWN);
+        assertThat(world.relay.inProgress()).isEqualTo(0);
+    }
+
     @Example
     void aCallerThatLeavesWhileMemoryIsSetAsideLetsNoMoreBeSetAside() {
         world.route(RequestKind.RESUMABLE_STREAM, 2);
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayWorld.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayWorld.java
@@ -300,6 +300,7 @@
         final StringBuilder body = new StringBuilder();
         boolean ended;
         boolean aborted;
+        boolean closed;
 
         FakeResponse(EventLoop loop) {
             this.loop = loop;
@@ -316,7 +317,7 @@
 
         @Override
         public boolean isOpen() {
-            return !ended && !aborted;
+            return !ended && !aborted && !closed;
         }
 
         @Override
