Bound the answers of other calls that a call skips

Cause: answers of other calls and informational answers are skipped, and neither their number nor their bytes had a bound. Endless heads, trailers, chunks and bodies of the call's own answer had one already.

Change: after 16 skipped answers or 16 MB of them the call fails and resets its connection.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -25,6 +25,9 @@
 
 /** One call from its start to its end, failure or cancellation; all but the handle is confined to one event loop. */
 final class ActiveCall implements EngineClient.Handle {
+    /** Answers of other calls that are skipped before this call's: more than a connection ever has open. */
+    private static final int MAX_SKIPPED_ANSWERS = 16;
+
     private final EventLoop loop;
     private final Endpoint endpoint;
     private final HttpCall call;
@@ -35,6 +38,8 @@
     private boolean reading = true;
     private boolean sent;
     private boolean skipping;
+    private int skippedAnswers;
+    private long skippedBytes;
     private boolean keepAlive;
     private boolean done;
 
@@ -161,6 +166,10 @@
         }
         skipping = status.codeClass() == HttpStatusClass.INFORMATIONAL || isOfAnotherCall(response);
         if (skipping) {
+            skippedAnswers++;
+            if (skippedAnswers > MAX_SKIPPED_ANSWERS) {
+                fail(endpoint + " sent more than " + MAX_SKIPPED_ANSWERS + " answers that belong to no request");
+            }
             return;
         }
         boolean framed = tellsItsLength(response);
@@ -196,7 +205,7 @@
     private void receiveContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (skipping) {
-            skipping = !last;
+            skip(content, last);
             return;
         }
         if (content.content().isReadable()) {
@@ -207,6 +216,15 @@
         }
     }
 
+    /** An answer of another call may be as long as any. */
+    private void skip(HttpContent content, boolean last) {
+        skipping = !last;
+        skippedBytes += content.content().readableBytes();
+        if (skippedBytes > HttpClient.MAX_ANSWER_BYTES) {
+            fail(endpoint + " sent more than " + HttpClient.MAX_ANSWER_BYTES + " bytes that belong to no request");
+        }
+    }
+
     private void finish() {
         done = true;
         Channel open = channel.orElseThrow();
