Merge two branches of the refresh of a shared table and name its call of the store

Cause: the two branches did the same, and two methods differed by the word "now" only. Change: no behaviour.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
@@ -25,6 +25,7 @@
 
 /**
  * A table of the store of which one host of a large zone tells the others, so that most hosts need not ask the store.
+ * While the store does not serve this host, any host of its zone is asked.
  *
  * <p>Confined to the event loop. What another host tells is taken only if the store confirmed it a short time ago,
  * counted from this host's question, so that no delay on the way makes it look fresher; else the store itself is asked.
@@ -159,10 +160,10 @@
         long now = ticker.read();
         boolean tellsOthers = isWithin(questionedAt, ASKED_LATELY, now);
         Duration shorter = tellsOthers && wait.compareTo(WATCHER_WAIT) > 0 ? WATCHER_WAIT : wait;
-        return fromStoreNow(after, shorter, now);
+        return callStore(after, shorter, now);
     }
 
-    private CompletableFuture<Reading> fromStoreNow(long after, Duration wait, long now) {
+    private CompletableFuture<Reading> callStore(long after, Duration wait, long now) {
         return store.changes(after, wait)
                 .whenCompleteAsync((changes, failure) -> noteServed(Optional.ofNullable(failure), now), loop)
                 .thenApply(changes -> takeChanges(after, changes, now));
@@ -304,16 +305,13 @@
         if (confirming) {
             return;
         }
-        if (confirmedAt.isEmpty()) {
-            giveUpHeld();
-            return;
-        }
-        if (isTurnedAway(ticker.read())) {
+        long now = ticker.read();
+        if (confirmedAt.isEmpty() || isTurnedAway(now)) {
             giveUpHeld();
             return;
         }
         confirming = true;
-        fromStoreNow(mirror.version(), Duration.ZERO, ticker.read()).whenComplete((changes, failure) -> {
+        callStore(mirror.version(), Duration.ZERO, now).whenComplete((changes, failure) -> {
             confirming = false;
             if (failure != null) {
                 giveUpHeld();
