Log why a silent target was kept

Cause: the log did not tell whether there was no other target, no repeat left, or a target that spoke again, so that these could not be told apart.

Change: a KEPT line with the reason; the decision itself is as before, in two methods.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -32,6 +32,8 @@
     ATTEMPT_FAILED(7033),
     /** Memory of a target could not be set aside, renewed or given back. */
     RESERVATION_FAILED(7034),
+    /** A silent target was kept, as there was no other. */
+    KEPT(7035),
     /** A request was answered by a target. */
     ANSWERED(7040),
     /** A request was answered by the host itself. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -158,13 +158,21 @@
     }
 
     private void onAlternative(RelayAttempt silent, Work work, AssignEffect.Decided effect) {
-        if (!(effect instanceof AssignEffect.Assigned assigned)) {
-            silent.waitOn();
-            return;
+        switch (effect) {
+            case AssignEffect.Refused refused -> keep(silent, "no other target: " + refused.reason());
+            case AssignEffect.Assigned assigned -> move(silent, work, assigned.assignment());
         }
+    }
+
+    private void keep(RelayAttempt silent, String reason) {
+        trace.kept(silent, reason);
+        silent.waitOn();
+    }
+
+    private void move(RelayAttempt silent, Work work, Assignment assignment) {
         if (!silent.isStalled() || !mayRepeat(true)) {
             context.assignments().ended(work.id(), Outcome.WITHDRAWN);
-            silent.waitOn();
+            keep(silent, silent.isStalled() ? "no repeat is left" : "it spoke again");
             return;
         }
         silent.close(Outcome.SILENT);
@@ -172,7 +180,7 @@
         mayHaveRun = true;
         trace.attemptFailed(silent, Outcome.SILENT, true, true, "no event for too long");
         context.metrics().retried();
-        send(work, assigned.assignment());
+        send(work, assignment);
     }
 
     private static ErrorKind kindOf(RefusalReason reason) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
@@ -120,6 +120,22 @@
                         reason);
     }
 
+    void kept(RelayAttempt silent, String reason) {
+        context.log()
+                .write(
+                        RelayEvent.KEPT,
+                        "id",
+                        request.id(),
+                        "attempt",
+                        silent.id(),
+                        "target",
+                        silent.target().id(),
+                        "age_ms",
+                        ageMillis(),
+                        "reason",
+                        reason);
+    }
+
     void refused(ErrorKind kind, int attempts, String reason) {
         context.log()
                 .write(
