Let the largest hosts assign and follow tables for the others

All hosts go over to the next one, front-nbi-c-13, a host of 0.36 cores that had started a moment before. It writes no line for 1.5 s; 40 hosts get no answer within 200 ms and go over to a third one and back again. The questions for another target, asked 1.3 s after the cut, are decided too late: 4 requests of hosts in touch and 11 of the cut zone lost their callers at 35.5 s. The class is that of CONFIG: a duty for all on a host that is too small for it.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignerChoice.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignerChoice.java
@@ -6,14 +6,15 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import org.boragebarrow.decision.placement.Rendezvous;
+import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.model.HostId;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
 /**
- * Finds the host whose assigner this host asks: the first one in an order that all hosts share of which it has heard.
+ * Finds the host whose assigner this host asks: the first one in an order that all hosts share, largest hosts first, of
+ * which it has heard.
  *
  * <p>Not thread-safe. Hosts with different views ask different assigners for a while, which costs efficiency only. Only
  * the hosts ranked above the second live one are probed, so a large fleet costs each host two probes a round.
@@ -49,12 +50,14 @@
     }
 
     /** Sets the hosts that may be there, this one or not among them. */
-    public void setHosts(Collection<HostId> hosts) {
-        ImmutableSet<HostId> all =
-                ImmutableSet.<HostId>builder().addAll(hosts).add(self).build();
-        ranked = Rendezvous.rank(DUTY, all, all.size());
-        heardAt.keySet().retainAll(all);
-        probing.keySet().retainAll(all);
+    public void setHosts(Collection<SizedHost> hosts) {
+        ImmutableList<SizedHost> all = ImmutableList.<SizedHost>builder()
+                .add(new SizedHost(self, 0))
+                .addAll(hosts)
+                .build();
+        ranked = Rendezvous.rankBySize(DUTY, all);
+        heardAt.keySet().retainAll(ranked);
+        probing.keySet().retainAll(ranked);
     }
 
     /** Takes note that a host answered. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/placement/Rendezvous.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/placement/Rendezvous.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Ordering;
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
@@ -53,6 +54,20 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /**
+     * Returns all hosts, those with the most processor first and the highest weight for the key first among equals: a
+     * duty for many hosts takes a part of a processor that a small host does not have.
+     */
+    public static ImmutableList<HostId> rankBySize(String key, Collection<SizedHost> hosts) {
+        ImmutableMap.Builder<HostId, Integer> sizes = ImmutableMap.builder();
+        hosts.forEach(host -> sizes.put(host.id(), host.centicores()));
+        ImmutableMap<HostId, Integer> centicores = sizes.buildKeepingLast();
+        Comparator<HostId> largestFirst =
+                Comparator.comparingInt((HostId host) -> centicores.get(host)).reversed();
+        // The sort is stable, so that weights decide among hosts of one size.
+        return ImmutableList.sortedCopyOf(largestFirst, rank(key, centicores.keySet(), centicores.size()));
+    }
+
     private static long weight(String key, HostId host) {
         return HASH.newHasher(key.length() + host.value().length() + 1)
                 .putString(key, US_ASCII)
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/WatcherChoice.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/WatcherChoice.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import org.boragebarrow.decision.placement.Rendezvous;
+import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.model.HostId;
 
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -44,13 +44,15 @@
     }
 
     /** Sets the hosts of this host's zone, this one or not among them. */
-    public void setHosts(Collection<HostId> hosts) {
-        ImmutableSet<HostId> all =
-                ImmutableSet.<HostId>builder().addAll(hosts).add(self).build();
-        ImmutableList<HostId> ranked = Rendezvous.rank(duty, all, all.size());
-        candidates = all.size() < LEAST_HOSTS ? ImmutableList.of() : ranked.subList(0, CANDIDATES);
+    public void setHosts(Collection<SizedHost> hosts) {
+        ImmutableList<SizedHost> all = ImmutableList.<SizedHost>builder()
+                .add(new SizedHost(self, 0))
+                .addAll(hosts)
+                .build();
+        ImmutableList<HostId> ranked = Rendezvous.rankBySize(duty, all);
+        candidates = ranked.size() < LEAST_HOSTS ? ImmutableList.of() : ranked.subList(0, CANDIDATES);
         others = ranked.stream().filter(host -> !host.equals(self)).collect(ImmutableList.toImmutableList());
-        passedOverUntil.keySet().retainAll(all);
+        passedOverUntil.keySet().retainAll(ranked);
     }
 
     /** Takes note that a host did not answer, or knew too little. */
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerChoiceTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerChoiceTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import net.jqwik.api.Example;
 import org.boragebarrow.decision.placement.Rendezvous;
+import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.model.HostId;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -24,16 +25,29 @@
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
+    private static ImmutableList<SizedHost> sized(ImmutableSet<HostId> hosts) {
+        return hosts.stream().map(host -> new SizedHost(host, 100)).collect(ImmutableList.toImmutableList());
+    }
+
+    @Example
+    void theLargestHostThatAnsweredIsAsked() {
+        choice.setHosts(
+                ImmutableList.of(new SizedHost(FIRST, 36), new SizedHost(SECOND, 36), new SizedHost(LAST, 150)));
+        choice.heard(FIRST, 0);
+
+        assertThat(choice.holder(0)).isEqualTo(LAST);
+    }
+
     @Example
     void aHostThatHeardOfNobodyAsksItself() {
-        choice.setHosts(HOSTS);
+        choice.setHosts(sized(HOSTS));
 
         assertThat(choice.holder(0)).isEqualTo(LAST);
     }
 
     @Example
     void theFirstHostThatAnsweredIsAsked() {
-        choice.setHosts(HOSTS);
+        choice.setHosts(sized(HOSTS));
         choice.heard(SECOND, 0);
         assertThat(choice.holder(0)).isEqualTo(SECOND);
         choice.heard(FIRST, 0);
@@ -42,7 +56,7 @@
 
     @Example
     void anUnansweredQuestionMovesOnAtOnce() {
-        choice.setHosts(HOSTS);
+        choice.setHosts(sized(HOSTS));
         choice.heard(FIRST, 0);
         choice.heard(SECOND, 0);
         choice.silent(FIRST);
@@ -52,7 +66,7 @@
 
     @Example
     void aHostThatStaysSilentCountsAsGone() {
-        choice.setHosts(HOSTS);
+        choice.setHosts(sized(HOSTS));
         choice.heard(FIRST, 0);
 
         assertThat(choice.holder(millis(AssignerChoice.SILENCE_MILLIS - 1))).isEqualTo(FIRST);
@@ -61,7 +75,7 @@
 
     @Example
     void onlyTheHostInUseAndTheNextAreKeptInTouchWith() {
-        choice.setHosts(HOSTS);
+        choice.setHosts(sized(HOSTS));
         choice.heard(FIRST, 0);
         choice.heard(SECOND, 0);
 
@@ -70,7 +84,7 @@
 
     @Example
     void hostsThatDoNotAnswerAreProbedLessAndLessOften() {
-        choice.setHosts(HOSTS);
+        choice.setHosts(sized(HOSTS));
         int probes = 0;
         for (long now = 0; now < 20_000; now += AssignerChoice.PROBE_MILLIS) {
             probes += choice.toProbe(millis(now)).contains(FIRST) ? 1 : 0;
@@ -82,9 +96,9 @@
 
     @Example
     void aHostThatIsNoLongerListedIsForgotten() {
-        choice.setHosts(HOSTS);
+        choice.setHosts(sized(HOSTS));
         choice.heard(FIRST, 0);
-        choice.setHosts(ImmutableSet.of(SECOND, LAST));
+        choice.setHosts(sized(ImmutableSet.of(SECOND, LAST)));
 
         assertThat(choice.holder(0)).isEqualTo(LAST);
     }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/watch/WatcherChoiceTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/watch/WatcherChoiceTest.java
@@ -8,6 +8,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import net.jqwik.api.Example;
+import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.model.HostId;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -21,7 +22,8 @@
 
     private static WatcherChoice choice(HostId self, int count) {
         WatcherChoice choice = new WatcherChoice(self, "table");
-        choice.setHosts(hosts(count));
+        choice.setHosts(
+                hosts(count).stream().map(host -> new SizedHost(host, 100)).toList());
         return choice;
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/HostRecord.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/HostRecord.java
@@ -8,8 +8,12 @@
 import org.boragebarrow.model.Incarnation;
 import org.boragebarrow.peer.proto.HostRow;
 
-/** A host as its row in the store tells of it. */
-record HostRecord(HostLife life, AvailabilityZoneId zone, Endpoint endpoint) {
+/**
+ * A host as its row in the store tells of it.
+ *
+ * @param centicores the host's processor in hundredths of a core, 0 in rows of hosts that do not tell
+ */
+record HostRecord(HostLife life, AvailabilityZoneId zone, Endpoint endpoint, int centicores) {
     /** Returns the row's bytes. */
     byte[] toBytes() {
         return HostRow.newBuilder()
@@ -18,6 +22,7 @@
                 .setZone(zone.value())
                 .setAddress(endpoint.address())
                 .setPort(endpoint.port())
+                .setCenticores(centicores)
                 .build()
                 .toByteArray();
     }
@@ -37,6 +42,7 @@
         return new HostRecord(
                 HostLife.of(HostId.of(row.getHost()), Incarnation.of(row.getIncarnation())),
                 AvailabilityZoneId.of(row.getZone()),
-                Endpoint.of(row.getAddress(), row.getPort()));
+                Endpoint.of(row.getAddress(), row.getPort()),
+                row.getCenticores());
     }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -8,11 +8,11 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import org.boragebarrow.decision.assign.AssignEffect;
@@ -25,6 +25,7 @@
 import org.boragebarrow.decision.assign.Work;
 import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.Endpoint;
@@ -134,7 +135,8 @@
      */
     public RegionAssignments(
             Identity identity, EventLoop loop, Ticker ticker, Fleet fleet, WatchedTable table, DecisionLog log) {
-        this.self = new HostRecord(identity.peer().life(), identity.peer().zone(), identity.endpoint());
+        this.self = new HostRecord(
+                identity.peer().life(), identity.peer().zone(), identity.endpoint(), identity.centicores());
         this.loop = checkNotNull(loop);
         this.ticker = checkNotNull(ticker);
         this.fleet = checkNotNull(fleet);
@@ -145,8 +147,12 @@
         this.directory = new HostDirectory(self, table, loop, log, new DirectoryListener());
     }
 
-    /** Who this host is and where other hosts reach it. */
-    public record Identity(PeerIdentity peer, Endpoint endpoint) {}
+    /**
+     * Who this host is and where other hosts reach it.
+     *
+     * @param centicores the host's processor in hundredths of a core
+     */
+    public record Identity(PeerIdentity peer, Endpoint endpoint, int centicores) {}
 
     /** Returns what follows the project's own table. */
     public TableFollower.Listener directory() {
@@ -374,7 +380,7 @@
         @Override
         public void onHosts(ImmutableMap<HostId, HostRecord> read) {
             hosts = read;
-            choice.setHosts(read.keySet());
+            choice.setHosts(sized(read.values().stream()));
             sharing.ifPresent(tables -> tables.setHosts(hostsOfOwnZone()));
             for (HostId host : choice.toProbe(ticker.read())) {
                 send(host, AssignMessages.probe(false));
@@ -382,11 +388,13 @@
         }
     }
 
-    private ImmutableSet<HostId> hostsOfOwnZone() {
-        return hosts.values().stream()
-                .filter(host -> host.zone().equals(self.zone()))
-                .map(host -> host.life().host())
-                .collect(ImmutableSet.toImmutableSet());
+    private ImmutableList<SizedHost> hostsOfOwnZone() {
+        return sized(hosts.values().stream().filter(host -> host.zone().equals(self.zone())));
+    }
+
+    private static ImmutableList<SizedHost> sized(Stream<HostRecord> records) {
+        return records.map(host -> new SizedHost(host.life().host(), host.centicores()))
+                .collect(ImmutableList.toImmutableList());
     }
 
     /** Messages of other hosts. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -120,7 +120,8 @@
         this.log = checkNotNull(log);
         HostLife self = HostLife.of(settings.id(), incarnation);
         this.assignments = new RegionAssignments(
-                new RegionAssignments.Identity(new PeerIdentity(self, settings.zone()), settings.peers()),
+                new RegionAssignments.Identity(
+                        new PeerIdentity(self, settings.zone()), settings.peers(), settings.centicores()),
                 loop,
                 ticker,
                 fleet,
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -11,6 +11,8 @@
 /**
  * The checked settings of a host that passes requests on to targets as they came.
  *
+ * @param cpuShare the part of each of the host's cores that it may use
+ * @param cores the cores of an ordinary processor that the host's processor is as fast as
  * @param readiness where the balancer asks whether the host takes connections
  * @param metrics where counters and histograms are served
  * @param peers where other hosts connect
@@ -23,6 +25,8 @@
 public record RelaySettings(
         HostId id,
         AvailabilityZoneId zone,
+        double cpuShare,
+        double cores,
         Endpoint callers,
         Endpoint readiness,
         Endpoint metrics,
@@ -36,6 +40,23 @@
     private static final Endpoint NO_ENDPOINT = Endpoint.of("127.0.0.1", 0);
     private static final int MINUTE_MILLIS = 60_000;
 
+    private static final int CENTICORES = 100;
+    private static final double MAX_CORES = 1_024;
+
+    private static final Setting<Double> CPU_SHARE = Setting.of(
+            "host",
+            "cpu-share",
+            "number, 0 to 1",
+            "1",
+            "The part of each core that the host may use.",
+            text -> number(text, 1));
+    private static final Setting<Double> CORES = Setting.of(
+            "host",
+            "cores",
+            "number, 0 to 1024",
+            "1",
+            "The host's processor in cores. The largest hosts assign and follow tables for the others.",
+            text -> number(text, MAX_CORES));
     private static final Setting<Endpoint> READINESS =
             Setting.required("readiness", "endpoint", ENDPOINT, "Where the balancer asks.", Endpoint::parse);
     private static final Setting<Endpoint> METRICS =
@@ -50,7 +71,7 @@
             "number, 0 to 1",
             "0.2",
             "Repeats of all hosts for each request.",
-            RelaySettings::ratio);
+            text -> number(text, 1));
     private static final Setting<Integer> ALLOWANCE = Setting.integer(
             "repeats", "allowance", "repeats", 100, 0, 1_000_000, "Repeats of all hosts beyond the ratio in a window.");
     private static final Setting<Duration> WINDOW =
@@ -79,6 +100,8 @@
         RelaySettings settings = new RelaySettings(
                 file.get(SettingKeys.HOST_ID, HostId.of("unknown")),
                 file.get(SettingKeys.HOST_ZONE, AvailabilityZoneId.of("unknown")),
+                file.get(CPU_SHARE, 0.0),
+                file.get(CORES, 0.0),
                 file.get(SettingKeys.CALLERS_ENDPOINT, NO_ENDPOINT),
                 file.get(READINESS, NO_ENDPOINT),
                 file.get(METRICS, NO_ENDPOINT),
@@ -92,15 +115,20 @@
         return settings;
     }
 
-    private static double ratio(String text) {
+    /** Returns the host's processor in hundredths of a core. */
+    public int centicores() {
+        return (int) Math.round(CENTICORES * cpuShare * cores);
+    }
+
+    private static double number(String text, double most) {
         double value;
         try {
             value = Double.parseDouble(text);
         } catch (NumberFormatException e) {
             throw new IllegalArgumentException("not a number: \"" + text + "\"", e);
         }
-        if (!(value >= 0 && value <= 1)) {
-            throw new IllegalArgumentException(text + " is not within 0 to 1");
+        if (!(value >= 0 && value <= most)) {
+            throw new IllegalArgumentException(text + " is not within 0 to " + most);
         }
         return value;
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
@@ -14,6 +14,7 @@
 import com.google.common.base.Throwables;
 import com.google.common.base.Ticker;
 import io.netty.channel.EventLoop;
+import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.decision.watch.TableMirror;
 import org.boragebarrow.decision.watch.WatcherChoice;
 import org.boragebarrow.model.HostId;
@@ -116,7 +117,7 @@
     }
 
     /** Sets the hosts of this host's zone. */
-    public void setHosts(Collection<HostId> hosts) {
+    public void setHosts(Collection<SizedHost> hosts) {
         choice.setHosts(hosts);
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableSharing.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableSharing.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Maps;
+import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.peer.wire.TableMessages;
@@ -18,7 +19,7 @@
     }
 
     /** Sets the hosts of this host's zone. */
-    public void setHosts(Collection<HostId> hosts) {
+    public void setHosts(Collection<SizedHost> hosts) {
         tables.values().forEach(table -> table.setHosts(hosts));
     }
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
@@ -14,8 +14,8 @@
 
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import io.netty.channel.embedded.EmbeddedChannel;
+import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.decision.retry.Backoff;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.node.watch.SharedTable;
@@ -64,7 +64,7 @@
             HostId id = HostId.of("host-" + i);
             hosts.put(id, new SimulatedHost(id));
         }
-        ImmutableSet<HostId> all = ImmutableSet.copyOf(hosts.keySet());
+        ImmutableList<SizedHost> all = sizedHosts();
         hosts.values().forEach(host -> host.start(all));
         pass(Duration.ofSeconds(5));
     }
@@ -73,6 +73,10 @@
         return ImmutableList.copyOf(hosts.values());
     }
 
+    ImmutableList<SizedHost> sizedHosts() {
+        return hosts.keySet().stream().map(host -> new SizedHost(host, 36)).collect(ImmutableList.toImmutableList());
+    }
+
     int storeCalls() {
         return storeCalls;
     }
@@ -180,7 +184,7 @@
             return id;
         }
 
-        void start(ImmutableSet<HostId> all) {
+        void start(ImmutableList<SizedHost> all) {
             sharing.setHosts(all);
             channel.eventLoop().schedule(follower::start, random.nextInt(300), TimeUnit.MILLISECONDS);
         }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/ZoneReplayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/ZoneReplayTest.java
@@ -90,8 +90,7 @@
     /** Returns the hosts that follow the table for the others. */
     private static ImmutableSet<HostId> candidates(SimulatedZone zone) {
         WatcherChoice choice = new WatcherChoice(HostId.of("outside"), SimulatedZone.TABLE);
-        choice.setHosts(
-                zone.hosts().stream().map(SimulatedZone.SimulatedHost::id).toList());
+        choice.setHosts(zone.sizedHosts());
         ImmutableSet.Builder<HostId> found = ImmutableSet.builder();
         Optional<HostId> next = choice.watcher(0);
         while (next.isPresent()) {
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/SharedTableTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/SharedTableTest.java
@@ -18,6 +18,7 @@
 import com.google.common.collect.ImmutableSet;
 import io.netty.channel.embedded.EmbeddedChannel;
 import net.jqwik.api.Example;
+import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.decision.watch.WatcherChoice;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.peer.proto.Envelope;
@@ -59,10 +60,14 @@
 
     private static HostId watcherOf(ImmutableSet<HostId> zone) {
         WatcherChoice choice = new WatcherChoice(HostId.of("outside"), NAME);
-        choice.setHosts(zone);
+        choice.setHosts(sized(zone));
         return choice.watcher(0).orElseThrow();
     }
 
+    private static ImmutableList<SizedHost> sized(ImmutableSet<HostId> zone) {
+        return zone.stream().map(host -> new SizedHost(host, 100)).collect(ImmutableList.toImmutableList());
+    }
+
     private SharedTable table(HostId self, FakeStore store) {
         Ticker ticker = new Ticker() {
             @Override
@@ -88,7 +93,7 @@
         };
         SharedTable table = new SharedTable(store, self, channel.eventLoop(), ticker, peers);
         TableSharing shared = new TableSharing(ImmutableList.of(table));
-        shared.setHosts(ZONE);
+        shared.setHosts(sized(ZONE));
         sharing.put(self, shared);
         return table;
     }
