Count a caller's patience from its last event when a stream is moved

What callers saw: streams that stood still were not moved to another target, and streams whose target broke off were not resumed, once they were older than 2 s: the callers left after a gap of 2 s, and targets behind a partition worked on (GONE), or the host broke the stream off.

Cause: a target is refused as too late if the caller will have left by then, and the time that the caller has waited was counted from the request's arrival, though a caller that receives events leaves after a gap between two of them. So every stream older than its caller's patience had "no other target".

Change: the age in the question for a target counts from the last event that the caller received. The limit of the request and the times in the log count from the arrival as before.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
@@ -18,7 +18,7 @@
  * @param size empty where the target is no model engine
  * @param objective the time from the request's arrival to its first event that serves the caller well
  * @param pauseObjective the longest pause between events that serves the caller well
- * @param age time since the request's arrival
+ * @param age how long the caller has waited: since the request's arrival, or since the last event that it received
  * @param remaining time until the request's limit
  * @param excluded targets that failed an earlier attempt
  */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -279,6 +279,7 @@
         }
         if (verdict == EventSequence.Verdict.DELIVER) {
             exchange.begin(head.orElseThrow());
+            exchange.eventDelivered(progressAt);
             relayed += event.bytes().length;
             exchange.response().write(ByteBuffer.wrap(event.bytes()));
             if (!exchange.response().isWritable()) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -48,6 +48,7 @@
     private final RelayTrace trace;
     private final long arrival;
     private final long limitAt;
+    private long waitingSince;
     private final EventSequence sequence;
 
     private ImmutableSet<TargetId> excluded = ImmutableSet.of();
@@ -73,6 +74,7 @@
         this.response = response;
         this.destination = destination;
         this.arrival = arrival;
+        this.waitingSince = arrival;
         this.trace = new RelayTrace(context, request, destination, arrival);
         Duration timeout = destination.route().timeout();
         Duration limit =
@@ -123,7 +125,7 @@
                 request.size(),
                 route().objective(),
                 route().pauseObjective(),
-                Duration.ofNanos(context.ticker().read() - arrival),
+                Duration.ofNanos(context.ticker().read() - waitingSince),
                 remaining(),
                 excluded);
         context.assignments().submit(work, effect -> onDecided(work, effect));
@@ -239,6 +241,11 @@
         }
     }
 
+    /** Takes note that the caller received an event; its patience counts anew from there. */
+    void eventDelivered(long now) {
+        waitingSince = now;
+    }
+
     boolean hasBegun() {
         return begun;
     }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
@@ -1,5 +1,6 @@
 package org.boragebarrow.node.relay;
 
+import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
@@ -315,6 +316,33 @@
         assertThat(response.body.toString()).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     }
 
+    @Example
+    void aStreamThatStandsStillHasWaitedSinceItsLastEventWhenAnotherTargetIsSought() {
+        sent(RequestKind.RESUMABLE_STREAM, 2);
+        world.calls.last().head(200);
+        for (int id = 1; id <= 3; id++) {
+            world.pass(600);
+            world.calls.last().body("id: " + id + "\ndata: x\n\n");
+        }
+        world.pass(1_000);
+        world.pass(400);
+
+        assertThat(world.assignments.submitted).hasSize(2);
+        assertThat(world.assignments.last().age()).isEqualTo(Duration.ofMillis(1_400));
+    }
+
+    @Example
+    void aStreamThatBreaksHasWaitedSinceItsLastEventWhenItGoesOnElsewhere() {
+        sent(RequestKind.RESUMABLE_STREAM, 2);
+        world.calls.last().head(200);
+        world.pass(1_000);
+        world.calls.last().body("id: 1\ndata: x\n\n");
+        world.pass(300);
+        world.calls.last().reset();
+
+        assertThat(world.assignments.last().age()).isEqualTo(Duration.ofMillis(300));
+    }
+
     @Example
     void aTargetThatSpokeAgainMeanwhileIsKept() {
         sent(RequestKind.RESUMABLE_STREAM, 2);
