Take a host's processor of any share of a core

Cause: a share above 1 was refused, and a host whose platform tells one would not have started. Change: the bound is that of the cores.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/WatcherChoice.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/WatcherChoice.java
@@ -14,7 +14,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 /**
- * Finds the host of this host's zone that follows a table for the others.
+ * Finds the host of this host's zone that follows a table for the others: the largest, and by rendezvous among equals.
  *
  * <p>Not thread-safe. Hosts with different views choose differently for a while, which costs calls only: whoever is asked
  * answers with the age of what it knows. Times are monotonic nanoseconds.
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -46,10 +46,10 @@
     private static final Setting<Double> CPU_SHARE = Setting.of(
             "host",
             "cpu-share",
-            "number, 0 to 1",
+            "number, 0 to 1024",
             "1",
             "The part of each core that the host may use.",
-            text -> number(text, 1));
+            text -> number(text, MAX_CORES));
     private static final Setting<Double> CORES = Setting.of(
             "host",
             "cores",
--- /dev/null
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/settings/RelaySettingsTest.java
@@ -0,0 +1,45 @@
+package org.boragebarrow.node.settings;
+
+import net.jqwik.api.Example;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RelaySettingsTest {
+    private static final String REST = """
+            [callers]
+            endpoint = 127.0.0.1:1
+            [readiness]
+            endpoint = 127.0.0.1:2
+            [metrics]
+            endpoint = 127.0.0.1:3
+            [peers]
+            endpoint = 127.0.0.1:4
+            [store]
+            endpoint = 127.0.0.1:5
+            """;
+
+    private static RelaySettings settings(String processor) {
+        return RelaySettings.parse("[host]\nid = host\nzone = zone\n" + processor + REST);
+    }
+
+    @Example
+    void aHostThatDoesNotTellItsProcessorHasOneCore() {
+        assertThat(settings("").centicores()).isEqualTo(100);
+    }
+
+    @Example
+    void aHostsProcessorIsItsShareOfItsCores() {
+        assertThat(settings("cpu-share = 0.36\ncores = 1\n").centicores()).isEqualTo(36);
+        assertThat(settings("cpu-share = 1.5\ncores = 2\n").centicores()).isEqualTo(300);
+    }
+
+    @Example
+    void aNegativeProcessorIsRefusedWithItsValue() {
+        try {
+            settings("cores = -1\n");
+            throw new AssertionError("a negative processor was taken");
+        } catch (SettingsException e) {
+            assertThat(e).hasMessageThat().contains("-1");
+        }
+    }
+}
