Read the platform's figures as numbers instead of whole numbers

Change: stopping.grace-s and repeats.window-s are durations in seconds with a fraction; allowance, ratio, cpu-share and cores are numbers. Fractions are rounded so that a bound is never exceeded: the grace and the allowance down, the window up. An empty value counts as missing. Errors name key, value and range.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -1,6 +1,8 @@
 package org.boragebarrow.node.settings;
 
 import java.io.IOException;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
@@ -46,26 +48,31 @@
 
     private static final String ENDPOINT_TYPE = "IP address and port";
     private static final Endpoint NO_ENDPOINT = Endpoint.of("127.0.0.1", 0);
-    private static final int MINUTE_MILLIS = 60_000;
+    private static final double HOUR_SECONDS = 3_600;
+    private static final double MIN_RETRY_WINDOW_SECONDS = 0.1;
+    private static final double MAX_RETRY_RATIO = 1_000;
+    private static final double MAX_RETRY_SLACK = 1_000_000_000;
     private static final int WEEK_MINUTES = 7 * 24 * 60;
 
     private static final int CENTICORES_PER_CORE = 100;
     private static final double MAX_CORES = 1_024;
 
-    private static final Setting<Double> CPU_SHARE = Setting.of(
+    private static final Setting<BigDecimal> CPU_SHARE = Setting.number(
             "host",
             "cpu-share",
-            "number, 0 to 1024",
+            "",
             "1",
-            "The fraction of each of the host's cores that the host may use.",
-            text -> parseNumber(text, MAX_CORES));
-    private static final Setting<Double> CORES = Setting.of(
+            0,
+            MAX_CORES,
+            "The fraction of each of the host's cores that the host may use.");
+    private static final Setting<BigDecimal> CORES = Setting.number(
             "host",
             "cores",
-            "number, 0 to 1024",
+            "",
             "1",
-            "The host's processor in cores. The largest hosts assign targets and poll tables for the others.",
-            text -> parseNumber(text, MAX_CORES));
+            0,
+            MAX_CORES,
+            "The host's processor in cores. The largest hosts assign targets and poll tables for the others.");
     private static final Setting<Endpoint> READINESS = Setting.required(
             "readiness",
             "endpoint",
@@ -76,34 +83,37 @@
             Setting.required("metrics", "endpoint", ENDPOINT_TYPE, "Where metrics are served.", Endpoint::parse);
     private static final Setting<Endpoint> STORE = Setting.required(
             "store", "endpoint", ENDPOINT_TYPE, "Where the platform's store listens.", Endpoint::parse);
-    private static final Setting<Duration> SHUTDOWN_GRACE = Setting.millis(
+    private static final Setting<Duration> SHUTDOWN_GRACE = Setting.seconds(
             "stopping",
-            "grace-ms",
-            8_000,
-            100,
-            10 * MINUTE_MILLIS,
+            "grace-s",
+            "8",
+            0,
+            HOUR_SECONDS,
+            RoundingMode.FLOOR,
             "The time from the request to stop until the process is killed.");
-    private static final Setting<Double> RETRY_RATIO = Setting.of(
+    private static final Setting<BigDecimal> RETRY_RATIO = Setting.number(
             "repeats",
             "ratio",
-            "number, 0 to 1",
+            "",
             "0.2",
-            "Retries that all hosts together may send for each request.",
-            text -> parseNumber(text, 1));
-    private static final Setting<Integer> RETRY_SLACK = Setting.integer(
+            0,
+            MAX_RETRY_RATIO,
+            "Retries that all hosts together may send for each request.");
+    private static final Setting<BigDecimal> RETRY_SLACK = Setting.number(
             "repeats",
             "allowance",
             "repeats",
-            100,
+            "100",
             0,
-            1_000_000,
-            "Retries that all hosts together may send beyond the ratio in a window.");
-    private static final Setting<Duration> RETRY_WINDOW = Setting.millis(
+            MAX_RETRY_SLACK,
+            "Retries that all hosts together may send beyond the ratio in a window; a fraction is dropped.");
+    private static final Setting<Duration> RETRY_WINDOW = Setting.seconds(
             "repeats",
-            "window-ms",
-            10_000,
-            100,
-            10 * MINUTE_MILLIS,
+            "window-s",
+            "10",
+            MIN_RETRY_WINDOW_SECONDS,
+            HOUR_SECONDS,
+            RoundingMode.CEILING,
             "The sliding window in which retries are counted.");
     private static final Setting<Integer> QUARANTINE_MINUTES = Setting.integer(
             "quarantine",
@@ -151,16 +161,16 @@
         RelaySettings settings = new RelaySettings(
                 file.get(SettingKeys.HOST_ID, HostId.of("unknown")),
                 file.get(SettingKeys.HOST_ZONE, AvailabilityZoneId.of("unknown")),
-                file.get(CPU_SHARE, 0.0),
-                file.get(CORES, 0.0),
+                file.get(CPU_SHARE, BigDecimal.ZERO).doubleValue(),
+                file.get(CORES, BigDecimal.ZERO).doubleValue(),
                 file.get(SettingKeys.CALLERS_ENDPOINT, NO_ENDPOINT),
                 file.get(READINESS, NO_ENDPOINT),
                 file.get(METRICS, NO_ENDPOINT),
                 file.get(SettingKeys.PEERS_ENDPOINT, NO_ENDPOINT),
                 file.get(STORE, NO_ENDPOINT),
                 file.get(SHUTDOWN_GRACE, Duration.ZERO),
-                file.get(RETRY_RATIO, 0.0),
-                file.get(RETRY_SLACK, 0),
+                file.get(RETRY_RATIO, BigDecimal.ZERO).doubleValue(),
+                file.get(RETRY_SLACK, BigDecimal.ZERO).intValue(),
                 file.get(RETRY_WINDOW, Duration.ZERO),
                 Duration.ofMinutes(file.get(QUARANTINE_MINUTES, 1)),
                 admin(file));
@@ -181,17 +191,4 @@
     public int centicores() {
         return (int) Math.round(CENTICORES_PER_CORE * cpuShare * cores);
     }
-
-    private static double parseNumber(String text, double max) {
-        double value;
-        try {
-            value = Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("not a number: \"" + text + "\"", e);
-        }
-        if (!(value >= 0 && value <= max)) {
-            throw new IllegalArgumentException(text + " is not within 0 to " + max);
-        }
-        return value;
-    }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/Setting.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/Setting.java
@@ -1,5 +1,7 @@
 package org.boragebarrow.node.settings;
 
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Function;
@@ -23,6 +25,9 @@
         Optional<String> defaultText,
         String summary,
         Function<String, T> parser) {
+    /** Decimal digits between seconds and milliseconds. */
+    private static final int MILLIS_DIGITS = 3;
+
     private static final Splitter LIST = Splitter.on(',').trimResults().omitEmptyStrings();
 
     static Setting<String> text(String section, String key, String type, Optional<String> defaultText, String summary) {
@@ -67,6 +72,56 @@
                 text -> Duration.ofMillis(parseInteger(text, min, max)));
     }
 
+    /**
+     * Returns a setting of a duration in seconds, which may have a fraction.
+     *
+     * @param rounding how a fraction of a millisecond is rounded
+     */
+    static Setting<Duration> seconds(
+            String section,
+            String key,
+            String defaultText,
+            double min,
+            double max,
+            RoundingMode rounding,
+            String summary) {
+        String type = "duration, seconds, " + plain(min) + " to " + plain(max);
+        return of(
+                section,
+                key,
+                type,
+                defaultText,
+                summary,
+                text -> Duration.ofMillis(parseDecimal(text, min, max)
+                        .movePointRight(MILLIS_DIGITS)
+                        .setScale(0, rounding)
+                        .longValueExact()));
+    }
+
+    /** Returns a setting of a number that may have a fraction. */
+    static Setting<BigDecimal> number(
+            String section, String key, String unit, String defaultText, double min, double max, String summary) {
+        String type = "number, " + (unit.isEmpty() ? "" : unit + ", ") + plain(min) + " to " + plain(max);
+        return of(section, key, type, defaultText, summary, text -> parseDecimal(text, min, max));
+    }
+
+    private static BigDecimal parseDecimal(String text, double min, double max) {
+        BigDecimal value;
+        try {
+            value = new BigDecimal(text);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("not a number: \"" + text + "\"", e);
+        }
+        boolean isInRange =
+                value.compareTo(BigDecimal.valueOf(min)) >= 0 && value.compareTo(BigDecimal.valueOf(max)) <= 0;
+        checkArgument(isInRange, "%s is not within %s to %s", text, plain(min), plain(max));
+        return value;
+    }
+
+    private static String plain(double bound) {
+        return BigDecimal.valueOf(bound).stripTrailingZeros().toPlainString();
+    }
+
     private static int parseInteger(String text, int min, int max) {
         int value;
         try {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingsFile.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingsFile.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import org.apache.commons.configuration2.INIConfiguration;
@@ -80,7 +81,10 @@
                 .collect(ImmutableSet.toImmutableSet());
     }
 
-    /** Returns the value; for a missing or invalid value records a problem and returns {@code fallback}. */
+    /**
+     * Returns the value; for a missing or invalid value records a problem and returns {@code fallback}. An empty value
+     * counts as missing, as templates leave it where they have no value.
+     */
     <T> T get(Setting<T> setting, T fallback) {
         return get(setting.section(), setting, fallback);
     }
@@ -89,13 +93,13 @@
         String qualifiedKey = qualifiedKey(section, setting.key());
         readKeys.add(qualifiedKey);
         SubnodeConfiguration values = ini.getSection(section);
-        String text = values.getString(escape(setting.key()), null);
+        String text = Strings.emptyToNull(values.getString(escape(setting.key()), "").trim());
         int line = lineNumbers.getOrDefault(qualifiedKey, 0);
         if (text == null && setting.defaultText().isEmpty()) {
-            problems.add(new SettingsProblem(section, setting.key(), 0, "missing"));
+            problems.add(new SettingsProblem(section, setting.key(), line, "missing"));
             return fallback;
         }
-        String value = text == null ? setting.defaultText().get() : text.trim();
+        String value = text == null ? setting.defaultText().get() : text;
         try {
             return setting.parser().apply(value);
         } catch (IllegalArgumentException e) {
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/settings/RelaySettingsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/settings/RelaySettingsTest.java
@@ -79,4 +79,69 @@
             assertThat(e).hasMessageThat().contains("minutes");
         }
     }
+
+    @Example
+    void figuresMayHaveFractionsAndAreNeverRoundedBeyondTheirBounds() {
+        RelaySettings settings = settings("""
+                [stopping]
+                grace-s = 8.0019
+                [repeats]
+                allowance = 41.935483870967744
+                window-s = 9.0001
+                ratio = 1.25
+                """);
+
+        assertThat(settings.shutdownGrace()).isEqualTo(Duration.ofMillis(8_001));
+        assertThat(settings.retrySlack()).isEqualTo(41);
+        assertThat(settings.retryWindow()).isEqualTo(Duration.ofMillis(9_001));
+        assertThat(settings.retryRatio()).isEqualTo(1.25);
+    }
+
+    @Example
+    void wholeFiguresAreReadInAnyNotation() {
+        for (String text : new String[] {"20", "20.0", "2e1"}) {
+            RelaySettings settings =
+                    settings("[stopping]\ngrace-s = " + text + "\n[repeats]\nallowance = " + text + "\n");
+
+            assertThat(settings.shutdownGrace()).isEqualTo(Duration.ofSeconds(20));
+            assertThat(settings.retrySlack()).isEqualTo(20);
+        }
+    }
+
+    @Example
+    void figuresWithoutAValueHaveTheirDefaults() {
+        RelaySettings settings =
+                settings("cpu-share =\n[stopping]\ngrace-s =\n[repeats]\nallowance =\nwindow-s =\nratio =\n");
+
+        assertThat(settings).isEqualTo(settings(""));
+    }
+
+    @Example
+    void zeroIsAllowedWhereItMeansNone() {
+        RelaySettings settings = settings("[stopping]\ngrace-s = 0\n[repeats]\nallowance = 0\nratio = 0\n");
+
+        assertThat(settings.shutdownGrace()).isEqualTo(Duration.ZERO);
+        assertThat(settings.retrySlack()).isEqualTo(0);
+        assertThat(settings.retryRatio()).isEqualTo(0);
+    }
+
+    @Example
+    void aFigureOutOfItsRangeIsRefusedWithKeyValueAndRange() {
+        assertRefused("[repeats]\nallowance = 3000000000\n", "allowance", "3000000000", "0 to 1000000000");
+        assertRefused("[repeats]\nallowance = -0.5\n", "allowance", "-0.5", "0 to 1000000000");
+        assertRefused("[repeats]\nwindow-s = 0\n", "window-s", "0", "0.1 to 3600");
+        assertRefused("[stopping]\ngrace-s = 1e30\n", "grace-s", "1e30", "0 to 3600");
+        assertRefused("[stopping]\ngrace-s = NaN\n", "grace-s", "NaN");
+    }
+
+    private static void assertRefused(String text, String... expected) {
+        try {
+            settings(text);
+            throw new AssertionError("accepted: " + text);
+        } catch (SettingsException e) {
+            for (String part : expected) {
+                assertThat(e).hasMessageThat().contains(part);
+            }
+        }
+    }
 }
