--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -12,6 +12,8 @@
     RELOADED(7004),
     /** The host became ready or stopped being ready. */
     READY(7005),
+    /** Generated requests were relayed, or the warm-up failed, before the host reported that it is ready. */
+    WARMED_UP(7006),
     /** A dependency became unavailable. */
     LOST(7010),
     /** A dependency is available again. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -40,7 +40,7 @@
  *
  * <p>Methods may be called from any thread, except {@link #accept}, which must be called on the event loop.
  */
-public final class RelayHost {
+public final class RelayHost implements AutoCloseable {
     /** Maximum number of organisations that have their own metric series. */
     private static final int MAX_ORGANISATION_SERIES = 300;
 
@@ -104,6 +104,7 @@
     private final TableFollower fleetFollower;
     private final TableFollower hostFollower;
     private volatile boolean stopping;
+    private volatile boolean readinessHeld;
     private volatile int quarantinedParts;
     private boolean loggedReadiness;
 
@@ -231,7 +232,22 @@
 
     /** Returns whether the balancer should send connections to this host. */
     public boolean isReady() {
-        return routing.current().isPresent() && fleetFeed.isLoaded() && quarantineDuty.isLoaded() && !stopping;
+        return routing.current().isPresent()
+                && fleetFeed.isLoaded()
+                && quarantineDuty.isLoaded()
+                && !readinessHeld
+                && !stopping;
+    }
+
+    /** Reports the host as not ready until {@link #releaseReadiness}; it serves the requests that arrive meanwhile. */
+    public void holdReadiness() {
+        readinessHeld = true;
+    }
+
+    /** Ends {@link #holdReadiness}. */
+    public void releaseReadiness() {
+        readinessHeld = false;
+        loop.execute(this::logReadiness);
     }
 
     /** Returns the duty that lists and edits the quarantine. */
@@ -289,11 +305,23 @@
         sleepUntil(startedAt, STOP_ACCEPTING_AFTER, false);
         loop.execute(relay::refuseNew);
         sleepUntil(startedAt, settings.shutdownGrace().minus(EXIT_TIME), true);
+        stopFollowers();
+        log.write(RelayEvent.STOPPED, "requests", inProgress());
+        log.close();
+    }
+
+    /** Stops the host at once, without letting the requests in progress end; does not close the log. */
+    @Override
+    public void close() {
+        stopping = true;
+        stopFollowers();
+        assignments.close();
+    }
+
+    private void stopFollowers() {
         routingFollower.stop();
         fleetFollower.stop();
         hostFollower.stop();
-        log.write(RelayEvent.STOPPED, "requests", inProgress());
-        log.close();
     }
 
     private void sleepUntil(long startedAt, Duration after, boolean untilIdle) throws InterruptedException {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingsFile.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingsFile.java
@@ -93,7 +93,8 @@
         String qualifiedKey = qualifiedKey(section, setting.key());
         readKeys.add(qualifiedKey);
         SubnodeConfiguration values = ini.getSection(section);
-        String text = Strings.emptyToNull(values.getString(escape(setting.key()), "").trim());
+        String text =
+                Strings.emptyToNull(values.getString(escape(setting.key()), "").trim());
         int line = lineNumbers.getOrDefault(qualifiedKey, 0);
         if (text == null && setting.defaultText().isEmpty()) {
             problems.add(new SettingsProblem(section, setting.key(), line, "missing"));
