Read long prompts where nothing is decoded, and let them wait for that

A long prompt took the first assignment that was on time, whatever it did to others. Its value was taken to grow with the square of its length.

Change: a short prompt joins a target that answers already, as long as its first event hardly suffers. Values grow with the tokens. Work that is late in any case waits no longer than its limit allows. Waiting prompts made each event dearer, so decisions cost less now: sums of a target's parts are kept, a long prompt weighs the 32 most suitable targets and fewer numbers of parts, queued long prompts are reviewed every 15 ms, and short ones behind one that found no capacity are passed over.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -4,11 +4,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -17,6 +18,7 @@
 import org.boragebarrow.decision.quarantine.CrashAttribution;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.TargetId;
@@ -55,6 +57,12 @@
 
     private static final Duration EXPIRY_PERIOD = Duration.ofMillis(500);
 
+    /**
+     * Minimum interval between reviews of the queued long prompts, which weigh many targets each; a small fraction of
+     * the time for which such a prompt waits.
+     */
+    private static final Duration LONG_REVIEW_INTERVAL = Duration.ofMillis(15);
+
     private final Map<TargetId, TargetLoad> loads = new LinkedHashMap<>();
     private final Map<AttemptId, ActiveAttempt> activeAttempts = new LinkedHashMap<>();
     private final ZoneReachability reachability = new ZoneReachability();
@@ -62,11 +70,17 @@
     private final Map<AttemptId, QueuedWork> queue = new LinkedHashMap<>();
     private ImmutableMap<ServiceName, EngineProfile> profiles = ImmutableMap.of();
     private long lastExpiryAt;
+    private long longReviewedAt;
 
     /** The targets of an attempt, the answering one first in the list, and its expiry if no end event arrives. */
     private record ActiveAttempt(ImmutableList<TargetId> targets, long expiresAt) {}
 
-    private record QueuedWork(Work work, long queuedAt) {
+    /**
+     * Work in the queue.
+     *
+     * @param isLong whether its prompt waits for several targets instead of one
+     */
+    private record QueuedWork(Work work, long queuedAt, boolean isLong) {
         /** Returns the work with its age and remaining time as of {@code now}. */
         Work workAt(long now) {
             return work.withElapsed(Duration.ofNanos(now - queuedAt));
@@ -137,7 +151,7 @@
         if (decided.isPresent()) {
             return ImmutableList.of(decided.get());
         }
-        queue.put(work.id(), new QueuedWork(work, now));
+        queue.put(work.id(), new QueuedWork(work, now, isLong(work)));
         return ImmutableList.of(new AssignEffect.Queued(work.id()));
     }
 
@@ -186,10 +200,12 @@
             return placement.best();
         }
         Optional<Placement.Choice> ready = placement.bestAmongReady();
-        if (ready.isPresent() && (placement.isOnTime(ready.get()) || placement.allCanHelp())) {
+        boolean waits = placement.canWait();
+        boolean harmful = ready.map(placement::isHarmful).orElse(false);
+        if (ready.isPresent() && (placement.isOnTime(ready.get()) || placement.allCanHelp()) && !(waits && harmful)) {
             return ready;
         }
-        return placement.canWait() ? Optional.empty() : placement.best();
+        return waits ? Optional.empty() : placement.best();
     }
 
     private Optional<AssignEffect> decideLeastLoaded(Work work, List<TargetLoad> candidates, boolean isNew, long now) {
@@ -213,8 +229,7 @@
         if (isNew && queued >= slots * MAX_QUEUED_PER_SLOT) {
             return Optional.of(refuse(work, RefusalReason.OVERLOADED, DEFAULT_RETRY_DELAY));
         }
-        boolean abandoned = work.age().toMillis() > CostModel.abandonmentMillis(work);
-        if (abandoned || work.remaining().isNegative() || work.remaining().isZero()) {
+        if (isTooOld(work)) {
             return Optional.of(refuse(work, RefusalReason.TOO_LATE, MIN_RETRY_DELAY));
         }
         return Optional.empty();
@@ -228,6 +243,12 @@
         return new PromptSize(0, profile.meanAnswerTokens());
     }
 
+    private boolean isLong(Work work) {
+        return profileOf(work)
+                .map(profile -> Placement.isLong(profile, work.size().orElseGet(() -> defaultSize(profile))))
+                .orElse(false);
+    }
+
     private Optional<EngineProfile> profileOf(Work work) {
         return Optional.ofNullable(profiles.get(work.service()));
     }
@@ -283,15 +304,7 @@
             if (load == null) {
                 continue;
             }
-            load.find(id).ifPresent(part -> {
-                if (!part.isHelper()) {
-                    part.startDecoding();
-                } else if (part.memoryTokens() > 0) {
-                    part.finishPrefill();
-                } else {
-                    load.remove(id);
-                }
-            });
+            load.onPrefilled(id);
         }
         return assignQueued(now);
     }
@@ -398,24 +411,57 @@
             return ImmutableList.of();
         }
         advance(now);
-        List<QueuedWork> order = new ArrayList<>(queue.values());
+        boolean reviewsLong = now - longReviewedAt >= LONG_REVIEW_INTERVAL.toNanos();
+        if (reviewsLong) {
+            longReviewedAt = now;
+        }
+        List<QueuedWork> order = new ArrayList<>(queue.size());
+        for (QueuedWork work : queue.values()) {
+            if (reviewsLong || !work.isLong()) {
+                order.add(work);
+            }
+        }
         order.sort(Comparator.comparingInt((QueuedWork work) -> work.rank(now))
                 .thenComparingDouble(work -> work.slackMillis(now)));
         ImmutableList.Builder<AssignEffect> effects = ImmutableList.builder();
-        Iterator<QueuedWork> next = order.iterator();
-        while (next.hasNext()) {
-            Work work = next.next().workAt(now);
+        Set<CandidateGroup> full = new HashSet<>();
+        for (QueuedWork queued : order) {
+            Work work = queued.workAt(now);
+            CandidateGroup group = new CandidateGroup(work.service(), work.zone());
+            if (full.contains(group) && !queued.isLong() && !mustDecide(work)) {
+                continue;
+            }
             Optional<AssignEffect> decided = decide(work, now, false);
             if (decided.isPresent()) {
                 queue.remove(work.id());
                 effects.add(decided.get());
+            } else if (!queued.isLong() && work.excluded().isEmpty()) {
+                full.add(group);
             }
         }
         return effects.build();
     }
 
+    /** Work with the same candidates, apart from those that an earlier attempt excluded. */
+    private record CandidateGroup(ServiceName service, AvailabilityZoneId zone) {}
+
+    /** Returns whether queued work is decided although no candidate has capacity: it is refused. */
+    private boolean mustDecide(Work work) {
+        return isTooOld(work)
+                || attribution.findQuarantined(work.service(), work.parts()).isPresent();
+    }
+
+    private static boolean isTooOld(Work work) {
+        boolean abandoned = work.age().toMillis() > CostModel.abandonmentMillis(work);
+        return abandoned || work.remaining().isNegative() || work.remaining().isZero();
+    }
+
     private void advance(long now) {
         for (TargetLoad load : loads.values()) {
+            if (load.isIdle()) {
+                load.skipTo(now);
+                continue;
+            }
             load.advance(now, Optional.ofNullable(profiles.get(load.target().service())));
         }
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
@@ -15,8 +15,8 @@
     /** Value of any prompt, independent of its size. */
     private static final double BASE_VALUE = 0.9;
 
-    /** Value added per millisecond of prefill; callers' rates for all prompt sizes lie on the resulting line. */
-    private static final double VALUE_PER_PREFILL_MILLI = 0.006;
+    /** Value added per thousand prompt tokens; callers' rates for prompts of 200,000 tokens and more lie on the line. */
+    private static final double VALUE_PER_THOUSAND_TOKENS = 0.08;
 
     /** Fraction of the value that is lost when the answer is late but complete. */
     private static final double LATE_LOSS = 0.75;
@@ -46,7 +46,7 @@
 
     static double value(Work work, EngineProfile profile) {
         long tokens = work.size().map(PromptSize::promptTokens).orElse(0L);
-        return BASE_VALUE + VALUE_PER_PREFILL_MILLI * profile.prefillMillis(tokens);
+        return BASE_VALUE + VALUE_PER_THOUSAND_TOKENS * tokens / 1_000;
     }
 
     /** Returns the time from arrival after which a caller that has received nothing disconnects, in milliseconds. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import org.boragebarrow.decision.routing.EngineProfile;
 
@@ -17,7 +18,13 @@
  */
 final class Placement {
     /** Maximum helpers of one prompt; the engines' own limit is 16. */
-    private static final int MAX_HELPERS = 12;
+    private static final int MAX_HELPERS = 15;
+
+    /** Numbers of parts up to this one are all weighed; of the larger ones every other. */
+    private static final int MAX_FINE_PARTS = 6;
+
+    /** Targets that are weighed for each part of a long prompt. */
+    private static final int SHORTLIST_FACTOR = 2;
 
     /** Minimum prefill that is split, in milliseconds: parts of a shorter prefill would be shorter than a pass. */
     private static final double MIN_SPLIT_PREFILL_MILLIS = 90;
@@ -37,6 +44,12 @@
     /** Loss of an assignment to another zone: traffic between zones. */
     private static final double CROSS_ZONE_LOSS = 0.01;
 
+    /**
+     * Loss of a short prompt at a target that answers nothing else: as long as short prompts share targets, the others
+     * can prefill long prompts without interrupting an answer.
+     */
+    private static final double IDLE_TARGET_LOSS = 0.03;
+
     /** Loss of any prompt at an ejected engine. */
     private static final double EJECTED_LOSS = 1;
 
@@ -46,10 +59,16 @@
      */
     private static final double MAX_READY_BACKLOG_MILLIS = 150;
 
+    /** Maximum predicted loss of other callers that a long prompt causes while it can wait: half of a short prompt. */
+    private static final double MAX_HARM = 0.5;
+
     /** Fraction of the objective up to which a long prompt may wait for targets. */
     private static final double MAX_WAIT_FRACTION = 0.75;
 
-    /** Fraction of the caller's abandonment time up to which a prompt that is too long to be on time may wait. */
+    /**
+     * Fraction of the time until the caller disconnects, or its limit, up to which a prompt that is too long to be on
+     * time may wait.
+     */
     private static final double MAX_LATE_WAIT_FRACTION = 0.6;
 
     private final Work work;
@@ -71,18 +90,27 @@
     }
 
     /**
-     * A possible assignment and its predicted loss; {@code tooLate} if its first event is predicted after the caller's
-     * abandonment time or the request's limit.
+     * A possible assignment.
+     *
+     * @param loss the predicted loss of all callers
+     * @param harm the part of the loss that the callers of other work have
+     * @param tooLate whether the first event is predicted after the caller's abandonment time or the request's limit
      */
-    record Choice(Assignment assignment, double loss, boolean tooLate) {}
+    record Choice(Assignment assignment, double loss, double harm, boolean tooLate) {}
 
-    private record ScoredTarget(TargetLoad load, double loss, double firstMillis) {}
+    /** A target, its total predicted loss, the part of it that other callers have, and the time to its first event. */
+    private record ScoredTarget(TargetLoad load, double loss, double harm, double firstMillis) {}
 
     /** Returns the choice with the least loss, or empty if no candidate has capacity. */
     Optional<Choice> best() {
         return best(candidates);
     }
 
+    /** Returns whether a prompt of the size is long enough to be split. */
+    static boolean isLong(EngineProfile profile, PromptSize size) {
+        return profile.prefillMillis(size.promptTokens()) >= MIN_SPLIT_PREFILL_MILLIS;
+    }
+
     /** Returns whether the prompt is long enough to be split. */
     boolean isLong() {
         return prefillMillis >= MIN_SPLIT_PREFILL_MILLIS;
@@ -122,11 +150,18 @@
         double minMillis = prefillMillis / parts + MAX_READY_BACKLOG_MILLIS;
         double objective = MAX_WAIT_FRACTION * work.objective().toMillis();
         if (minMillis > objective) {
-            return age + minMillis < MAX_LATE_WAIT_FRACTION * CostModel.abandonmentMillis(work);
+            double end = Math.min(
+                    CostModel.abandonmentMillis(work), age + work.remaining().toMillis());
+            return age + minMillis < MAX_LATE_WAIT_FRACTION * end;
         }
         return age + minMillis < objective;
     }
 
+    /** Returns whether the choice does so much harm to other callers that the prompt should wait if it can. */
+    boolean isHarmful(Choice choice) {
+        return choice.harm() > MAX_HARM;
+    }
+
     /** Returns whether the choice is predicted to be on time. */
     boolean isOnTime(Choice choice) {
         double total = work.age().toMillis()
@@ -135,10 +170,14 @@
     }
 
     private Optional<Choice> best(List<TargetLoad> targets) {
+        if (!isLong()) {
+            return split(targets, 1);
+        }
+        int maxParts = Math.min(MAX_HELPERS + 1, targets.size());
+        List<TargetLoad> shortlist = shortlist(targets, maxParts);
         Choice best = null;
-        int maxParts = isLong() ? Math.min(MAX_HELPERS + 1, targets.size()) : 1;
-        for (int parts = 1; parts <= maxParts; parts++) {
-            Optional<Choice> choice = split(targets, parts);
+        for (int parts = 1; parts <= maxParts; parts += parts < MAX_FINE_PARTS ? 1 : 2) {
+            Optional<Choice> choice = split(shortlist, parts);
             if (choice.isPresent() && (best == null || choice.get().loss() < best.loss())) {
                 best = choice.get();
             }
@@ -146,6 +185,40 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns the targets where a part of the prompt would cause the least loss, twice as many as it can use, so that
+     * the cost of a decision hardly depends on the number of targets.
+     */
+    private List<TargetLoad> shortlist(List<TargetLoad> targets, int maxParts) {
+        int size = SHORTLIST_FACTOR * maxParts;
+        if (targets.size() <= size) {
+            return targets;
+        }
+        double tokens = (double) this.size.promptTokens() / maxParts;
+        double millis = prefillMillis / maxParts;
+        Optional<ScoredTarget> owner = chooseOwner(targets, tokens, millis, maxParts);
+        List<ScoredTarget> scored = new ArrayList<>(targets.size());
+        for (TargetLoad load : targets) {
+            if (!canHelp(load) || load.health().isEjected()) {
+                continue;
+            }
+            scored.add(scoreHelper(load, tokens, millis));
+        }
+        List<TargetLoad> shortlist = new ArrayList<>(size + 1);
+        for (ScoredTarget target : scored.stream().collect(Comparators.least(size, byLossAndTime()))) {
+            shortlist.add(target.load());
+        }
+        if (owner.isPresent() && !shortlist.contains(owner.get().load())) {
+            shortlist.add(owner.get().load());
+        }
+        return shortlist;
+    }
+
+    private Comparator<ScoredTarget> byLossAndTime() {
+        double objective = work.objective().toMillis();
+        return Comparator.comparingDouble(target -> target.loss() + target.firstMillis() / objective);
+    }
+
     private Optional<Choice> split(List<TargetLoad> targets, int parts) {
         double tokens = (double) size.promptTokens() / parts;
         double millis = prefillMillis / parts;
@@ -160,9 +233,11 @@
         }
         double first = owner.get().firstMillis();
         double loss = owner.get().loss();
+        double harm = owner.get().harm();
         for (ScoredTarget helper : helpers) {
             first = Math.max(first, helper.firstMillis());
             loss += helper.loss() + HELPER_LOSS;
+            harm += helper.harm();
         }
         double total = work.age().toMillis() + first;
         loss += CostModel.lateLoss(work, total, value);
@@ -170,7 +245,7 @@
                 || first > work.remaining().toMillis();
         Assignment assignment =
                 new Assignment(owner.get().load().target(), stored.get(), Duration.ofMillis(Math.round(first)));
-        return Optional.of(new Choice(assignment, loss, tooLate));
+        return Optional.of(new Choice(assignment, loss, harm, tooLate));
     }
 
     /**
@@ -198,13 +273,12 @@
                 continue;
             }
             double first = CostModel.firstEventMillis(load, profile, tokens, millis, false);
-            double loss = CostModel.interferenceLoss(load, profile, tokens, millis)
-                    + CostModel.ownPauseLoss(work, load, profile, first, value)
-                    + zoneAndHealthLoss(load);
+            double harm = CostModel.interferenceLoss(load, profile, tokens, millis);
+            double loss = harm + CostModel.ownPauseLoss(work, load, profile, first, value) + zoneAndHealthLoss(load);
             double cost = loss + CostModel.lateLoss(work, work.age().toMillis() + first, value);
             if (cost < least) {
                 least = cost;
-                best = new ScoredTarget(load, loss, first);
+                best = new ScoredTarget(load, loss, harm, first);
             }
         }
         return Optional.ofNullable(best);
@@ -231,6 +305,7 @@
 
     private double zoneAndHealthLoss(TargetLoad load) {
         double loss = load.target().zone().equals(work.zone()) ? 0 : CROSS_ZONE_LOSS;
+        loss += !isLong() && load.decodingCount() == 0 && load.ownedCount() == 0 ? IDLE_TARGET_LOSS : 0;
         loss += load.health().isEjected() ? EJECTED_LOSS : 0;
         return loss;
     }
@@ -250,13 +325,16 @@
             if (load == owner.load() || !canHelp(load) || load.health().isEjected()) {
                 continue;
             }
-            double first = CostModel.firstEventMillis(load, profile, tokens, millis, true);
-            double loss = CostModel.interferenceLoss(load, profile, tokens, millis)
-                    + CostModel.delayLoss(load, profile, millis, now);
-            scored.add(new ScoredTarget(load, loss, first));
+            scored.add(scoreHelper(load, tokens, millis));
         }
-        scored.sort(Comparator.comparingDouble(target ->
-                target.loss() + target.firstMillis() / work.objective().toMillis()));
+        scored.sort(byLossAndTime());
         return scored.subList(0, Math.min(count, scored.size()));
     }
+
+    private ScoredTarget scoreHelper(TargetLoad load, double tokens, double millis) {
+        double first = CostModel.firstEventMillis(load, profile, tokens, millis, true);
+        double loss = CostModel.interferenceLoss(load, profile, tokens, millis)
+                + CostModel.delayLoss(load, profile, millis, now);
+        return new ScoredTarget(load, loss, loss, first);
+    }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
@@ -15,6 +15,8 @@
     private final TargetHealth health = new TargetHealth();
     private final LinkedHashMap<AttemptId, AttemptPart> parts = new LinkedHashMap<>();
     private FleetTarget target;
+    private final Totals totals = new Totals();
+    private boolean totalsStale = true;
     private long advancedAt;
 
     TargetLoad(FleetTarget target, long now) {
@@ -37,53 +39,103 @@
 
     void add(AttemptPart part) {
         parts.put(part.work().id(), part);
-    }
-
-    Optional<AttemptPart> find(AttemptId id) {
-        return Optional.ofNullable(parts.get(id));
+        totalsStale = true;
     }
 
     Optional<AttemptPart> remove(AttemptId id) {
+        totalsStale = true;
         return Optional.ofNullable(parts.remove(id));
     }
 
+    /**
+     * Records that all parts of an attempt were prefilled: the answering target decodes; a helper keeps its part only
+     * if it stores tokens.
+     */
+    void onPrefilled(AttemptId id) {
+        AttemptPart part = parts.get(id);
+        if (part == null) {
+            return;
+        }
+        totalsStale = true;
+        if (!part.isHelper()) {
+            part.startDecoding();
+        } else if (part.memoryTokens() > 0) {
+            part.finishPrefill();
+        } else {
+            parts.remove(id);
+        }
+    }
+
     Collection<AttemptPart> parts() {
         return parts.values();
     }
 
+    boolean isIdle() {
+        return parts.isEmpty();
+    }
+
     /** Returns the number of requests that the target answers, as opposed to helping with. */
     int ownedCount() {
-        int owned = 0;
-        for (AttemptPart part : parts.values()) {
-            owned += part.isHelper() ? 0 : 1;
-        }
-        return owned;
+        return totals().owned;
     }
 
     /** Returns whether a helper's part may still be in prefill here: one more part would be prefilled before it. */
     boolean hasUnfinishedHelperPart() {
-        for (AttemptPart part : parts.values()) {
-            if (part.isHelper() && !part.isPrefillFinished()) {
-                return true;
-            }
-        }
-        return false;
+        return totals().unfinishedHelpers > 0;
     }
 
     int decodingCount() {
-        int decoding = 0;
-        for (AttemptPart part : parts.values()) {
-            decoding += part.isDecoding() ? 1 : 0;
-        }
-        return decoding;
+        return totals().decoding;
     }
 
     long memoryTokens() {
-        long tokens = 0;
-        for (AttemptPart part : parts.values()) {
-            tokens += part.memoryTokens();
+        return totals().memoryTokens;
+    }
+
+    private Totals totals() {
+        if (totalsStale) {
+            totals.set(parts.values());
+            totalsStale = false;
+        }
+        return totals;
+    }
+
+    /** Sums over the parts, so that a decision that reads them often adds them up once. */
+    private static final class Totals {
+        private int owned;
+        private int decoding;
+        private int unfinishedHelpers;
+        private long memoryTokens;
+        private double prefillTokens;
+        private double prefillMillis;
+        private double helperPrefillMillis;
+
+        void set(Collection<AttemptPart> parts) {
+            owned = 0;
+            decoding = 0;
+            unfinishedHelpers = 0;
+            memoryTokens = 0;
+            prefillTokens = 0;
+            prefillMillis = 0;
+            helperPrefillMillis = 0;
+            for (AttemptPart part : parts) {
+                memoryTokens += part.memoryTokens();
+                prefillTokens += part.remainingPrefillTokens();
+                prefillMillis += part.remainingPrefillMillis();
+                decoding += part.isDecoding() ? 1 : 0;
+                if (part.isHelper()) {
+                    unfinishedHelpers += part.isPrefillFinished() ? 0 : 1;
+                    helperPrefillMillis += part.remainingPrefillMillis();
+                } else {
+                    owned++;
+                }
+            }
         }
-        return tokens;
+    }
+
+    /** Skips the time since the last call of {@link #advance}, in which an idle target prefilled nothing. */
+    void skipTo(long now) {
+        advancedAt = now;
     }
 
     /**
@@ -93,9 +145,10 @@
     void advance(long now, Optional<EngineProfile> profile) {
         double millis = (now - advancedAt) / NANOS_PER_MILLI;
         advancedAt = now;
-        if (profile.isEmpty() || millis <= 0) {
+        if (profile.isEmpty() || millis <= 0 || prefillBacklogMillis() == 0) {
             return;
         }
+        totalsStale = true;
         if (decodingCount() > 0) {
             double passPrefill = passPrefillMillis(profile.get(), 0, 0);
             millis *= passPrefill / (passPrefill + profile.get().decodePassMillis());
@@ -110,20 +163,12 @@
 
     /** Returns the remaining prefill of all parts, in milliseconds. */
     double prefillBacklogMillis() {
-        double millis = 0;
-        for (AttemptPart part : parts.values()) {
-            millis += part.remainingPrefillMillis();
-        }
-        return millis;
+        return totals().prefillMillis;
     }
 
     /** Returns the remaining prefill of helpers' parts, in milliseconds. */
     double helperPrefillBacklogMillis() {
-        double millis = 0;
-        for (AttemptPart part : parts.values()) {
-            millis += part.isHelper() ? part.remainingPrefillMillis() : 0;
-        }
-        return millis;
+        return totals().helperPrefillMillis;
     }
 
     /**
@@ -133,12 +178,8 @@
      * @param addedMillis the time to prefill them
      */
     double passPrefillMillis(EngineProfile profile, double addedTokens, double addedMillis) {
-        double tokens = addedTokens;
-        double millis = addedMillis;
-        for (AttemptPart part : parts.values()) {
-            tokens += part.remainingPrefillTokens();
-            millis += part.remainingPrefillMillis();
-        }
+        double tokens = addedTokens + totals().prefillTokens;
+        double millis = addedMillis + totals().prefillMillis;
         double maxTokens = (double) profile.stepsPerPass() * profile.chunkTokens();
         return tokens <= maxTokens ? millis : millis * maxTokens / tokens;
     }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedEngine.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedEngine.java
@@ -34,6 +34,10 @@
         this.profile = profile;
     }
 
+    boolean isIdle() {
+        return parts.isEmpty();
+    }
+
     double passEndsAt() {
         return passEndsAt;
     }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
@@ -41,7 +41,6 @@
 
     private static final ServiceName MODEL = ServiceName.of("model");
     private static final HostIncarnation HOST = HostIncarnation.of(HostId.of("host"), IncarnationNumber.of(1));
-    private static final int EVENT_TOKENS = 34;
     private static final double LATE_VALUE_FRACTION = 0.25;
     private static final long TICK_MILLIS = 50;
 
@@ -52,6 +51,7 @@
     private static final double WAVE_PERIOD_MILLIS = 15_000;
 
     private final Random random;
+    private final EngineProfile profile;
     private final Assigner assigner = new Assigner();
     private final List<FleetTarget> targets = new ArrayList<>();
     private final Map<TargetId, SimulatedEngine> engines = new LinkedHashMap<>();
@@ -102,20 +102,26 @@
     }
 
     SimulatedLoad(long seed, int engineCount) {
-        random = new Random(seed);
+        this(seed, engineCount, ENGINE);
+    }
+
+    /** Creates a load of engines with the given profile, each of whose passes sends one event of an answer. */
+    SimulatedLoad(long seed, int engineCount, EngineProfile profile) {
+        this.random = new Random(seed);
+        this.profile = profile;
         for (int i = 0; i < engineCount; i++) {
             FleetTarget target = new FleetTarget(
                     TargetId.of("engine-" + i),
                     MODEL,
-                    Endpoint.of("10.0.0." + (i + 1), 80),
+                    Endpoint.of("10.0." + i / 250 + "." + (i % 250 + 1), 80),
                     AvailabilityZoneId.of("zone-" + i % 3),
-                    ENGINE.slots(),
+                    profile.slots(),
                     false,
                     1);
             targets.add(target);
-            engines.put(target.id(), new SimulatedEngine(ENGINE));
+            engines.put(target.id(), new SimulatedEngine(profile));
         }
-        assigner.apply(new AssignEvent.ProfilesChanged(ImmutableMap.of(MODEL, ENGINE)), 0);
+        assigner.apply(new AssignEvent.ProfilesChanged(ImmutableMap.of(MODEL, profile)), 0);
         assigner.apply(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)), 0);
     }
 
@@ -209,7 +215,7 @@
         double scale = kind.meanTokens() / Math.exp(kind.spread() * kind.spread() / 2);
         double tokens = Math.min(kind.maxTokens(), scale * Math.exp(kind.spread() * random.nextGaussian()));
         int events = (int) Math.max(1, kind.meanEvents() * Math.exp(0.6 * random.nextGaussian() - 0.18));
-        double expectedAnswer = events * EVENT_TOKENS * Math.exp(0.5 * random.nextGaussian());
+        double expectedAnswer = events * profile.stepsPerPass() * Math.exp(0.5 * random.nextGaussian());
         Work work = new Work(
                 AttemptId.of(HOST, ++attempts),
                 MODEL,
@@ -311,6 +317,11 @@
         }
     }
 
+    /** Returns the number of engines without any work. */
+    int idleEngines() {
+        return (int) engines.values().stream().filter(SimulatedEngine::isIdle).count();
+    }
+
     /** Returns the totals of the kind with the given name. */
     Tally tally(String name) {
         for (Map.Entry<Kind, Tally> entry : tallies.entrySet()) {
