Read the targets of a starting fleet in fewer calls of the store

Change: until a host is ready for the first time, it waits a second after changes of the fleet. Nothing is drained to a host that gets no requests, and a second is within the time in which a drain has to take effect.

Test: TableFollowerTest.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -61,6 +61,13 @@
     static final TableFollower.PollTiming CONFIGURATION_TIMING =
             new TableFollower.PollTiming(Duration.ofMillis(1_700), Duration.ofMillis(200));
 
+    /**
+     * The delay after changes of the fleet until the host is ready for the first time: when a fleet starts, its targets
+     * register one after the other, and each host would read each of them by itself. Within the time in which a drain
+     * must take effect.
+     */
+    static final Duration FLEET_DELAY_WHILE_STARTING = Duration.ofMillis(1_000);
+
     /**
      * How the hosts table is polled. A host that no other host reaches learns of a quarantine only there, within half of
      * the shortest time in which it has to take effect; the store lets a call wait for 30 s at most.
@@ -162,6 +169,7 @@
                 new TableFollower(loop, sharedRouting, backoff(MAX_RETRY_DELAY), CONFIGURATION_TIMING, routingFeed);
         this.fleetFollower =
                 new TableFollower(loop, sharedFleet, backoff(MAX_RETRY_DELAY), CONFIGURATION_TIMING, fleetFeed);
+        fleetFollower.setDelayAfterChanges(FLEET_DELAY_WHILE_STARTING);
         this.quarantineDuty = new QuarantineDuty(
                 quarantine,
                 tables.hosts(),
@@ -247,7 +255,7 @@
     /** Ends {@link #holdReadiness}. */
     public void releaseReadiness() {
         readinessHeld = false;
-        loop.execute(this::logReadiness);
+        loop.execute(this::onReadinessChecked);
     }
 
     /** Returns the duty that lists and edits the quarantine. */
@@ -259,7 +267,7 @@
         assignments.setQuarantine(quarantine.quarantined(), quarantine.onProbation());
         quarantinedParts = quarantine.quarantined().size();
         relay.failQuarantined();
-        logReadiness();
+        onReadinessChecked();
     }
 
     /** Returns the limits of callers' requests in the routing version in effect. */
@@ -334,22 +342,23 @@
         return CompletableFuture.supplyAsync(relay::inProgress, loop).join();
     }
 
-    private void logReadiness() {
+    private void onReadinessChecked() {
         if (isReady() != loggedReadiness) {
             loggedReadiness = isReady();
             log.write(RelayEvent.READY, "ready", loggedReadiness);
+            fleetFollower.setDelayAfterChanges(CONFIGURATION_TIMING.delayAfterChanges());
         }
     }
 
     private void onRouting(RoutingTable table) {
         assignments.setProfiles(table.engineProfiles());
-        logReadiness();
+        onReadinessChecked();
     }
 
     private void publishFleet() {
         assignments.setFleet(fleet.all());
         scheduleExpiry();
-        logReadiness();
+        onReadinessChecked();
     }
 
     private void scheduleExpiry() {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
@@ -53,6 +53,7 @@
     private boolean unavailable;
     private boolean stopped;
     private int failures;
+    private Duration delayAfterChanges;
     private long version;
     private long currentCall;
 
@@ -62,6 +63,7 @@
         this.table = checkNotNull(table);
         this.backoff = checkNotNull(backoff);
         this.timing = checkNotNull(timing);
+        this.delayAfterChanges = timing.delayAfterChanges();
         this.listener = checkNotNull(listener);
     }
 
@@ -70,6 +72,11 @@
         call();
     }
 
+    /** Replaces the delay before the next call after an answer with changes, from the next such answer on. */
+    public void setDelayAfterChanges(Duration delay) {
+        delayAfterChanges = checkNotNull(delay);
+    }
+
     /** Abandons the call in progress and makes the next one, for use after the store's address has changed. */
     public void restartCall() {
         call();
@@ -114,10 +121,10 @@
             onFailure(e);
             return;
         }
-        if (answer.rows().isEmpty() || timing.delayAfterChanges().isZero()) {
+        if (answer.rows().isEmpty() || delayAfterChanges.isZero()) {
             call();
         } else {
-            callAfter(timing.delayAfterChanges());
+            callAfter(delayAfterChanges);
         }
     }
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
@@ -74,6 +74,27 @@
         assertThat(table.requests).containsExactly("read", "after 5").inOrder();
     }
 
+    @Example
+    void aLongerDelayAfterChangesAppliesUntilItIsReplaced() {
+        WatchedTable.Row row = new WatchedTable.Row("key", new byte[0], 5, false);
+        follower.setDelayAfterChanges(Duration.ofSeconds(1));
+        table.calls.poll().complete(new WatchedTable.VersionedRows(ImmutableList.of(row), 5));
+        channel.runPendingTasks();
+        channel.advanceTimeBy(900, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        assertThat(table.requests).containsExactly("read");
+        channel.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        assertThat(table.requests).containsExactly("read", "after 5").inOrder();
+        follower.setDelayAfterChanges(POLL_TIMING.delayAfterChanges());
+        table.calls.poll().complete(new WatchedTable.VersionedRows(ImmutableList.of(row), 6));
+        channel.runPendingTasks();
+        channel.advanceTimeBy(500, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+
+        assertThat(table.requests).containsExactly("read", "after 5", "after 6").inOrder();
+    }
+
     @Example
     void anOutageIsReportedOnceAndPollingResumesFromTheLastVersion() {
         answer(5);
