Let twice as many targets flap in the replay of crashes without a cause

The replay checks that at least 20 crashes are noticed before it asserts that none of them convicts a part of prompts. Also renames a local that hid a field.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -190,11 +190,11 @@
      * the cost of a decision hardly depends on the number of targets.
      */
     private List<TargetLoad> shortlist(List<TargetLoad> targets, int maxParts) {
-        int size = SHORTLIST_FACTOR * maxParts;
-        if (targets.size() <= size) {
+        int maxSize = SHORTLIST_FACTOR * maxParts;
+        if (targets.size() <= maxSize) {
             return targets;
         }
-        double tokens = (double) this.size.promptTokens() / maxParts;
+        double tokens = (double) size.promptTokens() / maxParts;
         double millis = prefillMillis / maxParts;
         Optional<ScoredTarget> owner = chooseOwner(targets, tokens, millis, maxParts);
         List<ScoredTarget> scored = new ArrayList<>(targets.size());
@@ -204,8 +204,8 @@
             }
             scored.add(scoreHelper(load, tokens, millis));
         }
-        List<TargetLoad> shortlist = new ArrayList<>(size + 1);
-        for (ScoredTarget target : scored.stream().collect(Comparators.least(size, byLossAndTime()))) {
+        List<TargetLoad> shortlist = new ArrayList<>(maxSize + 1);
+        for (ScoredTarget target : scored.stream().collect(Comparators.least(maxSize, byLossAndTime()))) {
             shortlist.add(target.load());
         }
         if (owner.isPresent() && !shortlist.contains(owner.get().load())) {
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/CrashingPromptReplayTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/CrashingPromptReplayTest.java
@@ -73,7 +73,7 @@
         SimulatedCrashes simulation = new SimulatedCrashes(45, 88, seed);
         simulation.sendRequests(44, DAY);
         for (int step = 0; step < 60; step++) {
-            simulation.crashTargets(0.04, Duration.ofMillis(4_000 + 500L * step));
+            simulation.crashTargets(0.08, Duration.ofMillis(4_000 + 500L * step));
         }
         simulation.run(DAY);
 
