Tell hosts of the pauses that assigned prefill causes in their streams

Change: with a part of a prompt that makes a pass longer than the pause objective of an answer at the same target, the assigner tells the host of the answer how long the pause is predicted to be. The host waits for that time and a margin, unless its caller would disconnect before; after twice the pause the ordinary timeout applies again, so a real stall is found.

Tests: AssignerTest and RelayTest (an announced pause keeps a stream where it is, a longer silence and a pause that outlasts the caller move it) fail without the change.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEffect.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEffect.java
@@ -19,6 +19,13 @@
     /** The attempt is queued; a {@link Decided} effect follows. */
     record Queued(AttemptId id) implements ForAttempt {}
 
+    /**
+     * The target of an assigned attempt was given prefill that takes long, and sends no events meanwhile.
+     *
+     * @param pause the predicted longest time between two events, or to the first one from now
+     */
+    record PauseExpected(AttemptId id, Duration pause) implements ForAttempt {}
+
     /** The final decision on a request for an assignment. */
     sealed interface Decided extends ForAttempt {}
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -68,6 +68,7 @@
     private final ZoneReachability reachability = new ZoneReachability();
     private final CrashAttribution attribution = new CrashAttribution();
     private final Map<AttemptId, QueuedWork> queue = new LinkedHashMap<>();
+    private final List<AssignEffect> expectedPauses = new ArrayList<>();
     private ImmutableMap<ServiceName, EngineProfile> profiles = ImmutableMap.of();
     private long lastExpiryAt;
     private long longReviewedAt;
@@ -110,7 +111,19 @@
 
     @Override
     public ImmutableList<AssignEffect> apply(AssignEvent event, long now) {
-        checkNotNull(event);
+        ImmutableList<AssignEffect> effects = handle(checkNotNull(event), now);
+        if (expectedPauses.isEmpty()) {
+            return effects;
+        }
+        ImmutableList<AssignEffect> all = ImmutableList.<AssignEffect>builder()
+                .addAll(effects)
+                .addAll(expectedPauses)
+                .build();
+        expectedPauses.clear();
+        return all;
+    }
+
+    private ImmutableList<AssignEffect> handle(AssignEvent event, long now) {
         return switch (event) {
             case AssignEvent.Submitted submitted -> submit(submitted.work(), now);
             case AssignEvent.FirstEventSeen seen -> onFirstEvent(seen.id(), now);
@@ -278,6 +291,7 @@
         if (owner != null) {
             reachability.onSent(work.zone(), owner.target().zone(), now);
             owner.add(AttemptPart.forOwner(work, helpers, profile, now));
+            profile.ifPresent(engine -> announcePauses(owner, work.id(), engine));
             attribution.begin(work.id(), work.service(), work.parts(), target);
             all.add(target);
         }
@@ -285,6 +299,7 @@
             TargetLoad load = loads.get(helper.target());
             if (load != null) {
                 load.add(AttemptPart.forHelper(work, helper, helpers.size(), profile, now));
+                profile.ifPresent(engine -> announcePauses(load, work.id(), engine));
                 all.add(helper.target());
             }
         }
@@ -292,6 +307,23 @@
         activeAttempts.put(work.id(), new ActiveAttempt(all.build(), expiresAt));
     }
 
+    /**
+     * Tells the hosts of the other requests that a target answers about a pass that is longer than the pauses of their
+     * answers should be, so that they do not take the target for unresponsive.
+     */
+    private void announcePauses(TargetLoad load, AttemptId added, EngineProfile profile) {
+        double pass = profile.decodePassMillis() + load.passPrefillMillis(profile, 0, 0);
+        for (AttemptPart part : load.parts()) {
+            Optional<Duration> objective = part.work().pauseObjective();
+            boolean concerned = !part.isHelper() && !part.work().id().equals(added) && objective.isPresent();
+            if (concerned && pass > objective.get().toMillis() && pass > part.announcedPauseMillis()) {
+                part.setAnnouncedPauseMillis(pass);
+                expectedPauses.add(
+                        new AssignEffect.PauseExpected(part.work().id(), Duration.ofMillis(Math.round(pass))));
+            }
+        }
+    }
+
     private ImmutableList<AssignEffect> onFirstEvent(AttemptId id, long now) {
         advance(now);
         attribution.recordFirstEvent(id, now);
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AttemptPart.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AttemptPart.java
@@ -20,6 +20,7 @@
     private final long arrivedAt;
     private final long memoryTokens;
     private double remainingPrefillMillis;
+    private double announcedPauseMillis;
     private boolean decoding;
     private boolean prefillFinished;
 
@@ -98,6 +99,15 @@
         return millis - used;
     }
 
+    /** Returns the longest pause of which the host that holds the request was told, in milliseconds. */
+    double announcedPauseMillis() {
+        return announcedPauseMillis;
+    }
+
+    void setAnnouncedPauseMillis(double millis) {
+        announcedPauseMillis = millis;
+    }
+
     void startDecoding() {
         remainingPrefillMillis = 0;
         decoding = true;
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
@@ -109,6 +109,58 @@
         assertThat(first).isNotEqualTo(second);
     }
 
+    /** Guards against hosts that take a target for unresponsive while it prefills a part that was assigned to it. */
+    @Example
+    void theHostOfAnAnswerIsToldOfThePauseThatAPrefillAtItsTargetCauses() {
+        fleet(MODEL, "a");
+        Work answered = prompt(1_000, 300, 250);
+        assigned(answered);
+        assigner.apply(new AssignEvent.FirstEventSeen(answered.id()), millis(50));
+        Work urgent = prompt(60_000, 3_000, 1_000).withElapsed(Duration.ofMillis(2_400));
+        ImmutableList<AssignEffect> effects = assigner.apply(new AssignEvent.Submitted(urgent), millis(60));
+
+        assertThat(effects.get(0)).isInstanceOf(AssignEffect.Assigned.class);
+        AssignEffect.PauseExpected expected = (AssignEffect.PauseExpected) effects.get(1);
+        assertThat(expected.id()).isEqualTo(answered.id());
+        assertThat(expected.pause()).isGreaterThan(Duration.ofMillis(250));
+        assertThat(effects).hasSize(2);
+    }
+
+    @Example
+    void noPauseIsAnnouncedThatIsWithinItsObjective() {
+        fleet(MODEL, "a");
+        Work answered = prompt(1_000, 300, 250);
+        assigned(answered);
+        assigner.apply(new AssignEvent.FirstEventSeen(answered.id()), millis(50));
+
+        assertThat(assigner.apply(new AssignEvent.Submitted(prompt(5_000, 300, 250)), millis(60)))
+                .hasSize(1);
+    }
+
+    @Example
+    void shortPromptsShareATarget() {
+        fleet(MODEL, "a", "b");
+        TargetId first = assigned(prompt(2_000, 300, 250)).target().id();
+
+        assertThat(assigned(prompt(2_000, 300, 250)).target().id()).isEqualTo(first);
+    }
+
+    /** Guards against a long prompt that is on time at the expense of answers, although it could wait for their end. */
+    @Example
+    void aLongPromptWaitsRatherThanInterruptAnswers() {
+        fleet(MODEL, "a");
+        Work answered = prompt(1_000, 300, 250);
+        assigned(answered);
+        assigner.apply(new AssignEvent.FirstEventSeen(answered.id()), millis(50));
+        Work longPrompt = prompt(60_000, 3_000, 1_000);
+        ImmutableList<AssignEffect> first = assigner.apply(new AssignEvent.Submitted(longPrompt), millis(60));
+        ImmutableList<AssignEffect> second =
+                assigner.apply(new AssignEvent.Ended(answered.id(), Outcome.SUCCEEDED), millis(500));
+
+        assertThat(first).containsExactly(new AssignEffect.Queued(longPrompt.id()));
+        assertThat(second.get(0)).isInstanceOf(AssignEffect.Assigned.class);
+    }
+
     @Example
     void aDrainingTargetGetsNoWork() {
         fleet(PLAIN, "a", "b");
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedCrashes.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedCrashes.java
@@ -260,6 +260,7 @@
                                     assigned.assignment().target()));
                 case AssignEffect.Refused refused -> refuse(attempts.remove(refused.id()), refused.reason());
                 case AssignEffect.Queued ignored -> {}
+                case AssignEffect.PauseExpected ignored -> {}
                 case AssignEffect.Concluded concluded -> verdicts.add(concluded.verdict());
             }
         }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
@@ -249,6 +249,7 @@
         for (AssignEffect effect : assigner.apply(event, TimeUnit.MICROSECONDS.toNanos((long) (now * 1_000)))) {
             switch (effect) {
                 case AssignEffect.Queued ignored -> {}
+                case AssignEffect.PauseExpected ignored -> {}
                 case AssignEffect.Refused refused -> refuse(active.get(refused.id()), refused);
                 case AssignEffect.Assigned assigned -> place(active.get(assigned.id()), assigned.assignment());
                 case AssignEffect.Concluded concluded -> throw new AssertionError(concluded);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -123,13 +123,15 @@
         private final TargetId target;
         private final ImmutableList<HelperTarget.Ref> helpers;
         private final long submittedAt;
+        private final DecisionListener listener;
         private boolean firstEventSeen;
 
-        HeldAssignment(Work work, TargetId target, ImmutableList<HelperTarget.Ref> helpers, long submittedAt) {
-            this.work = work;
-            this.target = target;
-            this.helpers = helpers;
-            this.submittedAt = submittedAt;
+        HeldAssignment(PendingRequest request, Assignment assignment) {
+            this.work = request.work;
+            this.target = assignment.target().id();
+            this.helpers = assignment.helperRefs();
+            this.submittedAt = request.submittedAt;
+            this.listener = request.listener;
         }
 
         AssignEvent.AssignmentReported toEvent(long now) {
@@ -308,8 +310,19 @@
         HostId owner = effect.id().owner().host();
         if (!owner.equals(self.incarnation().host())) {
             send(owner, AssignMessages.effect(effect));
-        } else if (effect instanceof AssignEffect.Decided decided) {
-            applyDecision(decided);
+            return;
+        }
+        switch (effect) {
+            case AssignEffect.Decided decided -> applyDecision(decided);
+            case AssignEffect.PauseExpected expected -> onPauseExpected(expected);
+            case AssignEffect.Queued ignored -> {}
+        }
+    }
+
+    private void onPauseExpected(AssignEffect.PauseExpected expected) {
+        HeldAssignment held = heldAssignments.get(expected.id());
+        if (held != null) {
+            held.listener.onPauseExpected(expected);
         }
     }
 
@@ -323,11 +336,7 @@
         }
         request.stopTimer();
         if (decided instanceof AssignEffect.Assigned assigned) {
-            Assignment assignment = assigned.assignment();
-            heldAssignments.put(
-                    decided.id(),
-                    new HeldAssignment(
-                            request.work, assignment.target().id(), assignment.helperRefs(), request.submittedAt));
+            heldAssignments.put(decided.id(), new HeldAssignment(request, assigned.assignment()));
         }
         request.listener.onDecided(decided);
     }
@@ -516,6 +525,7 @@
                             .ifPresent(PendingRequest::stopTimer);
                 case TARGET_ASSIGNED -> onAssigned(AssignMessages.fromAssigned(message.getTargetAssigned()));
                 case TARGET_REFUSED -> applyDecision(AssignMessages.fromRefused(message.getTargetRefused()));
+                case PAUSE_EXPECTED -> onPauseExpected(AssignMessages.fromPauseExpected(message.getPauseExpected()));
                 case QUARANTINE_ENTRY -> {
                     QuarantineEntry entry = QuarantineMessages.fromMessage(message.getQuarantineEntry());
                     quarantine.ifPresent(listener -> listener.onAnnounced(entry));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Assignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Assignments.java
@@ -11,6 +11,12 @@
     interface DecisionListener {
         /** Receives the decision on the relay's event loop. */
         void onDecided(AssignEffect.Decided effect);
+
+        /**
+         * Receives the prediction that the attempt's target sends no events for some time; ignored by default. The
+         * target is assigned by then.
+         */
+        default void onPauseExpected(AssignEffect.PauseExpected expected) {}
     }
 
     /** Requests a target; the decision may arrive during this call or after the request was queued. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -46,6 +46,8 @@
     private Optional<Future<?>> stallTimer = Optional.empty();
     private Optional<TargetCalls.Head> head = Optional.empty();
     private Duration longestPause = Duration.ZERO;
+    private Duration expectedPause = Duration.ZERO;
+    private long expectedPauseAt;
     private long sentAt;
     private long lastProgressAt;
     private long timeToFirstEventMillis = -1;
@@ -174,9 +176,19 @@
     }
 
     private Duration stallTimeout() {
-        return timeToFirstEventMillis < 0
+        Duration ordinary = timeToFirstEventMillis < 0
                 ? StallTimeouts.firstEventTimeout(exchange.route(), assignment.predictedTimeToFirstEvent())
                 : StallTimeouts.pauseTimeout(exchange.route());
+        // The pass in progress ends before the one that was announced begins.
+        long announcedFor = expectedPause.multipliedBy(2).toNanos();
+        boolean announced = announcedFor > 0 && context.ticker().read() - expectedPauseAt < announcedFor;
+        return announced ? StallTimeouts.extended(exchange.route(), ordinary, expectedPause) : ordinary;
+    }
+
+    /** Records that the target is predicted to send no events for some time soon. */
+    void expectPause(Duration pause) {
+        expectedPause = pause;
+        expectedPauseAt = context.ticker().read();
     }
 
     private void checkStall() {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -133,7 +133,18 @@
                 excluded,
                 request.promptParts(),
                 crashes);
-        context.assignments().submit(work, effect -> onDecided(work, effect));
+        context.assignments().submit(work, new Assignments.DecisionListener() {
+            @Override
+            public void onDecided(AssignEffect.Decided effect) {
+                RelayExchange.this.onDecided(work, effect);
+            }
+
+            @Override
+            public void onPauseExpected(AssignEffect.PauseExpected expected) {
+                current.filter(attempt -> attempt.id().equals(expected.id()))
+                        .ifPresent(attempt -> attempt.expectPause(expected.pause()));
+            }
+        });
     }
 
     private void onDecided(Work work, AssignEffect.Decided effect) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/StallTimeouts.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/StallTimeouts.java
@@ -29,6 +29,12 @@
      */
     private static final Duration MIN_TIMEOUT = Duration.ofMillis(1_300);
 
+    /** Passes take up to this much longer than predicted: the assigner does not know of slow targets. */
+    private static final double PAUSE_MARGIN_FACTOR = 1.15;
+
+    /** The network and the timers of the hosts on the way. */
+    private static final Duration PAUSE_SLACK = Duration.ofMillis(100);
+
     /** Fraction of the caller's abandonment time after which too little time remains for another target. */
     private static final double ABANDONMENT_FRACTION = 0.65;
 
@@ -47,6 +53,17 @@
         return clamp(route, route.pauseObjective().orElse(Duration.ZERO).multipliedBy(PAUSE_OBJECTIVE_FACTOR));
     }
 
+    /**
+     * Returns how long the target may be unresponsive while its prefill of other prompts is predicted to take the given
+     * time: the ordinary timeout if the caller would disconnect before the end.
+     */
+    static Duration extended(Route route, Duration ordinary, Duration predicted) {
+        Duration needed = Duration.ofMillis((long) (predicted.toMillis() * PAUSE_MARGIN_FACTOR))
+                .plus(PAUSE_SLACK);
+        Duration abandonment = AbandonmentTime.of(route.objective(), route.pauseObjective());
+        return needed.compareTo(abandonment) < 0 ? Comparators.max(ordinary, needed) : ordinary;
+    }
+
     private static Duration clamp(Route route, Duration ordinary) {
         return Comparators.min(Comparators.max(ordinary, MIN_TIMEOUT), maxTimeout(route));
     }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -209,6 +209,13 @@
             decide(new AssignEffect.Refused(lastSubmitted().id(), reason, Duration.ofMillis(400)));
         }
 
+        void expectPause(Duration pause) {
+            listeners
+                    .get(listeners.size() - 1)
+                    .onPauseExpected(
+                            new AssignEffect.PauseExpected(lastSubmitted().id(), pause));
+        }
+
         private void decide(AssignEffect.Decided effect) {
             listeners.get(listeners.size() - 1).onDecided(effect);
         }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
@@ -321,6 +321,41 @@
         assertThat(response.body.toString()).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     }
 
+    /** Guards against sound streams that were moved while their target read a part that was assigned to it. */
+    @Example
+    void aStreamStaysWithItsTargetDuringAPauseThatWasAnnounced() {
+        FakeResponse response = sendAndAssign(RequestKind.RESUMABLE_STREAM, 2);
+        fixture.calls.last().head(200).body("id: 1\ndata: a\n\n");
+        fixture.assignments.expectPause(Duration.ofMillis(1_500));
+        fixture.advance(1_301);
+        fixture.advance(300);
+        assertThat(fixture.assignments.submitted).hasSize(1);
+        fixture.calls.last().body("id: 2\ndata: b\n\n").end();
+
+        assertThat(response.ended).isTrue();
+    }
+
+    @Example
+    void aTargetThatStaysUnresponsiveAfterAnAnnouncedPauseIsLeft() {
+        sendAndAssign(RequestKind.RESUMABLE_STREAM, 2);
+        fixture.calls.last().head(200).body("id: 1\ndata: a\n\n");
+        fixture.assignments.expectPause(Duration.ofMillis(1_500));
+        fixture.advance(1_301);
+        fixture.advance(550);
+
+        assertThat(fixture.assignments.submitted).hasSize(2);
+    }
+
+    @Example
+    void aStreamIsMovedInTimeIfTheAnnouncedPauseIsLongerThanItsCallerWaits() {
+        sendAndAssign(RequestKind.RESUMABLE_STREAM, 2);
+        fixture.calls.last().head(200).body("id: 1\ndata: a\n\n");
+        fixture.assignments.expectPause(Duration.ofMillis(2_500));
+        fixture.advance(1_301);
+
+        assertThat(fixture.assignments.submitted).hasSize(2);
+    }
+
     @Example
     void theAgeOfAStalledStreamCountsFromItsLastEvent() {
         sendAndAssign(RequestKind.RESUMABLE_STREAM, 2);
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
@@ -25,6 +25,7 @@
 import org.boragebarrow.peer.proto.AttemptProgress;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.peer.proto.HoldTarget;
+import org.boragebarrow.peer.proto.PauseExpected;
 import org.boragebarrow.peer.proto.Probe;
 import org.boragebarrow.peer.proto.TargetAssigned;
 import org.boragebarrow.peer.proto.TargetQueued;
@@ -111,6 +112,10 @@
         switch (effect) {
             case AssignEffect.Queued queued ->
                 envelope.setTargetQueued(TargetQueued.newBuilder().setAttempt(GrantMessages.toAttempt(queued.id())));
+            case AssignEffect.PauseExpected expected ->
+                envelope.setPauseExpected(PauseExpected.newBuilder()
+                        .setAttempt(GrantMessages.toAttempt(expected.id()))
+                        .setPauseMillis(expected.pause().toMillis()));
             case AssignEffect.Assigned assigned -> envelope.setTargetAssigned(toAssigned(assigned));
             case AssignEffect.Refused refused ->
                 envelope.setTargetRefused(TargetRefused.newBuilder()
@@ -140,6 +145,12 @@
                 Duration.ofMillis(message.getPredictedMillis()));
     }
 
+    /** Decodes the announcement of a pause. */
+    public static AssignEffect.PauseExpected fromPauseExpected(PauseExpected message) {
+        return new AssignEffect.PauseExpected(
+                GrantMessages.fromAttempt(message.getAttempt()), Duration.ofMillis(message.getPauseMillis()));
+    }
+
     /** Decodes a refusal. */
     public static AssignEffect.Refused fromRefused(TargetRefused message) {
         return new AssignEffect.Refused(
--- a/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
@@ -86,6 +86,15 @@
         assertThat(decoded.predictedTimeToFirstEvent()).isEqualTo(Duration.ofMillis(77));
     }
 
+    @Example
+    void anExpectedPauseIsUnchangedAfterEncodingAndDecoding() {
+        AssignEffect.PauseExpected expected = new AssignEffect.PauseExpected(ID, Duration.ofMillis(1_234));
+
+        assertThat(AssignMessages.fromPauseExpected(
+                        AssignMessages.effect(expected).getPauseExpected()))
+                .isEqualTo(expected);
+    }
+
     @Example
     void everyReasonAndOutcomeIsUnchangedAfterEncodingAndDecoding() {
         for (RefusalReason reason : RefusalReason.values()) {
