--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -41,7 +41,10 @@
     /** Loss per helper: one more target whose failure aborts the request. */
     private static final double HELPER_LOSS = 0.01;
 
-    /** Loss of an assignment to another zone: traffic between zones. */
+    /**
+     * Loss of a target in another zone: traffic between zones, and a prompt that is split over zones fails with each
+     * of them.
+     */
     private static final double CROSS_ZONE_LOSS = 0.01;
 
     /**
@@ -304,12 +307,16 @@
     }
 
     private double zoneAndHealthLoss(TargetLoad load) {
-        double loss = load.target().zone().equals(work.zone()) ? 0 : CROSS_ZONE_LOSS;
+        double loss = zoneLoss(load);
         loss += !isLong() && load.decodingCount() == 0 && load.ownedCount() == 0 ? IDLE_TARGET_LOSS : 0;
         loss += load.health().isEjected() ? EJECTED_LOSS : 0;
         return loss;
     }
 
+    private double zoneLoss(TargetLoad load) {
+        return load.target().zone().equals(work.zone()) ? 0 : CROSS_ZONE_LOSS;
+    }
+
     /** Returns the tokens of context that may be planned at one engine. */
     static long plannedCapacityTokens(EngineProfile profile) {
         return (long) (PLANNED_MEMORY_FRACTION * profile.memoryTokens());
@@ -333,8 +340,8 @@
 
     private ScoredTarget scoreHelper(TargetLoad load, double tokens, double millis) {
         double first = CostModel.firstEventMillis(load, profile, tokens, millis, true);
-        double loss = CostModel.interferenceLoss(load, profile, tokens, millis)
+        double harm = CostModel.interferenceLoss(load, profile, tokens, millis)
                 + CostModel.delayLoss(load, profile, millis, now);
-        return new ScoredTarget(load, loss, loss, first);
+        return new ScoredTarget(load, harm + zoneLoss(load), harm, first);
     }
 }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
@@ -137,6 +137,24 @@
                 .hasSize(1);
     }
 
+    /** Guards against long prompts that all fail when any one of the zones is cut off. */
+    @Example
+    void theHelpersOfALongPromptAreInItsZoneWhileThatHasEnoughIdleTargets() {
+        fleet(MODEL, "a");
+        targets.clear();
+        for (int i = 0; i < 20; i++) {
+            targets.add(target(MODEL, "far-" + i, "other", false));
+            targets.add(target(MODEL, "near-" + i, "zone", false));
+        }
+        assigner.apply(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)), 0);
+        Assignment assignment = assigned(prompt(200_000, 3_000, 1_000));
+
+        assertThat(assignment.helpers().size()).isAtLeast(5);
+        for (HelperTarget helper : assignment.helpers()) {
+            assertThat(helper.target().zone()).isEqualTo(AvailabilityZoneId.of("zone"));
+        }
+    }
+
     @Example
     void shortPromptsShareATarget() {
         fleet(MODEL, "a", "b");
