Pass over queued prompts only behind a smaller one that fits nowhere

A queued short prompt was passed over behind any one that found no capacity, also if it is smaller and the other lacked memory, not a slot; it then waited for the larger one.

Change: the smallest prompt that fits nowhere counts. Test: AssignerTest, fails without the change.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -4,12 +4,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -456,11 +454,13 @@
         order.sort(Comparator.comparingInt((QueuedWork work) -> work.rank(now))
                 .thenComparingDouble(work -> work.slackMillis(now)));
         ImmutableList.Builder<AssignEffect> effects = ImmutableList.builder();
-        Set<CandidateGroup> full = new HashSet<>();
+        Map<CandidateGroup, Long> smallestUnplaced = new HashMap<>();
         for (QueuedWork queued : order) {
             Work work = queued.workAt(now);
             CandidateGroup group = new CandidateGroup(work.service(), work.zone());
-            if (full.contains(group) && !queued.isLong() && !mustDecide(work)) {
+            long tokens = work.size().map(PromptSize::totalTokens).orElse(0L);
+            boolean fitsNowhere = tokens >= smallestUnplaced.getOrDefault(group, Long.MAX_VALUE);
+            if (fitsNowhere && !queued.isLong() && !mustDecide(work)) {
                 continue;
             }
             Optional<AssignEffect> decided = decide(work, now, false);
@@ -468,7 +468,7 @@
                 queue.remove(work.id());
                 effects.add(decided.get());
             } else if (!queued.isLong() && work.excluded().isEmpty()) {
-                full.add(group);
+                smallestUnplaced.merge(group, tokens, Math::min);
             }
         }
         return effects.build();
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
@@ -137,6 +137,26 @@
                 .hasSize(1);
     }
 
+    @Example
+    void aQueuedPromptThatFitsIsServedAlthoughALargerOneBeforeItDoesNot() {
+        fleet(MODEL, "a");
+        Work ending = prompt(2_000, 300, 250);
+        assigned(ending);
+        Work decoding = prompt(360_000, 10_000, 1_000);
+        assigned(decoding);
+        assigner.apply(new AssignEvent.FirstEventSeen(decoding.id()), 0);
+        Work larger = prompt(12_000, 1_000, 250);
+        Work smaller = prompt(2_000, 1_000, 250);
+        assertThat(submit(larger)).containsExactly(new AssignEffect.Queued(larger.id()));
+        assertThat(submit(smaller)).containsExactly(new AssignEffect.Queued(smaller.id()));
+        ImmutableList<AssignEffect> effects =
+                assigner.apply(new AssignEvent.Ended(ending.id(), Outcome.SUCCEEDED), millis(100));
+
+        assertThat(effects).hasSize(1);
+        assertThat(effects.get(0)).isInstanceOf(AssignEffect.Assigned.class);
+        assertThat(((AssignEffect.Assigned) effects.get(0)).id()).isEqualTo(smaller.id());
+    }
+
     /** Guards against long prompts that all fail when any one of the zones is cut off. */
     @Example
     void theHelpersOfALongPromptAreInItsZoneWhileThatHasEnoughIdleTargets() {
