Add up a target's parts again after their prefill has advanced

Cause: found by reading. TargetLoad marked its sums as stale before it advanced the prefill and read them in between, so that each decision beside a decoding answer saw the backlog of one event earlier.

Change: the sums are marked after the parts have changed.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
@@ -148,7 +148,6 @@
         if (profile.isEmpty() || millis <= 0 || prefillBacklogMillis() == 0) {
             return;
         }
-        totalsStale = true;
         if (decodingCount() > 0) {
             double passPrefill = passPrefillMillis(profile.get(), 0, 0);
             millis *= passPrefill / (passPrefill + profile.get().decodePassMillis());
@@ -159,6 +158,7 @@
         for (AttemptPart part : parts.values()) {
             millis = part.isHelper() ? millis : part.prefill(millis);
         }
+        totalsStale = true;
     }
 
     /** Returns the remaining prefill of all parts, in milliseconds. */
