--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -28,7 +28,7 @@
  *
  * <p>Two assigners that are active at the same time cost efficiency only, not correctness: a host checks each
  * assignment against its own view of the fleet. Queued work is reconsidered whenever an attempt ends, the earliest
- * objective first.
+ * objective first; queued long prompts are reconsidered at intervals, as each weighs many targets.
  */
 public final class Assigner implements Machine<AssignEvent, AssignEffect> {
     /** Maximum queued work per slot of its service; more would wait longer than one answer takes. */
