--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
@@ -15,7 +15,7 @@
     /** Value of any prompt, independent of its size. */
     private static final double BASE_VALUE = 0.9;
 
-    /** Value added per thousand prompt tokens: callers' rates for 200,000 tokens and more lie near the resulting line. */
+    /** Value added per thousand prompt tokens; callers' rates for prompts of 200,000 tokens and more lie near it. */
     private static final double VALUE_PER_THOUSAND_TOKENS = 0.08;
 
     /** Fraction of the value that is lost when the answer is late but complete. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -14,8 +14,8 @@
  * Chooses engines for one prompt so that the total predicted loss of all callers is minimal.
  *
  * <p>The prefill of a long prompt is split over as many engines as it needs to meet its objective, preferably where it
- * delays few answers that are being decoded; a short prompt joins an engine that decodes already, as long as the prefill
- * backlog there is small, so that other engines remain free for long prompts.
+ * delays few answers that are being decoded; a short prompt joins an engine that decodes already, as long as the
+ * prefill backlog there is small, so that other engines remain free for long prompts.
  */
 final class Placement {
     /** Maximum helpers of one prompt; the engines' own limit is 16. */
