Weigh the largest number of parts, and review queued prompts at any time

Cause: found by reading. Of more than six parts every other number was weighed, so that on 7, 9, 11, 13 or 15 targets a prompt that needs all of them was never assigned; and queued long prompts were not reviewed while the clock's readings are negative.

Change: the largest number is always weighed; the first review is due at once. Both tests in AssignerTest fail without it. On fleets of 16 targets and more the decisions are the same.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -69,7 +69,7 @@
     private final List<AssignEffect> expectedPauses = new ArrayList<>();
     private ImmutableMap<ServiceName, EngineProfile> profiles = ImmutableMap.of();
     private long lastExpiryAt;
-    private long longReviewedAt;
+    private Optional<Long> longReviewedAt = Optional.empty();
 
     /** The targets of an attempt, the answering one first in the list, and its expiry if no end event arrives. */
     private record ActiveAttempt(ImmutableList<TargetId> targets, long expiresAt) {}
@@ -441,9 +441,11 @@
             return ImmutableList.of();
         }
         advance(now);
-        boolean reviewsLong = now - longReviewedAt >= LONG_REVIEW_INTERVAL.toNanos();
+        boolean reviewsLong = longReviewedAt
+                .map(last -> now - last >= LONG_REVIEW_INTERVAL.toNanos())
+                .orElse(true);
         if (reviewsLong) {
-            longReviewedAt = now;
+            longReviewedAt = Optional.of(now);
         }
         List<QueuedWork> order = new ArrayList<>(queue.size());
         for (QueuedWork work : queue.values()) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -180,7 +180,7 @@
         int maxParts = Math.min(MAX_HELPERS + 1, targets.size());
         List<TargetLoad> shortlist = shortlist(targets, maxParts);
         Choice best = null;
-        for (int parts = 1; parts <= maxParts; parts += parts < MAX_FINE_PARTS ? 1 : 2) {
+        for (int parts = 1; parts <= maxParts; parts = nextParts(parts, maxParts)) {
             Optional<Choice> choice = split(shortlist, parts);
             if (choice.isPresent() && (best == null || choice.get().loss() < best.loss())) {
                 best = choice.get();
@@ -189,6 +189,12 @@
         return Optional.ofNullable(best);
     }
 
+    /** Returns the next larger number of parts to weigh; the largest possible one is never left out. */
+    private static int nextParts(int parts, int maxParts) {
+        int next = parts + (parts < MAX_FINE_PARTS ? 1 : 2);
+        return parts < maxParts ? Math.min(next, maxParts) : next;
+    }
+
     /**
      * Returns the targets where a part of the prompt would cause the least loss, twice as many as it can use, so that
      * the cost of a decision hardly depends on the number of targets.
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
@@ -175,6 +175,31 @@
         }
     }
 
+    /** Guards against numbers of parts that are left out although only they hold the prompt. */
+    @Example
+    void aPromptThatNeedsAllOfSevenTargetsIsAssigned() {
+        fleet(MODEL, "a", "b", "c", "d", "e", "f", "g");
+        Work withAnHourLeft = prompt(2_300_000, 100_000, 100_000).withElapsed(Duration.ofHours(-1));
+
+        assertThat(assigned(withAnHourLeft).helpers()).hasSize(6);
+    }
+
+    /** Guards against a clock whose readings are negative, as those of the system may be. */
+    @Example
+    void aQueuedLongPromptIsAssignedAtNegativeTimes() {
+        fleet(MODEL, "a");
+        Work answered = prompt(1_000, 300, 250);
+        assigner.apply(new AssignEvent.Submitted(answered), millis(-9_000));
+        assigner.apply(new AssignEvent.FirstEventSeen(answered.id()), millis(-8_950));
+        Work longPrompt = prompt(60_000, 3_000, 1_000);
+        assigner.apply(new AssignEvent.Submitted(longPrompt), millis(-8_940));
+        ImmutableList<AssignEffect> effects =
+                assigner.apply(new AssignEvent.Ended(answered.id(), Outcome.SUCCEEDED), millis(-8_500));
+
+        assertThat(effects).hasSize(1);
+        assertThat(effects.get(0)).isInstanceOf(AssignEffect.Assigned.class);
+    }
+
     @Example
     void shortPromptsShareATarget() {
         fleet(MODEL, "a", "b");
