Answer the requests that wait in a host when it is stopped

Cause: RelayHost.drain refused requests that arrive later and waited for those in progress, but ended none of them; HostProcess then closed all connections. A request without an assignment has only its own time limit, which may be longer than the grace period.

Change: ShutdownDeadline decides from the engines' published speeds and the prompt's size how long a request may still wait and whether an assignment can be used; a request that no target can answer before the exit is refused as not run while its caller has time for another host. Whatever is left at the end gets an error response, as not run only if no byte of it was sent. Incomplete bodies are refused when new requests are, and the last responses are written before the connections close; the project's own interface does the same. With a grace period under 2.9 s a host accepted requests until after its end; it now stops before.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -18,8 +18,8 @@
  * prefill backlog there is small, so that other engines remain free for long prompts.
  */
 final class Placement {
-    /** Maximum helpers of one prompt; the engines' own limit is 16. */
-    private static final int MAX_HELPERS = 15;
+    /** Maximum helpers of one prompt. */
+    private static final int MAX_HELPERS = EngineProfile.MAX_PREFILL_ENGINES - 1;
 
     /** Numbers of parts up to this one are all weighed; of the larger ones every other. */
     private static final int MAX_FINE_PARTS = 6;
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/EngineProfile.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/EngineProfile.java
@@ -27,7 +27,11 @@
         int chunkTokens,
         int stepsPerPass,
         int meanAnswerTokens) {
+    /** Maximum number of engines that prefill one prompt together: the one that answers and its helpers. */
+    public static final int MAX_PREFILL_ENGINES = 16;
+
     private static final double PAIRS_PER_UNIT = 1e6;
+    private static final double TOKENS_PER_UNIT = 1e3;
 
     public EngineProfile {
         checkArgument(slots > 0, "slots must be positive: %s", slots);
@@ -40,6 +44,21 @@
         return tokens / prefillTokensPerMilli + pairs * prefillMillisPerMillionPairs;
     }
 
+    /**
+     * Returns the shortest time in which a service prefills a prompt, in milliseconds.
+     *
+     * @param engines the number of the service's engines
+     */
+    public double shortestPrefillMillis(long tokens, int engines) {
+        return prefillMillis(tokens) / Math.min(MAX_PREFILL_ENGINES, Math.max(1, engines));
+    }
+
+    /** Returns the time in which an otherwise idle engine decodes an answer, in milliseconds. */
+    public double answerMillis(long promptTokens, long answerTokens) {
+        double context = promptTokens / TOKENS_PER_UNIT * stepMillisPerThousandTokens;
+        return answerTokens * (stepMillis + stepMillisPerSequence + context);
+    }
+
     /** Returns the duration of a pass without prefill, in milliseconds. */
     public double decodePassMillis() {
         return stepsPerPass * stepMillis;
--- a/boragebarrow-core/src/main/java/org/boragebarrow/port/EngineClient.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/port/EngineClient.java
@@ -51,6 +51,9 @@
         /** Closes the connection. The engine's sequence must be cancelled through {@link EngineControl}. */
         void close();
 
+        /** Returns whether any byte of the request may have been written to a connection. */
+        boolean isSent();
+
         /** Stops or resumes reading from the connection, which limits what the host buffers for a slow caller. */
         void setReadEnabled(boolean enabled);
     }
--- a/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/load/EngineSenderTest.java
+++ b/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/load/EngineSenderTest.java
@@ -42,6 +42,11 @@
                 @Override
                 public void close() {}
 
+                @Override
+                public boolean isSent() {
+                    return true;
+                }
+
                 @Override
                 public void setReadEnabled(boolean reading) {}
             };
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -44,7 +44,7 @@
     private Optional<Channel> channel = Optional.empty();
     private Optional<BodyWriter> writer = Optional.empty();
     private boolean readEnabled = true;
-    private boolean sent;
+    private volatile boolean sent;
     private boolean skipping;
     private int skippedAnswers;
     private long skippedBytes;
@@ -141,6 +141,11 @@
         runOnLoop(this::abort);
     }
 
+    @Override
+    public boolean isSent() {
+        return sent;
+    }
+
     @Override
     public void setReadEnabled(boolean enabled) {
         runOnLoop(() -> applyReadEnabled(enabled));
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -1,5 +1,6 @@
 package org.boragebarrow.http.server;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
@@ -49,6 +50,9 @@
 
     private static final long NANOS_PER_SECOND = 1_000_000_000;
 
+    /** Another host can handle the request at once. */
+    private static final Duration STOPPING_RETRY_DELAY = Duration.ofMillis(50);
+
     private final ServerLimits limits;
     private final ServerHandler handler;
     private final BodyBudget budget;
@@ -63,6 +67,8 @@
     private int bodyBytes;
     private ChannelResponse response;
     private boolean closing;
+    private boolean refusedIncomplete;
+    private boolean refusing;
     private boolean receivedSinceLingerCheck;
 
     ConnectionHandler(
@@ -136,7 +142,12 @@
             refuse(bodyTooLarge());
             return;
         }
-        if (HttpUtil.is100ContinueExpected(request)) {
+        boolean waitsForContinue = HttpUtil.is100ContinueExpected(request);
+        if (refusing && waitsForContinue) {
+            refuse(shuttingDown());
+            return;
+        }
+        if (waitsForContinue) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
@@ -145,6 +156,10 @@
         if (closing) {
             return;
         }
+        if (refusing && !(content instanceof LastHttpContent)) {
+            refuse(shuttingDown());
+            return;
+        }
         ByteBuf bytes = content.content();
         int size = bytes.readableBytes();
         if (bodyBytes + size > limits.maxBodyBytes()) {
@@ -195,8 +210,15 @@
         return headers.build();
     }
 
+    private static RequestException shuttingDown() {
+        return RequestException.of(ErrorKind.SHUTTING_DOWN, "the host is stopping", STOPPING_RETRY_DELAY);
+    }
+
     private void refuse(RequestException refusal) {
         closing = true;
+        refusedIncomplete = true;
+        head = null;
+        body = null;
         receiveTimeout.stop();
         ChannelResponse errorResponse = new ChannelResponse(context.channel(), () -> false, this::onAnswered);
         response = errorResponse;
@@ -260,6 +282,26 @@
         if (event instanceof IdleStateEvent && response == null && !closing) {
             onIdle();
         }
+        if (event instanceof ShutdownEvent shutdown) {
+            onShutdown(shutdown);
+        }
+    }
+
+    private void onShutdown(ShutdownEvent event) {
+        refusing = true;
+        if (head != null) {
+            refuse(shuttingDown());
+            return;
+        }
+        if (event == ShutdownEvent.REFUSE_INCOMPLETE || response != null) {
+            return;
+        }
+        if (closing && refusedIncomplete) {
+            // The caller may still be sending; if the connection were closed now, it might lose the response.
+            return;
+        }
+        closing = true;
+        context.channel().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> context.close());
     }
 
     private void onReceiveTimeout() {
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
@@ -1,6 +1,8 @@
 package org.boragebarrow.http.server;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -42,6 +44,7 @@
     private final Channel channel;
 
     private volatile boolean draining;
+    private volatile Optional<ShutdownEvent> shutdownEvent = Optional.empty();
 
     private HttpServer(EventLoopGroup group, Endpoint endpoint, Supplier<ServerLimits> limits, ServerHandler handler) {
         this.limits = limits;
@@ -117,6 +120,32 @@
         return budget.bufferedBytes();
     }
 
+    /**
+     * Refuses requests whose body is not received completely, now and from now on, so that their callers can read the
+     * response and use another host. Complete requests still reach the handler.
+     */
+    public void refuseIncomplete() {
+        fireToConnections(ShutdownEvent.REFUSE_INCOMPLETE);
+    }
+
+    private void fireToConnections(ShutdownEvent event) {
+        shutdownEvent = Optional.of(event);
+        for (Channel connection : openChannels) {
+            connection.eventLoop().execute(() -> connection.pipeline().fireUserEventTriggered(event));
+        }
+    }
+
+    /**
+     * Stops accepting connections, and closes the open ones as soon as their responses are written; closes all that are
+     * left after the timeout. Must not be called on an event loop.
+     */
+    public void closeGracefully(Duration timeout) {
+        close();
+        fireToConnections(ShutdownEvent.CLOSE_WHEN_WRITTEN);
+        openChannels.newCloseFuture().awaitUninterruptibly(Math.max(0, timeout.toMillis()));
+        openChannels.close().awaitUninterruptibly();
+    }
+
     /** Stops accepting connections and closes all open ones, including those with requests in progress. */
     public void closeNow() {
         close();
@@ -151,6 +180,7 @@
                     .addLast(receiveTimeout)
                     .addLast(new HttpServerCodec(config))
                     .addLast(new ConnectionHandler(currentLimits, handler, budget, receiveTimeout, () -> draining));
+            shutdownEvent.ifPresent(event -> connection.pipeline().fireUserEventTriggered(event));
         }
     }
 }
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
@@ -58,6 +58,73 @@
         return caller.readUntilClosed();
     }
 
+    /** Guards against connections with an incomplete body that a stopping server closes without a response. */
+    @Example
+    void aBodyThatIsIncompleteWhenTheServerStopsIsRefused() throws Exception {
+        try (RawConnection caller = startAndConnect();
+                RawConnection later = new RawConnection(server.endpoint())) {
+            caller.send("POST /a HTTP/1.1\r\nContent-Length: 1000\r\n\r\nx");
+            awaitBufferedBytes(1);
+            server.refuseIncomplete();
+            assertThat(caller.readUntil("the host is stopping")).contains("503");
+            assertThat(caller.readUntilClosed()).isEmpty();
+
+            later.send("POST /b HTTP/1.1\r\nContent-Length: 1000\r\n\r\nx");
+            assertThat(later.readUntilClosed()).contains("SHUTTING_DOWN: the host is stopping");
+        }
+    }
+
+    @Example
+    void aCallerThatWaitsToSendItsBodyToAStoppingServerIsRefused() throws Exception {
+        try (RawConnection caller = startAndConnect()) {
+            server.refuseIncomplete();
+            caller.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1000\r\n\r\n");
+            assertThat(caller.readUntilClosed()).contains("SHUTTING_DOWN: the host is stopping");
+        }
+    }
+
+    @Example
+    void completeRequestsAreHandledWhileIncompleteOnesAreRefused() throws Exception {
+        try (RawConnection caller = startAndConnect()) {
+            server.refuseIncomplete();
+            caller.send("POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
+            assertThat(caller.readUntil("/a 3")).contains("200");
+        }
+    }
+
+    /** Guards against a stopping server that cuts a response which its caller is still reading. */
+    @Example
+    void aResponseThatIsStillBeingReadIsNotCutWhenTheServerCloses() throws Exception {
+        try (RawConnection caller = startAndConnect()) {
+            caller.send("GET /large HTTP/1.1\r\n\r\n");
+            caller.readUntil("\r\n\r\n");
+            CompletableFuture<Void> closed = CompletableFuture.runAsync(() -> server.closeGracefully(LONG));
+            long read = 0;
+            for (int bytes = caller.skip(); bytes > 0; bytes = caller.skip()) {
+                read += bytes;
+            }
+            closed.get(20, TimeUnit.SECONDS);
+
+            assertThat(read).isEqualTo(ScriptedHandler.LARGE_BYTES);
+        }
+    }
+
+    @Example
+    void idleConnectionsDoNotDelayTheEndOfAServer() throws Exception {
+        try (RawConnection caller = startAndConnect()) {
+            caller.send("GET /a HTTP/1.1\r\n\r\n");
+            caller.readUntil("/a 0");
+            server.closeGracefully(LONG);
+            assertThat(caller.readUntilClosed()).isEmpty();
+        }
+    }
+
+    private void awaitBufferedBytes(long bytes) throws InterruptedException {
+        while (server.bufferedBytes() < bytes) {
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+        }
+    }
+
     @Example
     void aHeadThatIsSentTooSlowlyIsRefused() throws Exception {
         try (RawConnection caller = startAndConnect(LONG, SHORT)) {
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/ScriptedHandler.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/ScriptedHandler.java
@@ -11,12 +11,15 @@
 import org.boragebarrow.model.RequestException;
 
 /**
- * Responds with the path and the length of the body. Does not respond to {@code /hold} by itself, writes
+ * Responds with the path and the length of the body, and with {@link #LARGE_BYTES} to {@code /large}. Does not respond to {@code /hold} by itself, writes
  * {@link #FLOOD_BYTES} to the caller of {@code /flood}, and throws for {@code /fault} and {@code /late-fault}.
  */
 final class ScriptedHandler implements ServerHandler {
     static final long FLOOD_BYTES = 256L << 20;
 
+    /** The body of the response to {@code /large}, in bytes, which is more than the sockets can buffer. */
+    static final int LARGE_BYTES = 64 << 20;
+
     private static final int PART_BYTES = 16 << 10;
     private static final long WAIT_SECONDS = 20;
 
@@ -29,6 +32,7 @@
         response.onClose(() -> disconnectedPaths.add(request.path()));
         switch (request.path()) {
             case "/hold" -> heldResponses.add(response);
+            case "/large" -> response.send(200, ImmutableListMultimap.of(), ByteBuffer.allocate(LARGE_BYTES));
             case "/flood" -> {
                 response.start(200, ImmutableListMultimap.of());
                 response.onWritabilityChanged(() -> flood(response));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -72,6 +72,10 @@
     private static final long RENEW_INTERVAL_MILLIS = 1_000;
     private static final long HOST_LIST_INTERVAL_MILLIS = 1_000;
     private static final long DRAIN_POLL_INTERVAL_MILLIS = 50;
+
+    /** How long callers may take to read their last responses. */
+    private static final Duration RESPONSE_WRITE_TIMEOUT = Duration.ofSeconds(2);
+
     private static final Duration CLAIM_DRAIN_TIMEOUT = Duration.ofSeconds(10);
 
     private final HostSettings settings;
@@ -317,16 +321,19 @@
     public void drain() throws InterruptedException {
         draining = true;
         front.setReady(false);
+        callerServer.drain();
         members.offer(new MemberEvent.Draining());
         LOG.write(LogEvent.HOST_DRAINING, front.inProgress());
         sleep(settings.drainGrace());
         front.refuseNew();
+        callerServer.refuseIncomplete();
         while (front.inProgress() > 0) {
             TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_INTERVAL_MILLIS);
         }
         awaitActiveClaims();
         members.offer(new MemberEvent.Leaving());
         TimeUnit.MILLISECONDS.sleep(2 * DRAIN_POLL_INTERVAL_MILLIS);
+        callerServer.closeGracefully(RESPONSE_WRITE_TIMEOUT);
         close();
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/ErrorResponses.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/ErrorResponses.java
@@ -10,13 +10,13 @@
 import org.boragebarrow.node.front.ErrorBodies;
 
 /** Sends the error responses that the host generates itself. */
-final class ErrorResponses {
+public final class ErrorResponses {
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private ErrorResponses() {}
 
     /** Sends the failure's status and body; a retry delay is sent in seconds with a fraction. */
-    static void send(ServerResponse response, RequestException failure) {
+    public static void send(ServerResponse response, RequestException failure) {
         ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
         headers.put("content-type", "application/json");
         failure.retryAfter().ifPresent(delay -> headers.put("retry-after", formatSeconds(delay)));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
@@ -10,6 +10,7 @@
 import org.boragebarrow.decision.quarantine.QuarantineEntry;
 import org.boragebarrow.decision.routing.Route;
 import org.boragebarrow.decision.routing.RoutingTable;
+import org.boragebarrow.decision.shutdown.ShutdownDeadline;
 import org.boragebarrow.http.server.ServerResponse;
 import org.boragebarrow.model.ErrorKind;
 import org.boragebarrow.model.OrganisationId;
@@ -29,10 +30,11 @@
     private static final Duration NOT_READY_RETRY_DELAY = Duration.ofMillis(500);
 
     /** Retry delay of a host that is stopping: another host can handle the request at once. */
-    private static final Duration STOPPING_RETRY_DELAY = Duration.ofMillis(50);
+    static final Duration STOPPING_RETRY_DELAY = Duration.ofMillis(50);
 
     private final RelayContext context;
     private final Set<RelayExchange> open = new HashSet<>();
+    private Optional<ShutdownDeadline> shutdown = Optional.empty();
     private boolean refusingNew;
     private long lastAttemptNumber;
 
@@ -120,6 +122,25 @@
         ErrorResponses.send(response, failure);
     }
 
+    /**
+     * Refuses requests without a target as soon as they cannot end before the deadline. Other requests continue, and
+     * new ones are accepted.
+     */
+    public void beginShutdown(ShutdownDeadline deadline) {
+        shutdown = Optional.of(deadline);
+        ImmutableList.copyOf(open).forEach(RelayExchange::limitWait);
+    }
+
+    /** Returns when the host has to have answered all requests, if it is stopping. */
+    Optional<ShutdownDeadline> shutdown() {
+        return shutdown;
+    }
+
+    /** Ends all requests in progress with an error response, or aborts the responses that have started. */
+    public void endAll() {
+        ImmutableList.copyOf(open).forEach(RelayExchange::endForShutdown);
+    }
+
     /** Refuses new requests from now on; requests in progress continue. */
     public void refuseNew() {
         refusingNew = true;
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -89,6 +89,11 @@
         return longestPause;
     }
 
+    /** Returns whether the target may have received any part of the request. */
+    boolean isSent() {
+        return handle.map(EngineClient.CallHandle::isSent).orElse(false);
+    }
+
     /** Returns the phase of the attempt, for the log. */
     String state() {
         if (handle.isEmpty()) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -13,7 +13,10 @@
 import org.boragebarrow.decision.assign.Work;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.quarantine.QuarantineEntry;
+import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.decision.routing.Route;
+import org.boragebarrow.decision.routing.ServiceProfile;
+import org.boragebarrow.decision.shutdown.ShutdownDeadline;
 import org.boragebarrow.http.server.ServerResponse;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.ErrorKind;
@@ -56,6 +59,7 @@
     private Optional<RelayAttempt> current = Optional.empty();
     private Optional<AttemptId> requestedAttempt = Optional.empty();
     private Optional<Future<?>> deadlineTimer = Optional.empty();
+    private Optional<Future<?>> shutdownTimer = Optional.empty();
     private boolean responseStarted;
     private boolean finished;
     private boolean mayHaveRun;
@@ -119,6 +123,10 @@
     }
 
     private void requestAssignment() {
+        limitWait();
+        if (finished) {
+            return;
+        }
         AttemptId id = AttemptId.of(context.self(), relay.nextAttemptNumber());
         requestedAttempt = Optional.of(id);
         Work work = new Work(
@@ -188,9 +196,16 @@
     }
 
     private void switchTarget(RelayAttempt stalled, Work work, Assignment assignment) {
-        if (!stalled.isStalled() || !tryAcquireRetry(true)) {
-            context.assignments().reportEnd(work.id(), Outcome.WITHDRAWN);
-            keepTarget(stalled, stalled.isStalled() ? "no retry is left" : "the target sent an event meanwhile");
+        if (!stalled.isStalled()) {
+            declineAlternative(stalled, work, "the target sent an event meanwhile");
+            return;
+        }
+        if (!canEndBeforeShutdown(assignment)) {
+            declineAlternative(stalled, work, "the host would exit before another answer's end");
+            return;
+        }
+        if (!tryAcquireRetry(true)) {
+            declineAlternative(stalled, work, "no retry is left");
             return;
         }
         stalled.close(Outcome.SILENT);
@@ -202,6 +217,11 @@
         send(work, assignment);
     }
 
+    private void declineAlternative(RelayAttempt stalled, Work work, String reason) {
+        context.assignments().reportEnd(work.id(), Outcome.WITHDRAWN);
+        keepTarget(stalled, reason);
+    }
+
     private static ErrorKind kindOf(RefusalReason reason) {
         return switch (reason) {
             case NO_TARGET, TOO_LARGE -> ErrorKind.NO_TARGET;
@@ -230,6 +250,11 @@
             fail(ErrorKind.DEADLINE_UNREACHABLE, "too little time is left for any target", REFUSED_RETRY_DELAY);
             return;
         }
+        if (!canEndBeforeShutdown(assignment)) {
+            context.assignments().reportEnd(work.id(), Outcome.WITHDRAWN);
+            fail(ErrorKind.SHUTTING_DOWN, "the host would exit before the answer's end", Relay.STOPPING_RETRY_DELAY);
+            return;
+        }
         RelayAttempt attempt = new RelayAttempt(context, this, work.id(), assignment);
         current = Optional.of(attempt);
         targetsTried++;
@@ -309,6 +334,46 @@
         fail(ErrorKind.PROMPT_QUARANTINED, Relay.quarantineMessage(entry.get()), Duration.ZERO);
     }
 
+    /** While the host is stopping, refuses the request once no target could answer it before the process exits. */
+    void limitWait() {
+        Optional<ShutdownDeadline> shutdown = relay.shutdown();
+        if (finished || current.isPresent() || shutdown.isEmpty()) {
+            return;
+        }
+        shutdownTimer.ifPresent(timer -> timer.cancel(false));
+        int engines = context.fleet().usable(destination.service()).size();
+        Duration service = ShutdownDeadline.shortestService(engineProfile(), request.promptSize(), engines);
+        Duration wait = shutdown.get().longestWait(service, context.ticker().read());
+        if (wait.toNanos() > TIMER_SLACK_NANOS) {
+            shutdownTimer = Optional.of(context.loop().schedule(this::limitWait, wait.toNanos(), TimeUnit.NANOSECONDS));
+            return;
+        }
+        cancelAttempt();
+        fail(ErrorKind.SHUTTING_DOWN, "the host exits before any target could answer", Relay.STOPPING_RETRY_DELAY);
+    }
+
+    private boolean canEndBeforeShutdown(Assignment assignment) {
+        long now = context.ticker().read();
+        return relay.shutdown()
+                .map(shutdown -> shutdown.allowsSending(
+                        assignment.predictedTimeToFirstEvent(), engineProfile(), request.promptSize(), now))
+                .orElse(true);
+    }
+
+    private Optional<EngineProfile> engineProfile() {
+        return context.routing()
+                .current()
+                .flatMap(table -> table.service(destination.service()))
+                .flatMap(ServiceProfile::engine);
+    }
+
+    /** Ends the request because the process is about to exit. */
+    void endForShutdown() {
+        mayHaveRun |= current.map(RelayAttempt::isSent).orElse(false);
+        cancelAttempt();
+        fail(ErrorKind.SHUTTING_DOWN, "the host exits before the answer's end", Relay.STOPPING_RETRY_DELAY);
+    }
+
     private ErrorKind kindAfterRun() {
         return route().kind().repeatable() ? ErrorKind.TARGET_FAILED : ErrorKind.OUTCOME_UNKNOWN;
     }
@@ -355,6 +420,7 @@
     private void finish() {
         finished = true;
         deadlineTimer.ifPresent(timer -> timer.cancel(false));
+        shutdownTimer.ifPresent(timer -> timer.cancel(false));
         relay.onExchangeClosed(this);
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGenerator;
 
 import com.google.common.base.Ticker;
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
 import org.boragebarrow.decision.fleet.Fleet;
@@ -15,6 +16,7 @@
 import org.boragebarrow.decision.routing.CallerLimits;
 import org.boragebarrow.decision.routing.RoutingTable;
 import org.boragebarrow.decision.routing.RoutingTableHolder;
+import org.boragebarrow.decision.shutdown.ShutdownDeadline;
 import org.boragebarrow.http.server.ServerLimits;
 import org.boragebarrow.http.server.ServerResponse;
 import org.boragebarrow.model.HostId;
@@ -84,9 +86,15 @@
      */
     static final Duration STOP_ACCEPTING_AFTER = Duration.ofMillis(2_900);
 
-    /** Part of the time until the process is killed that is reserved for its own exit. */
+    /** Part of the grace period that is reserved for writing the last responses and for the exit of the process. */
     private static final Duration EXIT_TIME = Duration.ofMillis(500);
 
+    /** Part of the time for the exit in which responses are written. */
+    private static final Duration WRITE_TIME = Duration.ofMillis(300);
+
+    /** Maximum fraction of the grace period, as its divisor, that is reserved for the exit. */
+    private static final int EXIT_TIME_DIVISOR = 4;
+
     private static final long DRAIN_POLL_MILLIS = 50;
 
     /** Limits until a configuration sets them: those of a typical site. */
@@ -294,28 +302,40 @@
         return metrics;
     }
 
+    /** Receives the phases of a shutdown, on the thread that stops the host. */
+    public interface ShutdownListener {
+        /** Called when connections are to be closed after each response. */
+        void onDraining();
+
+        /** Called when requests that are not complete yet are to be refused. */
+        void onRefusing();
+    }
+
     /**
      * Stops the host: fails readiness at once, accepts requests until the balancer has noticed, and lets the requests
-     * in progress end.
+     * in progress end. Requests that no target can answer in time are refused early enough for another host; whatever
+     * is left at the end gets an error response.
      *
-     * @param onDraining runs when new connections are to be closed after each response
+     * @return the time that is left for writing responses
      */
-    public void drain(Runnable onDraining) throws InterruptedException {
+    public Duration drain(ShutdownListener listener) throws InterruptedException {
         long startedAt = ticker.read();
+        Duration grace = settings.shutdownGrace();
+        Duration exitTime = Comparators.min(EXIT_TIME, grace.dividedBy(EXIT_TIME_DIVISOR));
+        long lastAnswersAt = startedAt + grace.minus(exitTime).toNanos();
         stopping = true;
-        onDraining.run();
-        log.write(
-                RelayEvent.STOPPING,
-                "requests",
-                inProgress(),
-                "grace_ms",
-                settings.shutdownGrace().toMillis());
-        sleepUntil(startedAt, STOP_ACCEPTING_AFTER, false);
+        listener.onDraining();
+        log.write(RelayEvent.STOPPING, "requests", inProgress(), "grace_ms", grace.toMillis());
+        loop.execute(() -> relay.beginShutdown(ShutdownDeadline.at(lastAnswersAt)));
+        sleepUntil(Math.min(startedAt + STOP_ACCEPTING_AFTER.toNanos(), lastAnswersAt), false);
         loop.execute(relay::refuseNew);
-        sleepUntil(startedAt, settings.shutdownGrace().minus(EXIT_TIME), true);
-        stopFollowers();
+        listener.onRefusing();
+        sleepUntil(lastAnswersAt, true);
         log.write(RelayEvent.STOPPED, "requests", inProgress());
-        log.close();
+        CompletableFuture.runAsync(relay::endAll, loop).join();
+        stopFollowers();
+        Duration left = Duration.ofNanos(lastAnswersAt - ticker.read());
+        return left.plus(Comparators.min(WRITE_TIME, exitTime.dividedBy(2)));
     }
 
     /** Stops the host at once, without letting the requests in progress end; does not close the log. */
@@ -332,13 +352,14 @@
         hostFollower.stop();
     }
 
-    private void sleepUntil(long startedAt, Duration after, boolean untilIdle) throws InterruptedException {
-        while (ticker.read() - startedAt < after.toNanos() && !(untilIdle && inProgress() == 0)) {
+    private void sleepUntil(long end, boolean untilIdle) throws InterruptedException {
+        while (end - ticker.read() > 0 && !(untilIdle && inProgress() == 0)) {
             TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
         }
     }
 
-    private int inProgress() {
+    /** Returns the number of requests in progress; must not be called on the event loop. */
+    public int inProgress() {
         return CompletableFuture.supplyAsync(relay::inProgress, loop).join();
     }
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -58,6 +58,9 @@
     static final ServiceName SERVICE = ServiceName.of("service");
     static final String KEY = "key";
 
+    /** The predicted time to the first event of each assignment. */
+    static final long PREDICTED_MILLIS = 100;
+
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
     private final DecisionLog log = new DecisionLog(new PrintStream(logOutput, true, StandardCharsets.UTF_8));
@@ -147,6 +150,11 @@
         return send("/a/b", KEY, OptionalLong.empty());
     }
 
+    /** Returns the time in nanoseconds. */
+    long now() {
+        return nanos;
+    }
+
     void advance(long millis) {
         nanos += TimeUnit.MILLISECONDS.toNanos(millis);
         channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
@@ -202,7 +210,7 @@
                     .map(helper -> new HelperTarget(helper, storedTokens))
                     .collect(ImmutableList.toImmutableList());
             decide(new AssignEffect.Assigned(
-                    lastSubmitted().id(), new Assignment(target, withTokens, Duration.ofMillis(100))));
+                    lastSubmitted().id(), new Assignment(target, withTokens, Duration.ofMillis(PREDICTED_MILLIS))));
         }
 
         void refuse(RefusalReason reason) {
@@ -256,6 +264,7 @@
     static final class FakeCall implements EngineClient.CallHandle {
         final TargetCalls.Call call;
         private final TargetCalls.Listener listener;
+        boolean sent = true;
         boolean closed;
 
         FakeCall(TargetCalls.Call call, TargetCalls.Listener listener) {
@@ -318,6 +327,11 @@
             closed = true;
         }
 
+        @Override
+        public boolean isSent() {
+            return sent;
+        }
+
         @Override
         public void setReadEnabled(boolean enabled) {}
     }
--- a/boragebarrow-trials/src/test/java/org/boragebarrow/trials/DrainTest.java
+++ b/boragebarrow-trials/src/test/java/org/boragebarrow/trials/DrainTest.java
@@ -1,11 +1,14 @@
 package org.boragebarrow.trials;
 
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterContainer;
 import net.jqwik.api.lifecycle.BeforeContainer;
+import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.node.Host;
@@ -52,6 +55,22 @@
         assertThat(response.join().body()).contains("\"completion_tokens\":" + ANSWER_TOKENS);
     }
 
+    /** Guards against callers whose connections a draining host closes without a response. */
+    @Example
+    void aRequestWhoseBodyIsIncompleteAtTheEndOfADrainIsRefused() throws Exception {
+        Host leaving = host("host-a3");
+        Endpoint endpoint = leaving.callerEndpoint();
+        try (Socket socket = new Socket(endpoint.address(), endpoint.port())) {
+            String start = "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n{";
+            socket.getOutputStream().write(start.getBytes(StandardCharsets.UTF_8));
+            deployment.drain(HostId.of("host-a3"));
+            String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+
+            assertThat(response).startsWith("HTTP/1.1 503");
+            assertThat(response).contains("\"ran\":\"no\"");
+        }
+    }
+
     @Example
     void aStoppedTargetReceivesNoRequestsUntilItIsStartedAgain() {
         Host host = host("host-a1");
