Pass the assignment on when its host is stopped

Change: a stopping host tells all others with one message, and in its answers to probes; they, and the host itself, request targets from the next live host at once, with what is queued. A host whose other hosts are all stopping goes on as before. The test's first runs showed a second cause of waste at any change of assigner: held work was withdrawn before queued work, so that the previous assigner assigned queued work to slots that are still in use; queued work is withdrawn first now.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignerChoice.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignerChoice.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.collect.ImmutableList;
@@ -20,7 +22,7 @@
  * which costs efficiency only. Only the hosts up to the second live one are probed, so in a large fleet each host sends
  * two probes per round.
  *
- * <p>Load pattern: the assigner's host crashes, hangs or is partitioned while requests keep arriving.
+ * <p>Load pattern: the assigner's host crashes, hangs, is partitioned or is stopped while requests keep arriving.
  */
 public final class AssignerChoice {
     /** Interval between probes of a live host. */
@@ -40,6 +42,7 @@
     private final HostId self;
     private final Map<HostId, Long> lastResponseAt = new HashMap<>();
     private final Map<HostId, ProbeBackoff> backoffs = new HashMap<>();
+    private final Set<HostId> stopping = new HashSet<>();
     private ImmutableList<HostId> ranked;
 
     private record ProbeBackoff(long nextAt, long intervalMillis) {}
@@ -59,6 +62,7 @@
         ranked = Rendezvous.rankBySize(RENDEZVOUS_KEY, all);
         lastResponseAt.keySet().retainAll(ranked);
         backoffs.keySet().retainAll(ranked);
+        stopping.retainAll(ranked);
     }
 
     /** Records a response of a host. */
@@ -74,8 +78,25 @@
         lastResponseAt.remove(host);
     }
 
+    /** Records that a host, which may be this one, is stopping; it is selected only if all live hosts are stopping. */
+    public void recordStopping(HostId host) {
+        if (ranked.contains(host)) {
+            stopping.add(host);
+        }
+    }
+
+    /** Records that a host has a new incarnation, which is not stopping. */
+    public void recordRestart(HostId host) {
+        stopping.remove(host);
+    }
+
     /** Returns the host whose assigner to use. */
     public HostId select(long now) {
+        for (HostId host : ranked) {
+            if (isAlive(host, now) && !stopping.contains(host)) {
+                return host;
+            }
+        }
         for (HostId host : ranked) {
             if (isAlive(host, now)) {
                 return host;
@@ -99,7 +120,7 @@
                 break;
             }
             boolean alive = isAlive(host, now);
-            live += alive ? 1 : 0;
+            live += alive && !stopping.contains(host) ? 1 : 0;
             if (!host.equals(self) && isDue(host, alive, now)) {
                 due.add(host);
             }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerChoiceTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerChoiceTest.java
@@ -54,6 +54,39 @@
         assertThat(choice.select(0)).isEqualTo(FIRST);
     }
 
+    @Example
+    void aStoppingHostIsNotSelectedUntilItHasStartedAgain() {
+        choice.setHosts(sized(HOSTS));
+        choice.recordResponse(FIRST, 0);
+        choice.recordResponse(SECOND, 0);
+        choice.recordStopping(FIRST);
+        choice.recordResponse(FIRST, 0);
+        assertThat(choice.select(0)).isEqualTo(SECOND);
+        choice.recordRestart(FIRST);
+        assertThat(choice.select(0)).isEqualTo(FIRST);
+    }
+
+    @Example
+    void ifAllLiveHostsAreStoppingTheFirstOfThemIsSelected() {
+        choice.setHosts(sized(HOSTS));
+        choice.recordResponse(SECOND, 0);
+        choice.recordStopping(SECOND);
+        choice.recordStopping(LAST);
+
+        assertThat(choice.select(0)).isEqualTo(SECOND);
+        assertThat(choice.select(millis(60_000))).isEqualTo(LAST);
+    }
+
+    @Example
+    void aStoppingHostDoesNotCountAsTheSuccessorThatIsProbed() {
+        choice.setHosts(sized(HOSTS));
+        choice.recordResponse(FIRST, 0);
+        choice.recordResponse(SECOND, 0);
+        choice.recordStopping(SECOND);
+
+        assertThat(choice.hostsToProbe(0)).contains(RANKED.get(2));
+    }
+
     @Example
     void anUnansweredRequestExcludesTheHostAtOnce() {
         choice.setHosts(sized(HOSTS));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -47,6 +47,7 @@
 import org.boragebarrow.peer.link.PeerLinks;
 import org.boragebarrow.peer.link.PeerListener;
 import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.peer.proto.Probe;
 import org.boragebarrow.peer.wire.AssignMessages;
 import org.boragebarrow.peer.wire.GrantMessages;
 import org.boragebarrow.peer.wire.QuarantineMessages;
@@ -96,6 +97,7 @@
     private Optional<TableSharing> sharing = Optional.empty();
     private Optional<QuarantineListener> quarantine = Optional.empty();
     private HostId assigner;
+    private boolean stopping;
     private long probeDueAt;
 
     /** A request of this host that has no decision yet. */
@@ -228,25 +230,22 @@
         HostId previous = assigner;
         assigner = selected;
         long now = ticker.read();
+        // Queued work goes first, so that the previous assigner does not assign it to the targets of the held work.
+        pending.keySet().forEach(id -> withdrawFrom(previous, id));
         for (HeldAssignment held : heldAssignments.values()) {
-            AttemptId id = held.work.id();
-            deliver(
-                    previous,
-                    AssignMessages.ended(id, Outcome.WITHDRAWN),
-                    new AssignEvent.Ended(id, Outcome.WITHDRAWN));
+            withdrawFrom(previous, held.work.id());
             deliver(selected, AssignMessages.assignmentReport(held.toEvent(now)), held.toEvent(now));
         }
         for (PendingRequest request : ImmutableList.copyOf(pending.values())) {
-            AttemptId id = request.work.id();
-            deliver(
-                    previous,
-                    AssignMessages.ended(id, Outcome.WITHDRAWN),
-                    new AssignEvent.Ended(id, Outcome.WITHDRAWN));
             requestAssignment(request, selected);
         }
         return assigner;
     }
 
+    private void withdrawFrom(HostId host, AttemptId id) {
+        deliver(host, AssignMessages.ended(id, Outcome.WITHDRAWN), new AssignEvent.Ended(id, Outcome.WITHDRAWN));
+    }
+
     private void deliver(HostId host, Envelope message, AssignEvent event) {
         if (host.equals(self.incarnation().host())) {
             duty.offerWithRetry(event);
@@ -274,6 +273,17 @@
         void onAnnounced(QuarantineEntry entry);
     }
 
+    /**
+     * Passes the assignment for the region on: other hosts, and this one, request targets from the next live host from
+     * now on, with the work that is queued here. If no other host is alive, this host continues to assign its own work.
+     */
+    public void stopAssigning() {
+        stopping = true;
+        assignerChoice.recordStopping(self.incarnation().host());
+        sendToAll(AssignMessages.probe(true, true));
+        refreshAssigner();
+    }
+
     /** Replaces the parts of prompts to which the assigner assigns no targets. */
     public void setQuarantine(ImmutableSet<PartKey> quarantined, ImmutableSet<PartKey> onProbation) {
         duty.offerWithRetry(new AssignEvent.QuarantineChanged(quarantined, onProbation));
@@ -345,10 +355,7 @@
         Optional<FleetTarget> target = fleet.find(message.target());
         if (target.isEmpty()) {
             // This host has not read the target's entry yet, or has already read its removal.
-            deliver(
-                    assigner,
-                    AssignMessages.ended(message.id(), Outcome.WITHDRAWN),
-                    new AssignEvent.Ended(message.id(), Outcome.WITHDRAWN));
+            withdrawFrom(assigner, message.id());
             requestWithout(message.id(), message.target());
             return;
         }
@@ -411,7 +418,7 @@
         long now = ticker.read();
         logIfBusy(now);
         for (HostId host : assignerChoice.hostsToProbe(now)) {
-            send(host, AssignMessages.probe(false));
+            send(host, AssignMessages.probe(false, stopping));
         }
         refreshAssigner();
         Iterator<Map.Entry<HostId, Long>> entries = requesterLastSeen.entrySet().iterator();
@@ -473,7 +480,7 @@
             assignerChoice.setHosts(sized(records.values().stream()));
             sharing.ifPresent(tables -> tables.setHosts(hostsOfOwnZone()));
             for (HostId host : assignerChoice.hostsToProbe(ticker.read())) {
-                send(host, AssignMessages.probe(false));
+                send(host, AssignMessages.probe(false, stopping));
             }
         }
     }
@@ -495,6 +502,7 @@
             HostIncarnation known = incarnations.put(host, from);
             if (known != null && !known.equals(from)) {
                 duty.offerWithRetry(new AssignEvent.HostLost(host));
+                assignerChoice.recordRestart(host);
             }
             assignerChoice.recordResponse(host, ticker.read());
             try {
@@ -530,7 +538,7 @@
                     QuarantineEntry entry = QuarantineMessages.fromMessage(message.getQuarantineEntry());
                     quarantine.ifPresent(listener -> listener.onAnnounced(entry));
                 }
-                case PROBE -> onProbe(host, message.getProbe().getAnswer());
+                case PROBE -> onProbe(host, message.getProbe());
                 default -> {
                     if (!sharing.map(tables -> tables.receive(host, message)).orElse(false)) {
                         log.write(RelayEvent.UNUSABLE, "host", host, "reason", "unexpected " + message.getBodyCase());
@@ -547,10 +555,14 @@
             }
         }
 
-        private void onProbe(HostId host, boolean answer) {
+        private void onProbe(HostId host, Probe probe) {
             requesterLastSeen.computeIfPresent(host, (id, lastSeen) -> ticker.read());
-            if (!answer) {
-                send(host, AssignMessages.probe(true));
+            if (!probe.getAnswer()) {
+                send(host, AssignMessages.probe(true, stopping));
+            }
+            if (probe.getStopping()) {
+                assignerChoice.recordStopping(host);
+                refreshAssigner();
             }
         }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -326,7 +326,10 @@
         stopping = true;
         listener.onDraining();
         log.write(RelayEvent.STOPPING, "requests", inProgress(), "grace_ms", grace.toMillis());
-        loop.execute(() -> relay.beginShutdown(ShutdownDeadline.at(lastAnswersAt)));
+        loop.execute(() -> {
+            assignments.stopAssigning();
+            relay.beginShutdown(ShutdownDeadline.at(lastAnswersAt));
+        });
         sleepUntil(Math.min(startedAt + STOP_ACCEPTING_AFTER.toNanos(), lastAnswersAt), false);
         loop.execute(relay::refuseNew);
         listener.onRefusing();
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/assign/RegionAssignmentsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/assign/RegionAssignmentsTest.java
@@ -108,6 +108,10 @@
     }
 
     private AssignEffect.Decided submit() throws Exception {
+        return startSubmission().get(5, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<AssignEffect.Decided> startSubmission() throws Exception {
         CompletableFuture<AssignEffect.Decided> decision = new CompletableFuture<>();
         Work work = new Work(
                 AttemptId.of(small.incarnation(), ++lastAttempt),
@@ -122,7 +126,7 @@
                 PromptParts.none(),
                 0);
         runOnLoop(() -> requester.submit(work, decision::complete));
-        return decision.get(5, TimeUnit.SECONDS);
+        return decision;
     }
 
     /** Guards against refusals by a host that has not read the entry of a target that just came back. */
@@ -146,6 +150,33 @@
         assertThat(assigned.assignment().target()).isEqualTo(known);
     }
 
+    /** Guards against requests that wait for an assigner's host to be taken for lost after it was stopped. */
+    @Example
+    void workThatIsQueuedAtAStoppingAssignerIsAssignedByTheNextOne() throws Exception {
+        FleetTarget full = target("full", 1);
+        FleetTarget free = target("free", 1_000);
+        fleetOfSmall.put(full);
+        fleetOfSmall.put(free);
+        assigner.setFleet(ImmutableList.of(full));
+        requester.setFleet(ImmutableList.of(free));
+        connect();
+        long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        // Until the hosts are connected, the requesting host's own assigner decides.
+        while (!targetOf(submit()).equals(full)) {
+            assertThat(System.nanoTime()).isLessThan(end);
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        CompletableFuture<AssignEffect.Decided> queued = startSubmission();
+        runOnLoop(assigner::stopAssigning);
+
+        assertThat(targetOf(queued.get(5, TimeUnit.SECONDS))).isEqualTo(free);
+        assertThat(targetOf(submit())).isEqualTo(free);
+    }
+
+    private static FleetTarget targetOf(AssignEffect.Decided decided) {
+        return ((AssignEffect.Assigned) decided).assignment().target();
+    }
+
     /** A table whose rows the test delivers itself. */
     private static final class UnusedTable implements WatchedTable {
         @Override
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
@@ -225,10 +225,14 @@
                 message.getFirstEventSeen());
     }
 
-    /** Returns a probe or, if {@code answer} is set, the answer to one. */
-    public static Envelope probe(boolean answer) {
+    /**
+     * Returns a probe or the answer to one.
+     *
+     * @param stopping whether the sending host is stopping, so that others must not request assignments from it
+     */
+    public static Envelope probe(boolean answer, boolean stopping) {
         return Envelope.newBuilder()
-                .setProbe(Probe.newBuilder().setAnswer(answer))
+                .setProbe(Probe.newBuilder().setAnswer(answer).setStopping(stopping))
                 .build();
     }
 
