--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.decision.quarantine.PartKey;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
@@ -27,6 +28,9 @@
             Work work, TargetId target, ImmutableList<HelperTarget.Ref> helpers, boolean firstEventSeen)
             implements AssignEvent {}
 
+    /** A target refused a connection that a host opened because an earlier one had ended before its answer. */
+    record ConnectionRefused(TargetIncarnation target) implements AssignEvent {}
+
     /** A host was lost, with all its attempts. */
     record HostLost(HostId host) implements AssignEvent {}
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -13,7 +13,9 @@
 import com.google.common.collect.ImmutableMap;
 import org.boragebarrow.decision.Machine;
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.decision.quarantine.CrashAttribution;
+import org.boragebarrow.decision.quarantine.CrashVerdict;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.AvailabilityZoneId;
@@ -44,6 +46,9 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /** Fraction of the published time of a prefill that it takes at least. */
+    private static final double READING_MARGIN_FACTOR = 0.8;
+
     /** Minimum retry delay of a refused caller, given if its work would be too late. */
     private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(300);
 
@@ -127,6 +132,7 @@
             case AssignEvent.FirstEventSeen seen -> onFirstEvent(seen.id(), now);
             case AssignEvent.Ended ended -> end(ended, now);
             case AssignEvent.AssignmentReported reported -> restoreAssignment(reported, now);
+            case AssignEvent.ConnectionRefused refused -> onConnectionRefused(refused.target(), now);
             case AssignEvent.HostLost lost -> removeHost(lost.host(), now);
             case AssignEvent.FleetChanged changed -> updateTargets(changed.targets(), now);
             case AssignEvent.ProfilesChanged changed -> {
@@ -156,7 +162,7 @@
         advance(now);
         if (activeAttempts.containsKey(work.id())) {
             // The host sent the work to another assigner in the meantime and now submits it here again.
-            release(work.id());
+            release(work.id(), now);
         }
         Optional<AssignEffect> decided = decide(work, now, true);
         if (decided.isPresent()) {
@@ -260,6 +266,13 @@
                 .orElse(false);
     }
 
+    /** Returns the shortest time in which engines can read a prompt, even if they are somewhat faster than published. */
+    private static Duration shortestReading(Work work, EngineProfile profile, int engines) {
+        long tokens = work.size().map(PromptSize::promptTokens).orElse(0L);
+        double millis = READING_MARGIN_FACTOR * profile.shortestPrefillMillis(tokens, engines);
+        return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
+    }
+
     private Optional<EngineProfile> profileOf(Work work) {
         return Optional.ofNullable(profiles.get(work.service()));
     }
@@ -290,7 +303,10 @@
             reachability.onSent(work.zone(), owner.target().zone(), now);
             owner.add(AttemptPart.forOwner(work, helpers, profile, now));
             profile.ifPresent(engine -> announcePauses(owner, work.id(), engine));
-            attribution.begin(work.id(), work.service(), work.parts(), target);
+            Duration reading = profile.map(engine -> shortestReading(work, engine, 1 + helpers.size()))
+                    .orElse(Duration.ZERO);
+            attribution.begin(
+                    work.id(), work.service(), work.parts(), owner.target().incarnation(), reading, now);
             all.add(target);
         }
         for (HelperTarget.Ref helper : helpers) {
@@ -359,11 +375,10 @@
                 reachability.record(part.get().work().zone(), load.target().zone(), ended.outcome(), now);
             }
         }
-        ImmutableList.Builder<AssignEffect> effects = ImmutableList.builder();
-        attribution
-                .end(ended.id(), toEnd(ended.outcome()), now)
-                .forEach(verdict -> effects.add(new AssignEffect.Concluded(verdict)));
-        return effects.addAll(assignQueued(now)).build();
+        return ImmutableList.<AssignEffect>builder()
+                .addAll(toEffects(attribution.end(ended.id(), toEnd(ended.outcome()), now)))
+                .addAll(assignQueued(now))
+                .build();
     }
 
     private static CrashAttribution.End toEnd(Outcome outcome) {
@@ -395,13 +410,13 @@
             if (!id.owner().host().equals(host)) {
                 continue;
             }
-            release(id);
+            release(id, now);
         }
         return assignQueued(now);
     }
 
-    private void release(AttemptId id) {
-        attribution.forget(id);
+    private void release(AttemptId id, long now) {
+        attribution.forget(id, now);
         for (TargetId target : activeAttempts.remove(id).targets()) {
             Optional.ofNullable(loads.get(target)).ifPresent(load -> load.remove(id));
         }
@@ -415,7 +430,7 @@
         lastExpiryAt = now;
         for (Map.Entry<AttemptId, ActiveAttempt> entry : ImmutableList.copyOf(activeAttempts.entrySet())) {
             if (now - entry.getValue().expiresAt() > 0) {
-                release(entry.getKey());
+                release(entry.getKey(), now);
             }
         }
     }
@@ -424,6 +439,7 @@
         advance(now);
         Map<TargetId, FleetTarget> present = new HashMap<>();
         targets.forEach(target -> present.put(target.id(), target));
+        ImmutableList<AssignEffect> conclusions = concludeFromEntries(present, now);
         loads.keySet().removeIf(id -> !present.containsKey(id));
         for (FleetTarget target : targets) {
             TargetLoad known = loads.get(target.id());
@@ -433,7 +449,43 @@
                 loads.put(target.id(), new TargetLoad(target, now));
             }
         }
-        return assignQueued(now);
+        attribution.setTargetCounts(countByService());
+        return ImmutableList.<AssignEffect>builder()
+                .addAll(conclusions)
+                .addAll(assignQueued(now))
+                .build();
+    }
+
+    /** Tells the attribution of the targets whose entries ended although they were not draining. */
+    private ImmutableList<AssignEffect> concludeFromEntries(Map<TargetId, FleetTarget> present, long now) {
+        ImmutableList.Builder<AssignEffect> effects = ImmutableList.builder();
+        for (TargetLoad load : loads.values()) {
+            FleetTarget known = load.target();
+            FleetTarget entry = present.get(known.id());
+            if (!known.draining() && (entry == null || !known.isSameIncarnation(entry))) {
+                effects.addAll(toEffects(attribution.recordEntryEnded(known.incarnation(), now)));
+            }
+        }
+        return effects.build();
+    }
+
+    private static ImmutableList<AssignEffect> toEffects(ImmutableList<CrashVerdict> verdicts) {
+        return verdicts.stream().map(AssignEffect.Concluded::new).collect(ImmutableList.toImmutableList());
+    }
+
+    private ImmutableMap<ServiceName, Integer> countByService() {
+        Map<ServiceName, Integer> counts = new HashMap<>();
+        loads.values().forEach(load -> counts.merge(load.target().service(), 1, Integer::sum));
+        return ImmutableMap.copyOf(counts);
+    }
+
+    /** Handles the report that a target refused a connection after others to it had ended. */
+    private ImmutableList<AssignEffect> onConnectionRefused(TargetIncarnation target, long now) {
+        TargetLoad load = loads.get(target.id());
+        if (load != null && load.target().incarnation().equals(target)) {
+            load.health().record(Outcome.UNREACHABLE, now);
+        }
+        return toEffects(attribution.recordRefusedConnection(target, now));
     }
 
     private ImmutableList<AssignEffect> assignQueued(long now) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/FleetTarget.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/FleetTarget.java
@@ -29,6 +29,11 @@
         checkNotNull(zone);
     }
 
+    /** Returns the incarnation of the entry. */
+    public TargetIncarnation incarnation() {
+        return new TargetIncarnation(id, startedMillis);
+    }
+
     /** Returns whether the other entry is of the same incarnation of the same target. */
     public boolean isSameIncarnation(FleetTarget other) {
         return id.equals(other.id) && endpoint.equals(other.endpoint) && startedMillis == other.startedMillis;
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/quarantine/Crash.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/quarantine/Crash.java
@@ -8,30 +8,38 @@
 import java.util.Set;
 
 import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.PromptPartId;
-import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.ServiceName;
 
 /** One crash of a target, or the end of a single connection as long as nothing else is known. Not thread-safe. */
 final class Crash {
-    private final TargetId target;
+    private final TargetIncarnation target;
+    private final ServiceName service;
     private final long at;
     private final Map<AttemptId, AttemptRecord> suspects = new LinkedHashMap<>();
     private final Set<HostId> witnesses = new HashSet<>();
     private int aborted;
     private boolean confirmed;
+    private boolean refuted;
     private Optional<PartKey> cause = Optional.empty();
 
-    Crash(TargetId target, long at) {
+    Crash(TargetIncarnation target, ServiceName service, long at) {
         this.target = target;
+        this.service = service;
         this.at = at;
     }
 
-    TargetId target() {
+    TargetIncarnation target() {
         return target;
     }
 
+    ServiceName service() {
+        return service;
+    }
+
     long at() {
         return at;
     }
@@ -67,6 +75,18 @@
 
     void confirm() {
         confirmed = true;
+        refuted = false;
+    }
+
+    /** Returns whether the target was seen alive after it. */
+    boolean isRefuted() {
+        return refuted;
+    }
+
+    /** Records that the target was seen alive after it; {@link #confirm} takes this back. */
+    void refute() {
+        refuted = true;
+        confirmed = false;
     }
 
     /** Returns the part to which the crash is attributed. */
@@ -82,16 +102,29 @@
         return suspects.values();
     }
 
-    /** Returns whether a request that may have caused the crash holds the part. */
-    boolean mayBeCausedBy(PartKey key) {
-        return suspects.values().stream().anyMatch(attempt -> attempt.holds(key));
+    /** Returns whether a request that may have caused the crash in the phase holds the part. */
+    boolean mayBeCausedBy(PartKey key, Phase phase) {
+        return suspects.values().stream().anyMatch(attempt -> mayBeCausedBy(attempt, key, phase));
+    }
+
+    private boolean mayBeCausedBy(AttemptRecord attempt, PartKey key, Phase phase) {
+        return attempt.holds(key) && at - attempt.startOf(phase) >= 0;
+    }
+
+    /** Returns how long the target held attempts with the part, in the phase and after the given time. */
+    long exposureNanos(PartKey key, Phase phase, long since) {
+        return suspects.values().stream()
+                .filter(attempt -> attempt.holds(key))
+                .mapToLong(attempt -> attempt.nanosIn(phase, since, at))
+                .max()
+                .orElse(0);
     }
 
-    /** Returns the prompts that hold the part, each by the id of its own part or else of its attempt. */
-    ImmutableSet<String> prompts(PartKey key) {
+    /** Returns the prompts that may have caused it, each by the id of its own part or else of its attempt. */
+    ImmutableSet<String> prompts(PartKey key, Phase phase) {
         ImmutableSet.Builder<String> prompts = ImmutableSet.builder();
         for (AttemptRecord attempt : suspects.values()) {
-            if (attempt.holds(key)) {
+            if (mayBeCausedBy(attempt, key, phase)) {
                 prompts.add(attempt.parts()
                         .own()
                         .map(PromptPartId::value)
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/quarantine/CrashAttribution.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/quarantine/CrashAttribution.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,11 +17,12 @@
 import java.util.Set;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.PromptParts;
 import org.boragebarrow.model.ServiceName;
-import org.boragebarrow.model.TargetId;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
@@ -27,8 +30,9 @@
  * Decides which part of their prompts, if any, makes requests crash targets.
  *
  * <p>A crash ends many requests at once. Those whose answers had begun and went on are not its cause; of the others, a part
- * that is in one crash after another, without any answer that began in between, is. A part on which answers have begun before
- * needs more evidence than one that is new, and the last part of a prompt, which belongs to its request, is never the cause.
+ * that is in one crash after another, without any answer that began in between, is, unless so many crashes are to be expected
+ * by chance in the time for which targets held the part. A part on which answers have begun before needs more evidence than one
+ * that is new, and the last part of a prompt, which belongs to its request, is never the cause.
  *
  * <p>Not thread-safe. Times are monotonic nanoseconds. The end of an attempt costs time in proportion to the attempts in
  * progress and the crashes kept, of which there are at most {@value #MAX_CRASHES}.
@@ -65,6 +69,11 @@
 
     private static final int KNOWN_PART_PROMPTS = 3;
 
+    /** Crashes and different prompts that convict a part although targets had not begun to answer. */
+    private static final int READING_CRASHES = 8;
+
+    private static final int READING_PROMPTS = 4;
+
     /** Crashes that convict a part whose quarantine was lifted after some time. */
     private static final int PROBATION_CRASHES = 2;
 
@@ -86,8 +95,31 @@
     /** Crashes of several targets within this time have one cause, such as the loss of a rack, and count once. */
     private static final long SAME_MOMENT_NANOS = Duration.ofMillis(50).toNanos();
 
-    /** Age after which a crash is no longer evidence. */
-    private static final long MAX_EVIDENCE_AGE_NANOS = Duration.ofHours(1).toNanos();
+    /** Age after which a crash is no longer evidence: a part may come a few times a day only. */
+    private static final long MAX_EVIDENCE_AGE_NANOS = Duration.ofHours(24).toNanos();
+
+    /**
+     * Time after a crash in which the end of the target's entry confirms it: a target is back after some seconds, its entry
+     * lapses after three heartbeats, and the change takes some seconds to be known.
+     */
+    private static final long RESTART_NANOS = Duration.ofSeconds(15).toNanos();
+
+    /** Time in which no target starts again, so that one which is seen alive has not crashed. */
+    private static final long MIN_RESTART_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** The maximum number of ended incarnations that are known. */
+    private static final int MAX_ENDED = 1_000;
+
+    /** Probability of a coincidence below which a part is convicted. */
+    private static final double MAX_COINCIDENCE = 1e-4;
+
+    /** Crashes for each target and second that are always to be expected: those of a third of the targets in 15 s. */
+    private static final double MIN_CRASHES_PER_SECOND = 0.02;
+
+    /** Time around a crash in which other crashes show how many are to be expected. */
+    private static final long RATE_WINDOW_NANOS = Duration.ofSeconds(30).toNanos();
+
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final Map<AttemptId, AttemptRecord> attempts = new LinkedHashMap<>();
     private final Deque<Crash> crashes = new ArrayDeque<>();
@@ -100,6 +132,16 @@
             return size() > MAX_SOUND_PARTS;
         }
     };
+    private final Exposures exposures = new Exposures();
+    private final Map<TargetIncarnation, Long> ended = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<TargetIncarnation, Long> eldest) {
+            return size() > MAX_ENDED;
+        }
+    };
+    private ImmutableMap<ServiceName, Integer> targetCounts = ImmutableMap.of();
     private Set<PartKey> quarantined = new HashSet<>();
     private ImmutableSet<PartKey> onProbation = ImmutableSet.of();
 
@@ -108,8 +150,14 @@
      *
      * @param count the crashes, those at the same moment counted once
      * @param prompts the different prompts in them; 1 if one prompt is in all of them and may be the cause by itself
+     * @param coincidence the probability that all but the first of them hit attempts with the part by chance
      */
-    private record Evidence(List<Crash> crashes, int count, int prompts) {}
+    private record Evidence(List<Crash> crashes, int count, int prompts, double coincidence) {}
+
+    /** Sets the number of targets of each service, by which the rate of crashes is estimated. */
+    public void setTargetCounts(ImmutableMap<ServiceName, Integer> counts) {
+        targetCounts = checkNotNull(counts);
+    }
 
     /** Replaces the parts that are quarantined and those whose quarantine was lifted after some time. */
     public void setQuarantine(ImmutableSet<PartKey> newQuarantined, ImmutableSet<PartKey> newOnProbation) {
@@ -131,12 +179,22 @@
         return parts.shared().stream()
                 .map(part -> new PartKey(service, part))
                 .filter(key -> !soundSince.containsKey(key))
-                .anyMatch(key -> evidence(key, false, now).count() >= SUSPICIOUS_CRASHES);
+                .anyMatch(key -> evidence(key, Phase.ANY, false, now).count() >= SUSPICIOUS_CRASHES);
     }
 
-    /** Records that an attempt is sent to a target. */
-    public void begin(AttemptId id, ServiceName service, PromptParts parts, TargetId target) {
-        attempts.put(id, new AttemptRecord(id, service, parts, target));
+    /**
+     * Records that an attempt is sent to a target.
+     *
+     * @param reading the shortest time in which the target can read the prompt
+     */
+    public void begin(
+            AttemptId id,
+            ServiceName service,
+            PromptParts parts,
+            TargetIncarnation target,
+            Duration reading,
+            long now) {
+        attempts.put(id, new AttemptRecord(id, service, parts, target, now, now + reading.toNanos()));
     }
 
     /** Records the first event of an attempt's answer. */
@@ -150,8 +208,26 @@
     }
 
     /** Removes an attempt about whose end nothing is known. */
-    public void forget(AttemptId id) {
-        attempts.remove(id);
+    public void forget(AttemptId id, long now) {
+        Optional.ofNullable(attempts.remove(id)).ifPresent(attempt -> recordExposure(attempt, now));
+    }
+
+    /** Records that a target refuses connections, and returns what follows from it. */
+    public ImmutableList<CrashVerdict> recordRefusedConnection(TargetIncarnation target, long now) {
+        return findCrash(target, CONFIRMATION_NANOS, now)
+                .map(crash -> confirm(crash, now))
+                .orElse(ImmutableList.of());
+    }
+
+    /**
+     * Records that the entry of a target that was not draining was removed or is that of another incarnation now, and
+     * returns what follows from it.
+     */
+    public ImmutableList<CrashVerdict> recordEntryEnded(TargetIncarnation target, long now) {
+        ended.put(target, now);
+        return findCrash(target, RESTART_NANOS, now)
+                .map(crash -> confirm(crash, now))
+                .orElse(ImmutableList.of());
     }
 
     /** Records how an attempt ended and returns what follows from it. */
@@ -168,22 +244,35 @@
                 yield ImmutableList.of();
             }
             case DISCONNECTED -> onDisconnected(attempt, now);
-            case UNREACHABLE ->
-                findCrash(attempt.target(), CONFIRMATION_NANOS, now)
-                        .map(crash -> confirm(crash, now))
-                        .orElse(ImmutableList.of());
-            case OTHER -> ImmutableList.of();
+            case UNREACHABLE -> recordRefusedConnection(attempt.target(), now);
+            case OTHER -> {
+                recordExposure(attempt, now);
+                yield ImmutableList.of();
+            }
         };
     }
 
+    private void recordExposure(AttemptRecord attempt, long now) {
+        if (attempt.soundSince(now, SETTLE_NANOS).isEmpty()) {
+            sharedParts(attempt).forEach(key -> exposures.add(key, attempt, now));
+        }
+    }
+
     private ImmutableList<CrashVerdict> onDisconnected(AttemptRecord attempt, long now) {
         Crash crash = findCrash(attempt.target(), CRASH_SPAN_NANOS, now).orElseGet(() -> addCrash(attempt, now));
         crash.addAborted(attempt);
-        boolean newSuspect = isSuspect(attempt, now) && crash.addSuspect(attempt);
+        boolean newSuspect = isSuspect(attempt, now) && addSuspect(crash, attempt);
         if (crash.isConfirmed()) {
             return newSuspect ? judge(crash, now) : ImmutableList.of();
         }
-        return crash.hasSeveralWitnesses() ? confirm(crash, now) : ImmutableList.of();
+        Long endedAt = ended.get(attempt.target());
+        boolean entryEnded = endedAt != null && now - endedAt <= RESTART_NANOS;
+        return entryEnded || crash.hasSeveralWitnesses() ? confirm(crash, now) : ImmutableList.of();
+    }
+
+    private boolean addSuspect(Crash crash, AttemptRecord attempt) {
+        sharedParts(attempt).forEach(key -> exposures.begin(key, crash.at()));
+        return crash.addSuspect(attempt);
     }
 
     private static boolean isSuspect(AttemptRecord attempt, long now) {
@@ -191,7 +280,8 @@
     }
 
     private Crash addCrash(AttemptRecord attempt, long now) {
-        Crash crash = new Crash(attempt.target(), now);
+        Crash crash = new Crash(attempt.target(), attempt.service(), now);
+        crashes.removeIf(earlier -> earlier.isRefuted() && now - earlier.at() > RESTART_NANOS);
         crashes.addLast(crash);
         if (crashes.size() > MAX_CRASHES) {
             crashes.removeFirst();
@@ -199,7 +289,7 @@
         return crash;
     }
 
-    private Optional<Crash> findCrash(TargetId target, long maxAgeNanos, long now) {
+    private Optional<Crash> findCrash(TargetIncarnation target, long maxAgeNanos, long now) {
         return crashes.stream()
                 .filter(crash -> crash.target().equals(target) && now - crash.at() <= maxAgeNanos)
                 .findFirst();
@@ -213,19 +303,26 @@
         for (AttemptRecord attempt : attempts.values()) {
             // The ends of these attempts have not been reported yet.
             if (attempt.target().equals(crash.target()) && isSuspect(attempt, now)) {
-                crash.addSuspect(attempt);
+                addSuspect(crash, attempt);
             }
         }
         return ImmutableList.<CrashVerdict>builder()
-                .add(new CrashVerdict.TargetCrashed(crash.target(), crash.aborted()))
+                .add(new CrashVerdict.TargetCrashed(crash.target().id(), crash.aborted()))
                 .addAll(judge(crash, now))
                 .build();
     }
 
-    /** Drops the record of a connection's end if its target is still answering. */
-    private void refuteCrash(TargetId target, long now) {
-        crashes.removeIf(crash ->
-                crash.target().equals(target) && !crash.isConfirmed() && now - crash.at() > REPORT_DELAY_NANOS);
+    /** Records that a target is alive, so that the end of its connections was no crash. */
+    private void refuteCrash(TargetIncarnation target, long now) {
+        for (Crash crash : crashes) {
+            long age = now - crash.at();
+            // A target that refused connections may have started again since, before its entry shows this.
+            boolean mayHaveRestarted = crash.isConfirmed() && age > MIN_RESTART_NANOS;
+            boolean concerned = crash.target().equals(target) && crash.cause().isEmpty();
+            if (concerned && age > REPORT_DELAY_NANOS && !mayHaveRestarted) {
+                crash.refute();
+            }
+        }
     }
 
     private void recordIfSound(AttemptRecord attempt, long now) {
@@ -237,6 +334,7 @@
 
     private void recordSound(AttemptRecord attempt, long since) {
         for (PartKey key : sharedParts(attempt)) {
+            exposures.removeIfBegunBefore(key, since);
             soundSince.merge(key, since, (known, begun) -> begun - known > 0 ? begun : known);
         }
     }
@@ -259,32 +357,52 @@
             }
             candidates.addAll(sharedParts(suspect));
         }
-        Optional<PartKey> best = Optional.empty();
+        Optional<Suspicion> best = Optional.empty();
         for (PartKey key : candidates) {
-            boolean convicted = isConvictedBy(key, evidence(key, true, now));
-            if (convicted
-                    && best.map(other -> isLikelier(key, other, crash, now)).orElse(true)) {
-                best = Optional.of(key);
+            Optional<Suspicion> suspicion = findConvicting(key, now);
+            if (suspicion.isPresent()
+                    && best.map(other -> isLikelier(suspicion.get(), other, crash))
+                            .orElse(true)) {
+                best = suspicion;
             }
         }
-        return best.map(key -> convict(key, now)).orElse(ImmutableList.of());
+        return best.map(suspicion -> convict(suspicion, now)).orElse(ImmutableList.of());
+    }
+
+    /** The evidence that a part crashes targets in a phase of its attempts. */
+    private record Suspicion(PartKey key, Phase phase, Evidence evidence) {}
+
+    private Optional<Suspicion> findConvicting(PartKey key, long now) {
+        return Arrays.stream(Phase.values())
+                .map(phase -> new Suspicion(key, phase, evidence(key, phase, true, now)))
+                .filter(this::isConvicted)
+                .min(Comparator.comparingDouble(
+                        suspicion -> suspicion.evidence().coincidence()));
     }
 
     /** Returns whether the first part is likelier to be the cause; a later part of prompts wins a tie. */
-    private boolean isLikelier(PartKey key, PartKey other, Crash crash, long now) {
-        boolean known = soundSince.containsKey(key);
-        if (known != soundSince.containsKey(other)) {
+    private boolean isLikelier(Suspicion suspicion, Suspicion other, Crash crash) {
+        boolean known = soundSince.containsKey(suspicion.key());
+        if (known != soundSince.containsKey(other.key())) {
             return !known;
         }
-        int count = evidence(key, true, now).count();
-        int otherCount = evidence(other, true, now).count();
-        return count != otherCount ? count > otherCount : crash.position(key) > crash.position(other);
+        int count = suspicion.evidence().count();
+        int otherCount = other.evidence().count();
+        return count != otherCount ? count > otherCount : crash.position(suspicion.key()) > crash.position(other.key());
     }
 
-    private boolean isConvictedBy(PartKey key, Evidence evidence) {
+    private boolean isConvicted(Suspicion suspicion) {
+        PartKey key = suspicion.key();
+        Evidence evidence = suspicion.evidence();
         if (onProbation.contains(key)) {
             return evidence.count() >= PROBATION_CRASHES;
         }
+        if (evidence.coincidence() > MAX_COINCIDENCE) {
+            return false;
+        }
+        if (suspicion.phase() == Phase.ANY) {
+            return evidence.count() >= READING_CRASHES && evidence.prompts() >= READING_PROMPTS;
+        }
         if (soundSince.containsKey(key)) {
             return evidence.count() >= KNOWN_PART_CRASHES && evidence.prompts() >= KNOWN_PART_PROMPTS;
         }
@@ -292,7 +410,7 @@
                 || (evidence.count() >= NEW_PART_CRASHES && evidence.prompts() >= NEW_PART_PROMPTS);
     }
 
-    private Evidence evidence(PartKey key, boolean confirmedOnly, long now) {
+    private Evidence evidence(PartKey key, Phase phase, boolean confirmedOnly, long now) {
         Optional<Long> soundAt = Optional.ofNullable(soundSince.get(key));
         List<Crash> counted = new ArrayList<>();
         Set<String> prompts = new HashSet<>();
@@ -301,14 +419,15 @@
         Optional<Long> lastMoment = Optional.empty();
         for (Crash crash : crashes) {
             boolean counts = (crash.isConfirmed() || !confirmedOnly)
+                    && !crash.isRefuted()
                     && crash.cause().isEmpty()
                     && now - crash.at() <= MAX_EVIDENCE_AGE_NANOS
                     && soundAt.map(sound -> crash.at() - sound > 0).orElse(true)
-                    && crash.mayBeCausedBy(key);
+                    && crash.mayBeCausedBy(key, phase);
             if (!counts) {
                 continue;
             }
-            ImmutableSet<String> crashPrompts = crash.prompts(key);
+            ImmutableSet<String> crashPrompts = crash.prompts(key, phase);
             prompts.addAll(crashPrompts);
             if (counted.isEmpty()) {
                 promptsInAll.addAll(crashPrompts);
@@ -322,15 +441,53 @@
                 lastMoment = Optional.of(crash.at());
             }
         }
-        return new Evidence(counted, count, promptsInAll.isEmpty() ? prompts.size() : Math.min(1, prompts.size()));
+        int different = promptsInAll.isEmpty() ? prompts.size() : Math.min(1, prompts.size());
+        return new Evidence(counted, count, different, coincidence(key, phase, counted, count, now));
+    }
+
+    /** Returns the probability that as many crashes hit attempts with the part by chance since the first one. */
+    private double coincidence(PartKey key, Phase phase, List<Crash> counted, int count, long now) {
+        if (counted.isEmpty()) {
+            return 1;
+        }
+        long first = counted.get(0).at();
+        long nanos = exposures.nanos(key, phase);
+        for (Crash crash : crashes) {
+            if (crash.cause().isEmpty() && crash.at() - first > 0) {
+                nanos += crash.exposureNanos(key, phase, first);
+            }
+        }
+        for (AttemptRecord attempt : attempts.values()) {
+            nanos += attempt.holds(key) ? attempt.nanosIn(phase, first, now) : 0;
+        }
+        double expected = nanos / NANOS_PER_SECOND * crashesPerSecond(key, counted);
+        return Coincidence.probability(count - 1, expected);
+    }
+
+    /** Returns the rate of crashes of a target at the time of the given ones, of those that the part cannot have caused. */
+    private double crashesPerSecond(PartKey key, List<Crash> counted) {
+        double window = RATE_WINDOW_NANOS / NANOS_PER_SECOND * Math.max(1, targetCounts.getOrDefault(key.service(), 1));
+        double highest = MIN_CRASHES_PER_SECOND;
+        for (Crash crash : counted) {
+            long unrelated = crashes.stream()
+                    .filter(other -> other.isConfirmed()
+                            && other.cause().isEmpty()
+                            && other.service().equals(key.service())
+                            && Math.abs(other.at() - crash.at()) <= RATE_WINDOW_NANOS
+                            && !other.mayBeCausedBy(key, Phase.ANY))
+                    .count();
+            highest = Math.max(highest, unrelated / window);
+        }
+        return highest;
     }
 
-    private ImmutableList<CrashVerdict> convict(PartKey key, long now) {
-        Evidence evidence = evidence(key, true, now);
+    private ImmutableList<CrashVerdict> convict(Suspicion suspicion, long now) {
+        PartKey key = suspicion.key();
+        Evidence evidence = suspicion.evidence();
         ImmutableList.Builder<CrashVerdict> verdicts = ImmutableList.builder();
         verdicts.add(new CrashVerdict.Convicted(key, evidence.count(), evidence.prompts()));
         for (Map.Entry<PartKey, List<Crash>> earlier : convictions.entrySet()) {
-            if (earlier.getValue().stream().allMatch(crash -> crash.mayBeCausedBy(key))) {
+            if (earlier.getValue().stream().allMatch(crash -> crash.mayBeCausedBy(key, Phase.ANY))) {
                 verdicts.add(new CrashVerdict.Exonerated(earlier.getKey(), key));
                 quarantined.remove(earlier.getKey());
             }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/CrashingPromptReplayTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/CrashingPromptReplayTest.java
@@ -108,4 +108,79 @@
                 .isAtMost(MAX_ARRIVALS);
         assertWithMessage("seed %s", seed).that(simulation.convictedParts()).containsExactly("dead");
     }
+
+    /** Guards against a deadly part that is never found because no other host is connected to the targets that it crashes. */
+    @Property(tries = 25, seed = "26")
+    void aDeadlyPartIsFoundInQuietHours(
+            @ForAll @LongRange(min = 1, max = 1_000) long seed,
+            @ForAll boolean sameId,
+            @ForAll QuietInterval interval) {
+        SimulatedCrashes simulation = new SimulatedCrashes(16, 3, seed);
+        simulation.disableRetries();
+        if (sameId) {
+            simulation.restartUnderSameId();
+        }
+        Duration time = interval.time.multipliedBy(20);
+        simulation.sendRequests(0.5 / interval.time.toSeconds(), time);
+        simulation.sendDeadlyRequests(interval.time, time);
+        simulation.run(time);
+
+        assertWithMessage("seed %s: crashes %s", seed, simulation.deadlyCrashes())
+                .that(simulation.deadlyArrivalsAfterFifthCrash(CONTACT))
+                .isAtMost(MAX_ARRIVALS);
+        assertWithMessage("seed %s", seed).that(simulation.convictedParts()).containsExactly("dead");
+    }
+
+    /** Guards against a deadly part that is never found where only the targets' entries tell of their crashes. */
+    @Property(tries = 25, seed = "27")
+    void aDeadlyPartIsFoundByTheEntriesOfTheTargetsThatItCrashes(
+            @ForAll @LongRange(min = 1, max = 1_000) long seed, @ForAll boolean sameId) {
+        SimulatedCrashes simulation = new SimulatedCrashes(16, 3, seed);
+        simulation.disableRetries();
+        simulation.disableConnectionChecks();
+        if (sameId) {
+            simulation.restartUnderSameId();
+        }
+        Duration time = Duration.ofMinutes(2);
+        simulation.sendRequests(0.1, time);
+        simulation.sendDeadlyRequests(Duration.ofSeconds(5), time);
+        simulation.run(time);
+
+        assertWithMessage("seed %s: crashes %s", seed, simulation.deadlyCrashes())
+                .that(simulation.deadlyArrivalsAfterFifthCrash(CONTACT))
+                .isAtMost(MAX_ARRIVALS);
+    }
+
+    /** Guards against crashes that convict a sound part of long prompts because targets hold such prompts for so long. */
+    @Property(tries = 40, seed = "28")
+    void crashesWhileLongPromptsAreReadConvictNone(
+            @ForAll @LongRange(min = 1, max = 10_000) long seed, @ForAll boolean sameId) {
+        SimulatedCrashes simulation = new SimulatedCrashes(14, 3, seed);
+        if (sameId) {
+            simulation.restartUnderSameId();
+        }
+        simulation.sendRequests(5, DAY);
+        simulation.sendLongRequests(0.448, DAY);
+        for (int second = 1; second < 36; second += 2) {
+            simulation.crashTargets(0.35, Duration.ofSeconds(second));
+        }
+        simulation.run(DAY);
+
+        assertWithMessage("seed %s", seed).that(simulation.noticedCrashes()).isAtLeast(5L);
+        assertWithMessage("seed %s", seed).that(simulation.convictedParts()).isEmpty();
+    }
+
+    /** The time between two requests with the deadly part. */
+    private enum QuietInterval {
+        SECOND(1),
+        FIVE_SECONDS(5),
+        MINUTE(60),
+        QUARTER_OF_AN_HOUR(900);
+
+        private final Duration time;
+
+        QuietInterval(long seconds) {
+            time = Duration.ofSeconds(seconds);
+        }
+    }
 }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedCrashes.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedCrashes.java
@@ -34,9 +34,10 @@
  * Replays requests of several hosts against an {@link Assigner} whose targets crash, in simulated time.
  *
  * <p>A target that crashes ends all its connections at once, refuses connections for three seconds and comes back under
- * another id. Its entry stays for a while, as the table removes it only after some missed heartbeats. Each host reports
- * what it sees a few milliseconds later, so that the reports of one crash arrive in any order. A request whose target
- * crashed is sent once more by its host, and its caller sends it once more after that.
+ * another id, or under the same one if {@link #restartUnderSameId} says so. Its entry stays for a while, as the table removes it
+ * only after some missed heartbeats. Each host reports what it sees a few milliseconds later, so that the reports of one crash
+ * arrive in any order, and checks whether a target whose connection ended accepts others. A request whose target crashed is
+ * sent once more by its host, and its caller sends it once more after that.
  */
 final class SimulatedCrashes {
     private static final ServiceName MODEL = ServiceName.of("model");
@@ -44,6 +45,9 @@
     private static final double ENTRY_EXPIRES_MILLIS = 3_600;
     private static final double WRITING_MILLIS = 1_200;
     private static final double PREFILL_MILLIS = 60;
+    private static final double CHECK_DELAY_MILLIS = 50;
+    private static final PromptSize SHORT = new PromptSize(5_000, 1_200);
+    private static final PromptSize LONG = new PromptSize(350_000, 650);
     private static final int MAX_TARGETS = 2;
     private static final int ORGANISATIONS = 20;
 
@@ -58,6 +62,9 @@
     private final List<Double> deadlyArrivals = new ArrayList<>();
     private final List<CrashVerdict> verdicts = new ArrayList<>();
     private Optional<PromptPartId> deadlyPart = Optional.empty();
+    private boolean sameId;
+    private boolean checksConnections = true;
+    private boolean retries = true;
     private double deadlyShare;
     private double now;
     private long steppedCount;
@@ -78,14 +85,16 @@
     private static final class Request {
         private final int host;
         private final PromptParts parts;
+        private final PromptSize size;
         private final Set<TargetId> excluded = new HashSet<>();
         private int targetsTried;
         private int crashes;
         private int callerRetries;
 
-        Request(int host, PromptParts parts) {
+        Request(int host, PromptParts parts, PromptSize size) {
             this.host = host;
             this.parts = parts;
+            this.size = size;
         }
     }
 
@@ -93,6 +102,7 @@
         private final AttemptId id;
         private final Request request;
         private Optional<TargetId> target = Optional.empty();
+        private int engines = 1;
         private boolean firstEventSeen;
 
         Attempt(AttemptId id, Request request) {
@@ -127,6 +137,41 @@
         }
     }
 
+    /** Lets targets that crash come back under the ids that they had. */
+    void restartUnderSameId() {
+        sameId = true;
+    }
+
+    /** Lets neither hosts nor callers repeat requests, so that nothing is sent to a target that has just crashed. */
+    void disableRetries() {
+        retries = false;
+    }
+
+    /** Lets hosts never check whether a target accepts connections, as if each were lost after its report. */
+    void disableConnectionChecks() {
+        checksConnections = false;
+    }
+
+    /** Lets requests with the deadly part arrive at regular intervals, beside what {@link #sendRequests} sends. */
+    void sendDeadlyRequests(Duration interval, Duration time) {
+        deadlyPart = Optional.of(PromptPartId.of("dead"));
+        for (double at = interval.toMillis(); at < time.toMillis(); at += interval.toMillis()) {
+            schedule(at, () -> submit(new Request(random.nextInt(hostCount), deadlyParts(), SHORT)));
+        }
+    }
+
+    /** Lets sound prompts that take engines seconds to read arrive at a rate; all of them share one part. */
+    void sendLongRequests(double rate, Duration time) {
+        for (double at = 0; at < time.toMillis(); at += -Math.log(1 - random.nextDouble()) * 1_000 / rate) {
+            schedule(at, () -> {
+                PromptParts parts = PromptParts.of(
+                        ImmutableList.of(PromptPartId.of("shared"), PromptPartId.of("f" + ++lastPrompt)));
+                sound++;
+                submit(new Request(random.nextInt(hostCount), parts, LONG));
+            });
+        }
+    }
+
     /** Crashes a share of the targets at the same moment. */
     void crashTargets(double share, Duration after) {
         schedule(after.toMillis(), () -> {
@@ -218,7 +263,13 @@
                 ? ImmutableList.of(organisationPart, deadlyPart.get(), own)
                 : ImmutableList.of(organisationPart, own);
         sound += deadly ? 0 : 1;
-        submit(new Request(random.nextInt(hostCount), PromptParts.of(parts)));
+        submit(new Request(random.nextInt(hostCount), PromptParts.of(parts), SHORT));
+    }
+
+    private PromptParts deadlyParts() {
+        PromptPartId organisationPart = PromptPartId.of("c" + random.nextInt(ORGANISATIONS));
+        PromptPartId own = PromptPartId.of("f" + ++lastPrompt);
+        return PromptParts.of(ImmutableList.of(organisationPart, deadlyPart.orElseThrow(), own));
     }
 
     private boolean isDeadly(Request request) {
@@ -234,11 +285,11 @@
                 id,
                 MODEL,
                 AvailabilityZoneId.of("zone"),
-                Optional.of(new PromptSize(5_000, 1_200)),
-                Duration.ofMillis(300),
-                Optional.of(Duration.ofMillis(250)),
+                Optional.of(request.size),
+                Duration.ofMillis(request.size.equals(SHORT) ? 300 : 4_000),
+                Optional.of(Duration.ofMillis(request.size.equals(SHORT) ? 250 : 1_000)),
                 Duration.ZERO,
-                Duration.ofSeconds(10),
+                Duration.ofSeconds(request.size.equals(SHORT) ? 10 : 15),
                 ImmutableSet.copyOf(request.excluded),
                 request.parts,
                 request.crashes);
@@ -252,12 +303,13 @@
     private void apply(AssignEvent event) {
         for (AssignEffect effect : assigner.apply(event, TimeUnit.MICROSECONDS.toNanos((long) (now * 1_000)))) {
             switch (effect) {
-                case AssignEffect.Assigned assigned ->
+                case AssignEffect.Assigned assigned -> {
+                    Attempt attempt = attempts.get(assigned.id());
+                    attempt.engines = 1 + assigned.assignment().helpers().size();
                     schedule(
                             reportDelay(),
-                            () -> arrive(
-                                    attempts.get(assigned.id()),
-                                    assigned.assignment().target()));
+                            () -> arrive(attempt, assigned.assignment().target()));
+                }
                 case AssignEffect.Refused refused -> refuse(attempts.remove(refused.id()), refused.reason());
                 case AssignEffect.Queued ignored -> {}
                 case AssignEffect.PauseExpected ignored -> {}
@@ -285,7 +337,11 @@
         if (isDeadly(attempt.request)) {
             deadlyArrivals.add(now);
         }
-        double prefill = PREFILL_MILLIS * (1 + 2 * random.nextDouble());
+        double prefill = attempt.request.size.equals(SHORT)
+                ? PREFILL_MILLIS * (1 + 2 * random.nextDouble())
+                : SimulatedLoad.ENGINE.prefillMillis(LONG.promptTokens())
+                        / attempt.engines
+                        * (1 + random.nextDouble() / 2);
         schedule(prefill, () -> beginWriting(attempt, target.id()));
     }
 
@@ -312,7 +368,14 @@
 
     private void crash(TargetId target) {
         FleetTarget entry = entries.get(target);
-        running.remove(target).forEach(attempt -> end(attempt, Outcome.ABORTED));
+        running.remove(target).forEach(attempt -> {
+            end(attempt, Outcome.ABORTED);
+            checkConnection(entry);
+        });
+        if (sameId) {
+            schedule(DOWN_MILLIS, () -> startAgain(entry));
+            return;
+        }
         schedule(DOWN_MILLIS, () -> {
             addTarget(entry.endpoint().address());
             publish();
@@ -323,13 +386,33 @@
         });
     }
 
+    private void startAgain(FleetTarget entry) {
+        running.put(entry.id(), new LinkedHashSet<>());
+        // The change of the entry reaches the assigner later than the first connections are accepted.
+        schedule(reportDelay() * 100, () -> {
+            put(entry.id(), entry.endpoint().address(), entry.startedMillis() + 1);
+            publish();
+        });
+    }
+
+    private void checkConnection(FleetTarget target) {
+        if (!checksConnections) {
+            return;
+        }
+        schedule(CHECK_DELAY_MILLIS, () -> {
+            if (!running.containsKey(target.id())) {
+                schedule(reportDelay(), () -> apply(new AssignEvent.ConnectionRefused(target.incarnation())));
+            }
+        });
+    }
+
     private void end(Attempt attempt, Outcome outcome) {
         Request request = attempt.request;
         request.crashes += outcome == Outcome.ABORTED && !attempt.firstEventSeen ? 1 : 0;
         attempt.target.ifPresent(request.excluded::add);
         schedule(reportDelay(), () -> {
             apply(new AssignEvent.Ended(attempt.id, outcome));
-            if (request.targetsTried < MAX_TARGETS) {
+            if (retries && request.targetsTried < MAX_TARGETS) {
                 submit(request);
             } else {
                 retryByCaller(request);
@@ -338,16 +421,21 @@
     }
 
     private void retryByCaller(Request failed) {
-        if (failed.callerRetries > 0) {
+        if (!retries || failed.callerRetries > 0) {
             return;
         }
-        Request retry = new Request(random.nextInt(hostCount), failed.parts);
+        Request retry = new Request(random.nextInt(hostCount), failed.parts, failed.size);
         retry.callerRetries = failed.callerRetries + 1;
         schedule(50 + random.nextDouble() * 100, () -> submit(retry));
     }
 
     private void addTarget(String address) {
         TargetId id = TargetId.of("target-" + ++lastTarget);
+        put(id, address, lastTarget);
+        running.put(id, new LinkedHashSet<>());
+    }
+
+    private void put(TargetId id, String address, long started) {
         entries.put(
                 id,
                 new FleetTarget(
@@ -357,8 +445,7 @@
                         AvailabilityZoneId.of("zone"),
                         SimulatedLoad.ENGINE.slots(),
                         false,
-                        lastTarget));
-        running.put(id, new LinkedHashSet<>());
+                        started));
     }
 
     private void publish() {
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -1,5 +1,6 @@
 package org.boragebarrow.http.client;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -13,6 +14,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -74,6 +76,27 @@
         return startCall(endpoint, call, checkNotNull(listener));
     }
 
+    /**
+     * Opens a connection without sending a request, and returns whether the endpoint refused it, as it does while no process
+     * listens there. A timeout or an unreachable network is no refusal. An accepted connection is kept for later calls.
+     */
+    public CompletableFuture<Boolean> refusesConnection(Endpoint endpoint) {
+        CompletableFuture<Boolean> refused = new CompletableFuture<>();
+        createBootstrap(group.next(), checkNotNull(endpoint))
+                .connect(new InetSocketAddress(InetAddresses.forString(endpoint.address()), endpoint.port()))
+                .addListener((ChannelFuture connected) -> {
+                    if (connected.isSuccess()) {
+                        connected.channel().pipeline().get(Connection.class).release(connected.channel());
+                    }
+                    refused.complete(isRefusal(connected.cause()));
+                });
+        return refused;
+    }
+
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+    }
+
     /** Closes the idle connections; calls in progress continue. */
     @Override
     public void close() {
@@ -132,7 +155,7 @@
                 });
     }
 
-    private Bootstrap createBootstrap(EventLoop loop, Endpoint endpoint) {
+    private Bootstrap createBootstrap(EventLoopGroup loop, Endpoint endpoint) {
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
@@ -87,6 +87,26 @@
         assertThat(failure(Endpoint.of("127.0.0.1", port), TIMEOUT).sent()).isFalse();
     }
 
+    @Example
+    void aCheckOfAPortWithoutAListenerTellsThatItRefusesConnections() throws Exception {
+        int port;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = socket.getLocalPort();
+        }
+        assertThat(client.refusesConnection(Endpoint.of("127.0.0.1", port)).get(5, TimeUnit.SECONDS))
+                .isTrue();
+    }
+
+    @Example
+    void theConnectionOfACheckIsUsedByTheNextCall() throws Exception {
+        try (ScriptedServer server = ScriptedServer.start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", true)) {
+            assertThat(client.refusesConnection(server.endpoint()).get(5, TimeUnit.SECONDS))
+                    .isFalse();
+            get(server.endpoint());
+            assertThat(server.connections()).isEqualTo(1);
+        }
+    }
+
     @Example
     void aCallThatTimesOutFailsAsSent() throws Exception {
         try (ScriptedServer server = ScriptedServer.start("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nhi", true)) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -26,6 +26,7 @@
 import org.boragebarrow.decision.assign.Work;
 import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.decision.quarantine.CrashVerdict;
 import org.boragebarrow.decision.quarantine.PartKey;
@@ -381,6 +382,15 @@
         requestAssignment(next, host);
     }
 
+    @Override
+    public void reportRefusedConnection(FleetTarget target) {
+        TargetIncarnation incarnation = target.incarnation();
+        deliver(
+                refreshAssigner(),
+                AssignMessages.connectionRefused(incarnation),
+                new AssignEvent.ConnectionRefused(incarnation));
+    }
+
     @Override
     public void reportFirstEvent(AttemptId id) {
         HeldAssignment held = heldAssignments.get(id);
@@ -523,6 +533,8 @@
                     duty.offerWithRetry(new AssignEvent.FirstEventSeen(GrantMessages.fromAttempt(
                             message.getAttemptProgress().getAttempt())));
                 case ATTEMPT_ENDED -> duty.offerWithRetry(AssignMessages.fromEnded(message.getAttemptEnded()));
+                case CONNECTION_REFUSED ->
+                    duty.offerWithRetry(AssignMessages.fromConnectionRefused(message.getConnectionRefused()));
                 case HOLD_TARGET -> {
                     requesterLastSeen.put(host, ticker.read());
                     duty.offerWithRetry(AssignMessages.fromAssignmentReport(message.getHoldTarget()));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Assignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Assignments.java
@@ -3,6 +3,7 @@
 import org.boragebarrow.decision.assign.AssignEffect;
 import org.boragebarrow.decision.assign.Outcome;
 import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.model.AttemptId;
 
 /** Requests targets for attempts from the assigner; confined to the event loop. Never blocks. */
@@ -22,6 +23,9 @@
     /** Requests a target; the decision may arrive during this call or after the request was queued. */
     void submit(Work work, DecisionListener listener);
 
+    /** Reports that a target refuses connections after one to it had ended before its answer was complete. */
+    void reportRefusedConnection(FleetTarget target);
+
     /** Reports the first event of the attempt's response. */
     void reportFirstEvent(AttemptId id);
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
@@ -33,6 +33,7 @@
     static final Duration STOPPING_RETRY_DELAY = Duration.ofMillis(50);
 
     private final RelayContext context;
+    private final CrashChecks crashChecks;
     private final Set<RelayExchange> open = new HashSet<>();
     private Optional<ShutdownDeadline> shutdown = Optional.empty();
     private boolean refusingNew;
@@ -41,6 +42,7 @@
     /** Creates a relay without requests in progress. */
     public Relay(RelayContext context) {
         this.context = checkNotNull(context);
+        this.crashChecks = new CrashChecks(context);
     }
 
     /** Handles a complete request. */
@@ -156,6 +158,10 @@
         return open.size();
     }
 
+    CrashChecks crashChecks() {
+        return crashChecks;
+    }
+
     long nextAttemptNumber() {
         return ++lastAttemptNumber;
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -445,8 +445,9 @@
         context.metrics().attemptFailed(outcome);
         current = Optional.empty();
         mayHaveRun |= ran;
-        if (outcome == Outcome.ABORTED && attempt.timeToFirstEventMillis() < 0) {
-            crashes++;
+        if (outcome == Outcome.ABORTED) {
+            crashes += attempt.timeToFirstEventMillis() < 0 ? 1 : 0;
+            relay.crashChecks().check(attempt.target());
         }
         trace.attemptFailed(attempt, outcome, ran, retried, reason);
         withdrawAssignmentRequest();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
@@ -81,6 +81,12 @@
     /** Sends the call; closing the handle signals to the target that the caller no longer waits. */
     EngineClient.CallHandle start(Call call, Listener listener);
 
+    /**
+     * Opens a connection without sending a request; returns whether the target refuses it, as it does while its process does
+     * not run. A target that does not respond counts as not refusing.
+     */
+    CompletableFuture<Boolean> refusesConnection(FleetTarget target);
+
     /**
      * Reserves memory of a target, or renews the reservation. The future fails if the target refuses or does not
      * respond; the memory may be reserved nevertheless.
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -178,6 +178,7 @@
         final List<Work> submitted = new ArrayList<>();
         final List<Outcome> outcomes = new ArrayList<>();
         final List<AttemptId> firstEvents = new ArrayList<>();
+        final List<TargetId> refusing = new ArrayList<>();
         private final List<DecisionListener> listeners = new ArrayList<>();
 
         @Override
@@ -186,6 +187,11 @@
             listeners.add(listener);
         }
 
+        @Override
+        public void reportRefusedConnection(FleetTarget target) {
+            refusing.add(target.id());
+        }
+
         @Override
         public void reportFirstEvent(AttemptId id) {
             firstEvents.add(id);
@@ -234,6 +240,8 @@
         final List<FakeCall> started = new ArrayList<>();
         final List<TargetId> reserved = new ArrayList<>();
         final List<TargetId> released = new ArrayList<>();
+        final List<TargetId> checked = new ArrayList<>();
+        CompletableFuture<Boolean> refusesConnection = CompletableFuture.completedFuture(false);
         CompletableFuture<Void> reservationResult = CompletableFuture.completedFuture(null);
 
         @Override
@@ -243,6 +251,12 @@
             return fake;
         }
 
+        @Override
+        public CompletableFuture<Boolean> refusesConnection(FleetTarget target) {
+            checked.add(target.id());
+            return refusesConnection;
+        }
+
         @Override
         public CompletableFuture<Void> reserve(FleetTarget target, String name, long tokens, Duration lifetime) {
             reserved.add(target.id());
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
@@ -12,6 +12,7 @@
 import org.boragebarrow.decision.assign.PromptSize;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.PromptPartId;
@@ -23,6 +24,7 @@
 import org.boragebarrow.peer.proto.AssignedHelper;
 import org.boragebarrow.peer.proto.AttemptEnded;
 import org.boragebarrow.peer.proto.AttemptProgress;
+import org.boragebarrow.peer.proto.ConnectionRefused;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.peer.proto.HoldTarget;
 import org.boragebarrow.peer.proto.PauseExpected;
@@ -206,6 +208,21 @@
         return new AssignEvent.Ended(GrantMessages.fromAttempt(message.getAttempt()), fromMessage(message));
     }
 
+    /** Returns the message that reports that a target refuses connections. */
+    public static Envelope connectionRefused(TargetIncarnation target) {
+        return Envelope.newBuilder()
+                .setConnectionRefused(ConnectionRefused.newBuilder()
+                        .setTarget(target.id().value())
+                        .setStartedMillis(target.startedMillis()))
+                .build();
+    }
+
+    /** Decodes the report that a target refuses connections. */
+    public static AssignEvent.ConnectionRefused fromConnectionRefused(ConnectionRefused message) {
+        return new AssignEvent.ConnectionRefused(
+                new TargetIncarnation(TargetId.of(message.getTarget()), message.getStartedMillis()));
+    }
+
     /** Returns the message that reports to an assigner an assignment made by another assigner. */
     public static Envelope assignmentReport(AssignEvent.AssignmentReported reported) {
         HoldTarget.Builder message = HoldTarget.newBuilder()
--- a/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
@@ -15,6 +15,7 @@
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.assign.Work;
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Endpoint;
@@ -95,6 +96,15 @@
                 .isEqualTo(expected);
     }
 
+    @Example
+    void aRefusedConnectionIsUnchangedAfterEncodingAndDecoding() {
+        TargetIncarnation target = new TargetIncarnation(TargetId.of("target"), 1_796_500_000_000L);
+
+        assertThat(AssignMessages.fromConnectionRefused(
+                        AssignMessages.connectionRefused(target).getConnectionRefused()))
+                .isEqualTo(new AssignEvent.ConnectionRefused(target));
+    }
+
     @Example
     void everyReasonAndOutcomeIsUnchangedAfterEncodingAndDecoding() {
         for (RefusalReason reason : RefusalReason.values()) {
