Follow a table from the version of the first page that was read

Cause: a table of more than 500 rows is read in pages, each as of its own moment. The rows of all pages had the version of the last one, from which the feed goes on, so that a change of a row on an earlier page, made while later pages were read, was in neither.

Change: the rows have the version of the first page. What later pages have already comes once more, which changes nothing.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/port/WatchedTable.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/port/WatchedTable.java
@@ -16,7 +16,10 @@
      */
     record Row(String key, byte[] value, long version, boolean removed) {}
 
-    /** Rows of the table, and the version of the store that they were read at. */
+    /**
+     * Rows of the table, and the version of the store that they were read at. All changes up to the version are included;
+     * later ones may be, too, if the rows were read in parts.
+     */
     record VersionedRows(ImmutableList<Row> rows, long version) {
         /** Returns the total size of all keys, in characters, and values, in bytes. */
         public long bytes() {
@@ -39,7 +42,10 @@
     /** Returns the table's name. */
     String name();
 
-    /** Reads all rows of the table. The future fails if the store does not respond. */
+    /**
+     * Reads all rows of the table. The future fails if the store does not respond. {@link #changes} after the version of the
+     * result returns all that the result lacks.
+     */
     CompletableFuture<VersionedRows> read();
 
     /**
