Leave targets alone that turn a request away and ask for quiet

Cause: a target that turns a request away may say for how long it wants no others of that host.

Change: the adapter decodes the time once; values that cannot be used are logged as they came, longer ones are limited to an hour. QuietPeriods holds the times of one host: a longer answer extends, a shorter one does not cut, the next incarnation is not concerned. No request is sent meanwhile: assignments are checked, what waits for a connection or a reservation is placed elsewhere, and memory that prompts hold at the target is renewed once for the rest of their time; two requests a period are kept for releases. The assigner knows the pairs of hosts and targets, bounded; it places around them, queues what can wait, refuses the rest at once with the earliest end, and gives work back one request each 250 ms for three seconds. Other hosts go on. Such a refusal is neither a crash nor a failure, and another attempt takes from the retry quota like any that a target rejects. Operators see both signals in `boragebarrowctl status`.

Evidence: QuietPeriodsTest (property over 2,000 orders), AssignerQuietTest, RelaySignalTest (property over 1,000 interleavings of requests, assignments, answers, signals, entries, incarnations and time), SignalDecoderTest; HostProgramSignalTest with two real processes. None can pass before: nothing read the header.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
@@ -1,5 +1,7 @@
 package org.boragebarrow.decision.assign;
 
+import java.time.Duration;
+
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
@@ -31,6 +33,9 @@
     /** A target refused a connection that a host opened because an earlier one had ended before its answer. */
     record ConnectionRefused(TargetIncarnation target) implements AssignEvent {}
 
+    /** A target wants no requests of the host for some time; those of other hosts are not concerned. */
+    record QuietRequested(HostId host, TargetIncarnation target, Duration time) implements AssignEvent {}
+
     /** A host was lost, with all its attempts. */
     record HostLost(HostId host) implements AssignEvent {}
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -69,6 +69,7 @@
     private final Map<TargetId, TargetLoad> loads = new LinkedHashMap<>();
     private final Map<AttemptId, ActiveAttempt> activeAttempts = new LinkedHashMap<>();
     private final ZoneReachability reachability = new ZoneReachability();
+    private final QuietPairs quietPairs = new QuietPairs();
     private final CrashAttribution attribution = new CrashAttribution();
     private final Map<AttemptId, QueuedWork> queue = new LinkedHashMap<>();
     private final List<AssignEffect> expectedPauses = new ArrayList<>();
@@ -133,6 +134,10 @@
             case AssignEvent.Ended ended -> end(ended, now);
             case AssignEvent.AssignmentReported reported -> restoreAssignment(reported, now);
             case AssignEvent.ConnectionRefused refused -> onConnectionRefused(refused.target(), now);
+            case AssignEvent.QuietRequested quiet -> {
+                quietPairs.report(quiet.host(), quiet.target(), quiet.time(), now);
+                yield ImmutableList.of();
+            }
             case AssignEvent.HostLost lost -> removeHost(lost.host(), now);
             case AssignEvent.FleetChanged changed -> updateTargets(changed.targets(), now);
             case AssignEvent.ProfilesChanged changed -> {
@@ -182,7 +187,7 @@
         }
         List<TargetLoad> candidates = candidates(work, now);
         if (candidates.isEmpty()) {
-            return Optional.of(refuse(work, RefusalReason.NO_TARGET, DEFAULT_RETRY_DELAY));
+            return decideWithoutCandidates(work, isNew, now);
         }
         Optional<EngineProfile> profile = profileOf(work);
         if (profile.isEmpty()) {
@@ -208,6 +213,38 @@
         return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
     }
 
+    /** Queues work for a target that wants no requests of its host for now, unless that lasts for too long. */
+    private Optional<AssignEffect> decideWithoutCandidates(Work work, boolean isNew, long now) {
+        List<TargetLoad> waitable = new ArrayList<>();
+        Optional<Duration> earliest = Optional.empty();
+        double patience = CostModel.abandonmentMillis(work) - work.age().toMillis();
+        double longest = Math.min(patience, work.remaining().toMillis());
+        for (TargetLoad load : loads.values()) {
+            if (!serves(load, work)) {
+                continue;
+            }
+            Duration quiet = quietPairs.remaining(work.id().owner().host(), load.target(), now);
+            boolean excluded = work.excluded().contains(load.target().id());
+            if (!excluded && quiet.toMillis() < longest) {
+                waitable.add(load);
+            }
+            if (!quiet.isZero()
+                    && earliest.map(other -> quiet.compareTo(other) < 0).orElse(true)) {
+                earliest = Optional.of(quiet);
+            }
+        }
+        if (!waitable.isEmpty()) {
+            return queueOrRefuse(work, waitable, isNew);
+        }
+        return Optional.of(earliest.map(retryAfter -> refuse(work, RefusalReason.QUIET, retryAfter))
+                .orElseGet(() -> refuse(work, RefusalReason.NO_TARGET, DEFAULT_RETRY_DELAY)));
+    }
+
+    private static boolean serves(TargetLoad load, Work work) {
+        FleetTarget target = load.target();
+        return !target.draining() && target.service().equals(work.service());
+    }
+
     /**
      * A long prompt uses targets with little prefill backlog, waits for them as long as it can, and then uses any
      * target.
@@ -283,9 +320,9 @@
         List<TargetLoad> unhealthy = new ArrayList<>();
         for (TargetLoad load : loads.values()) {
             FleetTarget target = load.target();
-            boolean fits = !target.draining()
-                    && target.service().equals(work.service())
-                    && !work.excluded().contains(target.id());
+            boolean fits = serves(load, work)
+                    && !work.excluded().contains(target.id())
+                    && quietPairs.allows(work.id().owner().host(), load, now);
             if (!fits) {
                 continue;
             }
@@ -404,6 +441,7 @@
     }
 
     private ImmutableList<AssignEffect> removeHost(HostId host, long now) {
+        quietPairs.removeHost(host);
         queue.keySet().removeIf(id -> id.owner().host().equals(host));
         advance(now);
         for (AttemptId id : ImmutableList.copyOf(activeAttempts.keySet())) {
@@ -511,7 +549,9 @@
         Map<CandidateGroup, Long> smallestUnplaced = new HashMap<>();
         for (QueuedWork queued : order) {
             Work work = queued.workAt(now);
-            CandidateGroup group = new CandidateGroup(work.service(), work.zone());
+            HostId host = work.id().owner().host();
+            CandidateGroup group = new CandidateGroup(
+                    work.service(), work.zone(), quietPairs.concerns(host) ? Optional.of(host) : Optional.empty());
             long tokens = work.size().map(PromptSize::totalTokens).orElse(0L);
             boolean fitsNowhere = tokens >= smallestUnplaced.getOrDefault(group, Long.MAX_VALUE);
             if (fitsNowhere && !queued.isLong() && !mustDecide(work)) {
@@ -528,8 +568,12 @@
         return effects.build();
     }
 
-    /** Work with the same candidates, apart from those that an earlier attempt excluded. */
-    private record CandidateGroup(ServiceName service, AvailabilityZoneId zone) {}
+    /**
+     * Work with the same candidates, apart from those that an earlier attempt excluded.
+     *
+     * @param host the work's host, if some targets may want no requests of it
+     */
+    private record CandidateGroup(ServiceName service, AvailabilityZoneId zone, Optional<HostId> host) {}
 
     /** Returns whether queued work is decided although no candidate has capacity: it is refused. */
     private boolean mustDecide(Work work) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/RefusalReason.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/RefusalReason.java
@@ -6,6 +6,8 @@
     NO_TARGET,
     /** More work is queued than targets become free in time. */
     OVERLOADED,
+    /** All targets want no requests of the host until after the request's limit. */
+    QUIET,
     /** No target could send the first event before the caller disconnects or the request's limit passes. */
     TOO_LATE,
     /** The prompt is larger than the memory of all targets together. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
@@ -7,6 +7,7 @@
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.HostId;
 
 /** All work assigned to one target. Not thread-safe. */
 final class TargetLoad {
@@ -79,6 +80,14 @@
         return totals().owned;
     }
 
+    /** Returns the number of requests of a host that the target answers. */
+    long ownedCount(HostId host) {
+        return parts.values().stream()
+                .filter(part ->
+                        !part.isHelper() && part.work().id().owner().host().equals(host))
+                .count();
+    }
+
     /** Returns whether a helper's part may still be in prefill here: one more part would be prefilled before it. */
     boolean hasUnfinishedHelperPart() {
         return totals().unfinishedHelpers > 0;
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/Fleet.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/Fleet.java
@@ -155,6 +155,13 @@
         return known != null && known.isSameIncarnation(target) && !known.draining();
     }
 
+    /** Returns the targets that have announced that they are leaving and whose entries are still known. */
+    public ImmutableList<FleetTarget> leaving() {
+        return targets.values().stream()
+                .filter(target -> leaving.contains(target.incarnation()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** Returns the target with the id. */
     public Optional<FleetTarget> find(TargetId id) {
         return Optional.ofNullable(targets.get(id));
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/LeavingTargets.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/LeavingTargets.java
@@ -28,9 +28,14 @@
         return leaving.put(checkNotNull(target), true) == null;
     }
 
+    /** Returns whether the incarnation is leaving. */
+    boolean contains(TargetIncarnation target) {
+        return leaving.containsKey(target);
+    }
+
     /** Returns the entry, as that of a draining target if its incarnation is leaving. */
     FleetTarget apply(FleetTarget entry) {
-        return leaving.containsKey(entry.incarnation()) ? entry.asDraining() : entry;
+        return contains(entry.incarnation()) ? entry.asDraining() : entry;
     }
 
     /**
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/admin/QuarantineApi.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/admin/RelayAdminApi.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -25,29 +26,34 @@
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.node.front.ErrorBodies;
 import org.boragebarrow.node.quarantine.QuarantineDuty;
+import org.boragebarrow.node.relay.HostStatus;
 import org.boragebarrow.node.settings.Secret;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
 /**
- * Serves the operators' HTTP API of the quarantine: {@code GET /admin/v1/quarantine} lists its entries, {@code PUT} and
- * {@code DELETE /admin/v1/quarantine/SERVICE/PART} quarantine a part and lift its quarantine. Thread-safe.
+ * Serves the operators' HTTP API of a host that relays requests: {@code GET /admin/v1/status} returns its view of the deployment,
+ * {@code GET /admin/v1/quarantine} lists the quarantine, {@code PUT} and {@code DELETE /admin/v1/quarantine/SERVICE/PART}
+ * quarantine a part and lift its quarantine. Thread-safe.
  */
-public final class QuarantineApi implements ServerHandler {
+public final class RelayAdminApi implements ServerHandler {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Splitter PATH_SPLITTER = Splitter.on('/').omitEmptyStrings();
     private static final String OPERATOR_HEADER = "operator";
+    private static final List<String> STATUS_PATH = List.of("admin", "v1", "status");
     private static final int COLLECTION_SEGMENTS = 3;
     private static final int ENTRY_SEGMENTS = 5;
     private static final int OK = 200;
 
     private final OperatorToken token;
     private final QuarantineDuty quarantine;
+    private final Supplier<CompletableFuture<HostStatus>> status;
 
     /** Creates an API that accepts a single token. */
-    public QuarantineApi(Secret token, QuarantineDuty quarantine) {
+    public RelayAdminApi(Secret token, QuarantineDuty quarantine, Supplier<CompletableFuture<HostStatus>> status) {
         this.token = new OperatorToken(token);
         this.quarantine = checkNotNull(quarantine);
+        this.status = checkNotNull(status);
     }
 
     @Override
@@ -59,10 +65,14 @@
     public void onRequest(ServerRequest request, ServerResponse response) {
         token.check(request);
         List<String> path = PATH_SPLITTER.splitToList(request.path());
+        if (path.equals(STATUS_PATH) && request.method().equals("GET")) {
+            respond(response, status.get().thenApply(HostStatusPage::of));
+            return;
+        }
         boolean known = path.size() >= COLLECTION_SEGMENTS
                 && path.subList(0, COLLECTION_SEGMENTS).equals(List.of("admin", "v1", "quarantine"));
         if (known && path.size() == COLLECTION_SEGMENTS && request.method().equals("GET")) {
-            respond(response, quarantine.list().thenApply(QuarantineApi::toJson));
+            respond(response, quarantine.list().thenApply(RelayAdminApi::toJson));
         } else if (known && path.size() == ENTRY_SEGMENTS) {
             edit(request, path.get(COLLECTION_SEGMENTS), path.get(ENTRY_SEGMENTS - 1), response);
         } else {
@@ -90,7 +100,7 @@
         }
         respond(
                 response,
-                quarantine.edit(key, lifted, operator, reasonOf(request)).thenApply(QuarantineApi::toJson));
+                quarantine.edit(key, lifted, operator, reasonOf(request)).thenApply(RelayAdminApi::toJson));
     }
 
     private static String reasonOf(ServerRequest request) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -1,14 +1,11 @@
 package org.boragebarrow.node.assign;
 
 import java.time.Duration;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -80,9 +77,6 @@
     /** Unsent bytes on links to other hosts above which they are logged: a tenth of a second of a link of 14 Mbit/s. */
     private static final long LOGGED_UNSENT_BYTES = 175_000;
 
-    /** The maximum number of announcements that are repeated to a new assigner, the latest ones. */
-    private static final int MAX_ANNOUNCED = 64;
-
     /** Time without a message after which another host's attempts are removed: three of its probe intervals. */
     private static final long HOST_TIMEOUT_NANOS =
             TimeUnit.MILLISECONDS.toNanos(3 * AssignerChoice.PROBE_INTERVAL_MILLIS);
@@ -99,14 +93,7 @@
     private final Map<AttemptId, HeldAssignment> heldAssignments = new LinkedHashMap<>();
     private final Map<HostId, Long> requesterLastSeen = new HashMap<>();
     private final Map<HostId, HostIncarnation> incarnations = new HashMap<>();
-    private final Set<TargetIncarnation> announcedLeaving = Collections.newSetFromMap(new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<TargetIncarnation, Boolean> eldest) {
-            return size() > MAX_ANNOUNCED;
-        }
-    });
+    private final SignalAnnouncements announcements;
     private Optional<LeavingListener> leavingListener = Optional.empty();
     private ImmutableMap<HostId, HostRecord> hosts = ImmutableMap.of();
     private Optional<PeerLinks> links = Optional.empty();
@@ -176,6 +163,7 @@
         this.assignerChoice = new AssignerChoice(assigner);
         this.duty = new AssignDuty(loop, ticker, this::onEffects, this::onDutyFailure);
         this.directory = new HostDirectory(self, table, loop, log, new DirectoryListener());
+        this.announcements = new SignalAnnouncements(assigner, ticker, new SignalTransport());
     }
 
     /**
@@ -195,6 +183,11 @@
         return Math.max(1, hosts.size());
     }
 
+    /** Returns the host from which this host requests targets. */
+    public HostId assigner() {
+        return assigner;
+    }
+
     @Override
     public void submit(Work work, DecisionListener listener) {
         HostId host = refreshAssigner();
@@ -252,9 +245,7 @@
             withdrawFrom(previous, held.work.id());
             deliver(selected, AssignMessages.assignmentReport(held.toEvent(now)), held.toEvent(now));
         }
-        for (TargetIncarnation target : announcedLeaving) {
-            send(selected, AssignMessages.targetLeaving(target));
-        }
+        announcements.repeatTo(selected);
         for (PendingRequest request : ImmutableList.copyOf(pending.values())) {
             requestAssignment(request, selected);
         }
@@ -294,19 +285,18 @@
         leavingListener = Optional.of(listener);
     }
 
-    /**
-     * Tells the assigner and the hosts of this host's zone that a target said in an answer to this host that it is leaving. A host
-     * that was told passes it on to nobody, so the number of messages does not grow with that of hosts that learn it.
-     */
+    /** Tells the assigner and the hosts of this host's zone that a target said in an answer to this host that it is leaving. */
     public void announceLeaving(TargetIncarnation target) {
-        announcedLeaving.add(target);
-        Set<HostId> recipients = new LinkedHashSet<>();
-        recipients.add(refreshAssigner());
-        hosts.values().stream()
+        ImmutableSet<HostId> zone = hosts.values().stream()
                 .filter(host -> host.zone().equals(self.zone()))
-                .forEach(host -> recipients.add(host.incarnation().host()));
-        recipients.remove(self.incarnation().host());
-        recipients.forEach(host -> send(host, AssignMessages.targetLeaving(target)));
+                .map(host -> host.incarnation().host())
+                .collect(ImmutableSet.toImmutableSet());
+        announcements.announceLeaving(target, refreshAssigner(), zone);
+    }
+
+    /** Tells the assigner that a target wants no requests of this host for a time. */
+    public void announceQuiet(TargetIncarnation target, Duration time) {
+        announcements.announceQuiet(target, time, refreshAssigner());
     }
 
     /** Receives what concerns the quarantine, on the event loop. */
@@ -548,6 +538,18 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    private final class SignalTransport implements SignalAnnouncements.Transport {
+        @Override
+        public void send(HostId host, Envelope message) {
+            RegionAssignments.this.send(host, message);
+        }
+
+        @Override
+        public void deliverToOwnAssigner(AssignEvent event) {
+            duty.offerWithRetry(event);
+        }
+    }
+
     /** Handles the messages of other hosts. */
     private final class PeerMessageHandler implements PeerListener {
         @Override
@@ -579,6 +581,8 @@
                 case ATTEMPT_ENDED -> duty.offerWithRetry(AssignMessages.fromEnded(message.getAttemptEnded()));
                 case CONNECTION_REFUSED ->
                     duty.offerWithRetry(AssignMessages.fromConnectionRefused(message.getConnectionRefused()));
+                case TARGET_QUIET ->
+                    duty.offerWithRetry(AssignMessages.fromTargetQuiet(host, message.getTargetQuiet()));
                 case TARGET_LEAVING -> {
                     TargetIncarnation target = AssignMessages.fromTargetLeaving(message.getTargetLeaving());
                     leavingListener.ifPresent(listener -> listener.onAnnouncedLeaving(target));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
@@ -35,6 +35,7 @@
     private final int maxOrganisations;
     private final Counter targetCrashes = registry.counter("boragebarrow.targets.crashed");
     private final Counter targetsLeaving = registry.counter("boragebarrow.targets.leaving");
+    private final Counter targetsQuiet = registry.counter("boragebarrow.targets.quiet");
     private final Counter retries = registry.counter("boragebarrow.retries");
     private final Counter resumes = registry.counter("boragebarrow.resumes");
     private final Counter strayMessages = registry.counter("boragebarrow.stray.messages");
@@ -94,6 +95,11 @@
         targetsLeaving.increment();
     }
 
+    /** Counts a target that asked for quiet, or for more of it. */
+    public void targetQuiet() {
+        targetsQuiet.increment();
+    }
+
     /** Counts a retry of an attempt. */
     public void retried() {
         retries.increment();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/PromptReservations.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/PromptReservations.java
@@ -1,14 +1,18 @@
 package org.boragebarrow.node.relay;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import io.netty.util.concurrent.Future;
 import org.boragebarrow.decision.assign.HelperTarget;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
 
 /**
  * The memory reserved on helpers for one prompt; confined to the event loop.
@@ -19,12 +23,19 @@
     /** Lifetime of a reservation without renewal: targets must regain the memory four seconds after its last use. */
     private static final Duration RESERVATION_LIFETIME = Duration.ofMillis(2_800);
 
+    /** The longest lifetime that targets grant. */
+    private static final Duration MAX_LIFETIME = Duration.ofSeconds(20);
+
+    /** Delay after the end of a quiet period, so that rounding does not make a request too early. */
+    private static final Duration AFTER_QUIET = Duration.ofMillis(5);
+
     /** Two renewals may be lost within the lifetime of a reservation. */
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(900);
 
     private final RelayContext context;
     private final ImmutableList<HelperTarget> storingHelpers;
     private final String name;
+    private final Map<TargetIncarnation, Long> extendedUntil = new HashMap<>();
     private Optional<Future<?>> renewalTimer = Optional.empty();
     private boolean released;
 
@@ -70,12 +81,37 @@
         if (released) {
             return;
         }
+        long now = context.ticker().read();
         for (HelperTarget helper : storingHelpers) {
-            reserve(helper).exceptionally(failure -> logFailure(helper, failure));
+            TargetIncarnation target = helper.target().incarnation();
+            boolean extended = extendedUntil.getOrDefault(target, now) - now > 0;
+            if (!extended && context.quiet().tryAcquire(target, now)) {
+                reserve(helper).exceptionally(failure -> logFailure(helper, failure));
+            }
         }
         scheduleRenewal();
     }
 
+    /**
+     * Renews the reservation on a helper for the time that is left of the request, because the helper wants no requests from now
+     * on; each further renewal would be one.
+     */
+    void extend(TargetIncarnation target, Duration time) {
+        Duration lifetime = Comparators.min(time, MAX_LIFETIME);
+        for (HelperTarget helper : storingHelpers) {
+            boolean concerned = !released
+                    && renewalTimer.isPresent()
+                    && helper.target().incarnation().equals(target);
+            if (concerned) {
+                Duration covered = time.compareTo(MAX_LIFETIME) <= 0 ? time : lifetime.minus(RENEWAL_INTERVAL);
+                extendedUntil.put(target, context.ticker().read() + covered.toNanos());
+                context.calls()
+                        .reserve(helper.target(), name, helper.storedTokens(), lifetime)
+                        .exceptionally(failure -> logFailure(helper, failure));
+            }
+        }
+    }
+
     /** Releases all memory; later calls have no effect. */
     void release() {
         if (released || storingHelpers.isEmpty()) {
@@ -83,8 +119,21 @@
         }
         released = true;
         renewalTimer.ifPresent(timer -> timer.cancel(false));
-        for (HelperTarget helper : storingHelpers) {
+        storingHelpers.forEach(this::release);
+    }
+
+    /** Releases a helper's memory, after its quiet period if it wants no more requests until then. */
+    private void release(HelperTarget helper) {
+        TargetIncarnation target = helper.target().incarnation();
+        long now = context.ticker().read();
+        if (context.quiet().tryAcquire(target, now)) {
             context.calls().release(helper.target(), name).exceptionally(failure -> logFailure(helper, failure));
+            return;
+        }
+        // Memory that was not reserved for long is free again soon.
+        if (extendedUntil.containsKey(target)) {
+            Duration wait = context.quiet().remaining(target, now).plus(AFTER_QUIET);
+            context.loop().schedule(() -> release(helper), wait.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
@@ -154,6 +154,13 @@
         ImmutableList.copyOf(open).forEach(exchange -> exchange.takeBackFrom(target));
     }
 
+    /** Renews the memory that requests in progress have reserved on a target that is quiet from now on, while it may be asked. */
+    void extendReservations(TargetIncarnation target) {
+        if (context.quiet().isQuiet(target, context.ticker().read())) {
+            ImmutableList.copyOf(open).forEach(exchange -> exchange.extendReservations(target));
+        }
+    }
+
     /** Fails the requests in progress whose prompts are quarantined now, unless their answers have begun. */
     public void failQuarantined() {
         ImmutableList.copyOf(open).forEach(RelayExchange::failIfQuarantined);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -157,7 +157,7 @@
     /** A helper that stores tokens is always needed; one that only does prefill is omitted if it is not usable. */
     private ImmutableList<HelperTarget> usableHelpers() {
         return assignment.helpers().stream()
-                .filter(helper -> helper.storedTokens() > 0 || context.fleet().isUsable(helper.target()))
+                .filter(helper -> helper.storedTokens() > 0 || context.isUsable(helper.target()))
                 .collect(ImmutableList.toImmutableList());
     }
 
@@ -165,6 +165,11 @@
         return id.toString().replace('#', '-').replace('/', '-');
     }
 
+    /** Reserves memory on a target that will not be asked again for some time, until the given time has passed. */
+    void extendReservations(TargetIncarnation target, Duration time) {
+        reservations.extend(target, time);
+    }
+
     /** Ends the call, if it has not ended, and reports the outcome to the assigner. */
     void close(Outcome outcome) {
         if (closed) {
@@ -252,7 +257,9 @@
             return;
         }
         if (!received.isSuccess() && (exchange.isResponseStarted() || NOT_RUN_STATUSES.contains(received.status()))) {
-            fail(Outcome.FAILED, true, "failed with status " + received.status());
+            // A target that asks for quiet is not failing.
+            Outcome outcome = received.asksForQuiet() ? Outcome.REFUSED : Outcome.FAILED;
+            fail(outcome, true, "failed with status " + received.status());
             return;
         }
         if (received.status() >= MIN_SERVER_ERROR && exchange.tryAcquireRetry(true)) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayContext.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayContext.java
@@ -5,6 +5,8 @@
 import com.google.common.base.Ticker;
 import io.netty.channel.EventLoop;
 import org.boragebarrow.decision.fleet.Fleet;
+import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.fleet.QuietPeriods;
 import org.boragebarrow.decision.quarantine.Quarantine;
 import org.boragebarrow.decision.retry.RetryQuota;
 import org.boragebarrow.decision.routing.RoutingTableHolder;
@@ -26,9 +28,15 @@
         RandomGenerator random,
         RoutingTableHolder routing,
         Fleet fleet,
+        QuietPeriods quiet,
         RetryQuota retryQuota,
         Quarantine quarantine,
         Assignments assignments,
         TargetCalls calls,
         DecisionLog log,
-        HostMetrics metrics) {}
+        HostMetrics metrics) {
+    /** Returns whether a new request may be sent to the incarnation of the target. */
+    boolean isUsable(FleetTarget target) {
+        return fleet.isUsable(target) && !quiet.isQuiet(target.incarnation(), ticker.read());
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -226,7 +226,7 @@
     private static ErrorKind kindOf(RefusalReason reason) {
         return switch (reason) {
             case NO_TARGET, TOO_LARGE -> ErrorKind.NO_TARGET;
-            case OVERLOADED -> ErrorKind.OVERLOADED;
+            case OVERLOADED, QUIET -> ErrorKind.OVERLOADED;
             case TOO_LATE -> ErrorKind.DEADLINE_UNREACHABLE;
             case QUARANTINED -> ErrorKind.PROMPT_QUARANTINED;
             case SUSPECTED -> ErrorKind.TARGET_FAILED;
@@ -266,7 +266,7 @@
     /** Returns a target that the attempt needs and that accepts no new work in this host's view. */
     private Optional<FleetTarget> findUnusable(Assignment assignment) {
         return assignment.needed().stream()
-                .filter(needed -> !context.fleet().isUsable(needed))
+                .filter(needed -> !context.isUsable(needed))
                 .findFirst();
     }
 
@@ -290,6 +290,10 @@
         reassignWithout(target.id());
     }
 
+    void extendReservations(TargetIncarnation target) {
+        current.ifPresent(attempt -> attempt.extendReservations(target, remaining()));
+    }
+
     private void reassignWithout(TargetId failed) {
         excluded = ImmutableSet.<TargetId>builder().addAll(excluded).add(failed).build();
         reassignments++;
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -10,6 +10,7 @@
 import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
 import org.boragebarrow.decision.fleet.Fleet;
+import org.boragebarrow.decision.fleet.QuietPeriods;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.decision.quarantine.Quarantine;
 import org.boragebarrow.decision.retry.Backoff;
@@ -108,6 +109,7 @@
     private final HostMetrics metrics = new HostMetrics(MAX_ORGANISATION_SERIES);
     private final RoutingTableHolder routing = new RoutingTableHolder();
     private final Fleet fleet = new Fleet();
+    private final QuietPeriods quiet = new QuietPeriods();
     private final RegionAssignments assignments;
     private final Ticker ticker = Ticker.systemTicker();
     private final RandomGenerator random;
@@ -166,6 +168,7 @@
                 random,
                 routing,
                 fleet,
+                quiet,
                 retryQuota,
                 quarantine,
                 assignments,
@@ -187,7 +190,7 @@
                 System::currentTimeMillis,
                 new QuarantineDuty.Outputs(log, metrics, assignments::sendToAll, this::onQuarantineChanged));
         assignments.setQuarantineListener(quarantineDuty);
-        SignalHandler signals = new SignalHandler(fleet, log, metrics, new SignalOutputs());
+        SignalHandler signals = new SignalHandler(fleet, quiet, ticker, log, metrics, new SignalOutputs());
         calls.setSignalListener(signals);
         assignments.setLeavingListener(signals);
         this.hostFollower = new TableFollower(
@@ -270,6 +273,22 @@
         loop.execute(this::onReadinessChecked);
     }
 
+    /** Returns the host's view of the deployment. */
+    public CompletableFuture<HostStatus> status() {
+        return CompletableFuture.supplyAsync(
+                () -> new HostStatus(
+                        settings.id(),
+                        isReady(),
+                        relay.inProgress(),
+                        routing.current().map(RoutingTable::version),
+                        assignments.assigner(),
+                        fleet.all(),
+                        fleet.leaving(),
+                        quiet.current(ticker.read()),
+                        quarantinedParts),
+                loop);
+    }
+
     /** Returns the duty that lists and edits the quarantine. */
     public QuarantineDuty quarantine() {
         return quarantineDuty;
@@ -415,14 +434,22 @@
 
         @Override
         public void takeBack(TargetIncarnation target) {
-            // The exchange whose answer announced this may still be handling it.
-            loop.execute(() -> relay.takeBack(target));
+            // The exchange whose answer announced this is still handling it.
+            loop.execute(() -> {
+                relay.takeBack(target);
+                relay.extendReservations(target);
+            });
         }
 
         @Override
         public void announceLeaving(TargetIncarnation target) {
             assignments.announceLeaving(target);
         }
+
+        @Override
+        public void announceQuiet(TargetIncarnation target, Duration time) {
+            assignments.announceQuiet(target, time);
+        }
     }
 
     private final class TablePeers implements SharedTable.Peers {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
@@ -44,6 +44,7 @@
      * @param otherIncarnation whether the address now belongs to another target or another incarnation of the target
      * @param genuine whether the response carries the target's signature, is for this request and is not re-encoded
      * @param causeTarget the target that the refusal names as its cause, verbatim; empty if it names none
+     * @param asksForQuiet whether the target turned the request away and stated a time for which it wants no others
      * @param endsWithConnection whether nothing but the end of the connection shows the end of the body
      * @param headers the headers to forward to the caller
      */
@@ -53,6 +54,7 @@
             boolean otherIncarnation,
             boolean genuine,
             String causeTarget,
+            boolean asksForQuiet,
             boolean endsWithConnection,
             ImmutableListMultimap<String, String> headers) {
         private static final int SUCCESS = 200;
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -30,6 +30,8 @@
 import org.boragebarrow.decision.assign.Work;
 import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.fleet.QuietPeriods;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.decision.quarantine.Quarantine;
 import org.boragebarrow.decision.quarantine.QuarantineEvent;
 import org.boragebarrow.decision.retry.RetryQuota;
@@ -66,12 +68,15 @@
     private final DecisionLog log = new DecisionLog(new PrintStream(logOutput, true, StandardCharsets.UTF_8));
     private long nanos;
     final Fleet fleet = new Fleet();
+    final QuietPeriods quiet = new QuietPeriods();
     final Quarantine quarantine = new Quarantine("host", Duration.ofHours(1), new Random(1));
     final RoutingTableHolder routing = new RoutingTableHolder();
     final FakeAssignments assignments = new FakeAssignments();
     final FakeCalls calls = new FakeCalls();
     ImmutableList<PromptPartId> promptParts = ImmutableList.of();
+    final List<String> announced = new ArrayList<>();
     final Relay relay;
+    final SignalHandler signals;
 
     RelayFixture(double retrySlack) {
         channel.freezeTime();
@@ -91,12 +96,38 @@
                 new Random(1),
                 routing,
                 fleet,
+                quiet,
                 new RetryQuota(0, retrySlack, Duration.ofSeconds(10), 1),
                 quarantine,
                 assignments,
                 calls,
                 log,
                 new HostMetrics(10)));
+        signals = new SignalHandler(fleet, quiet, ticker, log, new HostMetrics(10), new SignalOutputs());
+    }
+
+    /** Applies signals to the relay, after what announced them was handled, and records what is passed on. */
+    private final class SignalOutputs implements SignalHandler.Outputs {
+        @Override
+        public void onFleetChanged() {}
+
+        @Override
+        public void takeBack(TargetIncarnation target) {
+            channel.eventLoop().execute(() -> {
+                relay.takeBack(target);
+                relay.extendReservations(target);
+            });
+        }
+
+        @Override
+        public void announceLeaving(TargetIncarnation target) {
+            announced.add("leaving " + target);
+        }
+
+        @Override
+        public void announceQuiet(TargetIncarnation target, Duration time) {
+            announced.add("quiet " + target + " " + time.toMillis());
+        }
     }
 
     /** Puts one route into effect. */
@@ -240,14 +271,17 @@
         final List<FakeCall> started = new ArrayList<>();
         final List<TargetId> reserved = new ArrayList<>();
         final List<TargetId> released = new ArrayList<>();
+        final List<Duration> lifetimes = new ArrayList<>();
         final List<TargetId> checked = new ArrayList<>();
         SignalListener signals = (target, signal) -> {};
+        boolean sendsAtOnce = true;
         CompletableFuture<Boolean> refusesConnection = CompletableFuture.completedFuture(false);
         CompletableFuture<Void> reservationResult = CompletableFuture.completedFuture(null);
 
         @Override
         public EngineClient.CallHandle start(Call call, Listener listener) {
             FakeCall fake = new FakeCall(call, listener);
+            fake.sent = sendsAtOnce;
             started.add(fake);
             return fake;
         }
@@ -266,6 +300,7 @@
         @Override
         public CompletableFuture<Void> reserve(FleetTarget target, String name, long tokens, Duration lifetime) {
             reserved.add(target.id());
+            lifetimes.add(lifetime);
             return reservationResult;
         }
 
@@ -286,6 +321,7 @@
         private final TargetCalls.Listener listener;
         boolean sent = true;
         boolean closed;
+        boolean ended;
 
         FakeCall(TargetCalls.Call call, TargetCalls.Listener listener) {
             this.call = call;
@@ -308,21 +344,30 @@
                     false,
                     true,
                     "",
+                    false,
                     endsWithConnection,
                     ImmutableListMultimap.of("by", call.target().id().value())));
             return this;
         }
 
         void headThatIsNotGenuine() {
-            listener.onHead(new TargetCalls.Head(200, false, false, false, "", false, ImmutableListMultimap.of()));
+            listener.onHead(
+                    new TargetCalls.Head(200, false, false, false, "", false, false, ImmutableListMultimap.of()));
         }
 
         void refuse() {
-            listener.onHead(new TargetCalls.Head(503, true, false, false, "", false, ImmutableListMultimap.of()));
+            ended = true;
+            listener.onHead(
+                    new TargetCalls.Head(503, true, false, false, "", false, false, ImmutableListMultimap.of()));
+        }
+
+        /** Turns the request away without stating that it did not run. */
+        void refuseAskingForQuiet() {
+            listener.onHead(new TargetCalls.Head(503, false, false, true, "", true, false, ImmutableListMultimap.of()));
         }
 
         void respondAsAnotherIncarnation() {
-            listener.onHead(new TargetCalls.Head(421, true, true, false, "", false, ImmutableListMultimap.of()));
+            listener.onHead(new TargetCalls.Head(421, true, true, false, "", false, false, ImmutableListMultimap.of()));
         }
 
         FakeCall body(String text) {
@@ -331,6 +376,7 @@
         }
 
         void end() {
+            ended = true;
             listener.onEnd();
         }
 
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
@@ -12,9 +12,11 @@
 import org.boragebarrow.decision.assign.PromptSize;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.fleet.QuietPeriods;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.PromptPartId;
 import org.boragebarrow.model.PromptParts;
 import org.boragebarrow.model.ServiceName;
@@ -32,8 +34,11 @@
 import org.boragebarrow.peer.proto.TargetAssigned;
 import org.boragebarrow.peer.proto.TargetLeaving;
 import org.boragebarrow.peer.proto.TargetQueued;
+import org.boragebarrow.peer.proto.TargetQuiet;
 import org.boragebarrow.peer.proto.TargetRefused;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 /**
  * Converts the messages between hosts and the region's assigner.
  *
@@ -232,6 +237,28 @@
         return new TargetIncarnation(TargetId.of(message.getTarget()), message.getStartedMillis());
     }
 
+    /** Returns the message that reports that a target wants no requests of the sending host for some time. */
+    public static Envelope targetQuiet(TargetIncarnation target, Duration time) {
+        return Envelope.newBuilder()
+                .setTargetQuiet(TargetQuiet.newBuilder()
+                        .setTarget(target.id().value())
+                        .setStartedMillis(target.startedMillis())
+                        .setTimeMillis(time.toMillis()))
+                .build();
+    }
+
+    /**
+     * Decodes the report that a target wants no requests of the sending host.
+     *
+     * @throws IllegalArgumentException if the time is negative or longer than {@link QuietPeriods#MAX_TIME}
+     */
+    public static AssignEvent.QuietRequested fromTargetQuiet(HostId host, TargetQuiet message) {
+        Duration time = Duration.ofMillis(message.getTimeMillis());
+        checkArgument(!time.isNegative() && time.compareTo(QuietPeriods.MAX_TIME) <= 0, "invalid time: %s", time);
+        return new AssignEvent.QuietRequested(
+                host, new TargetIncarnation(TargetId.of(message.getTarget()), message.getStartedMillis()), time);
+    }
+
     /** Decodes the report that a target refuses connections. */
     public static AssignEvent.ConnectionRefused fromConnectionRefused(ConnectionRefused message) {
         return new AssignEvent.ConnectionRefused(
--- a/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
@@ -26,6 +26,7 @@
 import org.boragebarrow.model.PromptParts;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.TargetId;
+import org.boragebarrow.peer.proto.TargetQuiet;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -114,6 +115,27 @@
                 .isEqualTo(target);
     }
 
+    @Example
+    void aQuietTargetIsUnchangedAfterEncodingAndDecodingAndInvalidTimesAreRejected() {
+        TargetIncarnation target = new TargetIncarnation(TargetId.of("target"), 7);
+        HostId host = HostId.of("host");
+        TargetQuiet message =
+                AssignMessages.targetQuiet(target, Duration.ofMillis(1_500)).getTargetQuiet();
+
+        assertThat(AssignMessages.fromTargetQuiet(host, message))
+                .isEqualTo(new AssignEvent.QuietRequested(host, target, Duration.ofMillis(1_500)));
+        for (long millis : new long[] {-1, Long.MAX_VALUE, Long.MIN_VALUE}) {
+            TargetQuiet invalid = message.toBuilder().setTimeMillis(millis).build();
+            boolean rejected = false;
+            try {
+                AssignMessages.fromTargetQuiet(host, invalid);
+            } catch (IllegalArgumentException e) {
+                rejected = true;
+            }
+            assertThat(rejected).isTrue();
+        }
+    }
+
     @Example
     void everyReasonAndOutcomeIsUnchangedAfterEncodingAndDecoding() {
         for (RefusalReason reason : RefusalReason.values()) {
