Log where the answer of a target comes from

Answers and failed attempts now name the connection, its number of uses and its age, the bytes that arrived on it between calls, the answers to other calls that were skipped, and the reason phrase as received. Event 7024 and the counter boragebarrow_targets_unexpected_bytes_total report bytes that belong to no request. What is done with them is unchanged.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -187,7 +187,14 @@
             fail(endpoint + " switched protocols without being requested to");
             return;
         }
-        skipping = status.codeClass() == HttpStatusClass.INFORMATIONAL || belongsToAnotherCall(response);
+        boolean otherCall = belongsToAnotherCall(response);
+        skipping = status.codeClass() == HttpStatusClass.INFORMATIONAL || otherCall;
+        if (otherCall) {
+            connection()
+                    .onOtherResponse(response.protocolVersion() + " " + status + ", "
+                            + call.correlationId().get().header() + " "
+                            + response.headers().get(call.correlationId().get().header()));
+        }
         if (skipping) {
             skippedAnswers++;
             if (skippedAnswers > MAX_SKIPPED_ANSWERS) {
@@ -205,9 +212,14 @@
         for (Map.Entry<String, String> header : response.headers()) {
             headers.put(header);
         }
+        listener.onOrigin(connection().origin(status.reasonPhrase(), skippedAnswers));
         listener.onHead(status.code(), headers.build());
     }
 
+    private Connection connection() {
+        return channel.orElseThrow().pipeline().get(Connection.class);
+    }
+
     private boolean belongsToAnotherCall(HttpResponse response) {
         if (call.correlationId().isEmpty()) {
             return false;
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
@@ -15,22 +15,59 @@
 
 /** A connection that carries one call at a time or is idle in the pool; confined to its event loop. */
 final class Connection extends ChannelInboundHandlerAdapter {
+    private final long number;
     private final Endpoint endpoint;
     private final IdleConnectionPool pool;
     private final Duration idleTimeout;
+    private final UnexpectedBytes.Listener unexpectedBytes;
+    private final long openedAt = System.nanoTime();
+    private int uses;
+    private long idleBytes;
     private Optional<ActiveCall> currentCall = Optional.empty();
     private Optional<Future<?>> idleTimer = Optional.empty();
 
-    Connection(Endpoint endpoint, IdleConnectionPool pool, Duration idleTimeout) {
+    Connection(
+            long number,
+            Endpoint endpoint,
+            IdleConnectionPool pool,
+            Duration idleTimeout,
+            UnexpectedBytes.Listener unexpectedBytes) {
+        this.number = number;
         this.endpoint = endpoint;
         this.pool = pool;
         this.idleTimeout = idleTimeout;
+        this.unexpectedBytes = unexpectedBytes;
+    }
+
+    boolean isIdle() {
+        return currentCall.isEmpty();
+    }
+
+    /** Describes the origin of a response that arrives now. */
+    ResponseOrigin origin(String reasonPhrase, int skippedResponses) {
+        Duration age = Duration.ofNanos(System.nanoTime() - openedAt);
+        return new ResponseOrigin(number, uses, age, idleBytes, skippedResponses, reasonPhrase);
+    }
+
+    void onIdleBytes(int bytes, String start) {
+        idleBytes += bytes;
+        report(UnexpectedBytes.State.IDLE, bytes, start);
+    }
+
+    /** Reports a response to another call that arrived during the current one. */
+    void onOtherResponse(String start) {
+        report(UnexpectedBytes.State.IN_CALL, 0, start);
+    }
+
+    private void report(UnexpectedBytes.State state, long bytes, String start) {
+        unexpectedBytes.onUnexpectedBytes(new UnexpectedBytes(endpoint, number, uses, state, bytes, start));
     }
 
     void attach(ActiveCall call) {
         idleTimer.ifPresent(timer -> timer.cancel(false));
         idleTimer = Optional.empty();
         currentCall = Optional.of(call);
+        uses++;
     }
 
     /** Detaches the current call and returns the connection to the pool, or closes it if the pool rejects it. */
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.common.net.InetAddresses;
 import io.netty.bootstrap.Bootstrap;
@@ -48,6 +49,8 @@
     private final EventLoopGroup group;
     private final ClientLimits limits;
     private final IdleConnectionPool pool = new IdleConnectionPool();
+    private final AtomicLong connections = new AtomicLong();
+    private volatile UnexpectedBytes.Listener unexpectedBytes = unexpected -> {};
 
     /** Creates a client with the default limits on the given event loops, which it does not shut down. */
     public HttpClient(EventLoopGroup group) {
@@ -60,6 +63,11 @@
         this.limits = checkNotNull(limits);
     }
 
+    /** Sets what is told of bytes that belong to no call. */
+    public void setUnexpectedBytesListener(UnexpectedBytes.Listener listener) {
+        unexpectedBytes = checkNotNull(listener);
+    }
+
     /** Sends the call and returns its complete response; the future fails with {@link HttpCallException}. */
     public CompletableFuture<HttpAnswer> exchange(Endpoint endpoint, HttpCall call, Duration timeout) {
         checkArgument(!timeout.isNegative(), "negative timeout: %s", timeout);
@@ -165,9 +173,12 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        Connection connection = new Connection(
+                                connections.incrementAndGet(), endpoint, pool, limits.idleTimeout(), unexpectedBytes);
                         channel.pipeline()
+                                .addLast(new InputMonitor(connection))
                                 .addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                                .addLast(new Connection(endpoint, pool, limits.idleTimeout()));
+                                .addLast(connection);
                     }
                 });
         if (limits.tcpKeepAlive()) {
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/InputMonitor.java
@@ -0,0 +1,33 @@
+package org.boragebarrow.http.client;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/** Tells the connection of bytes that arrive while no call is in progress, before they are decoded. */
+final class InputMonitor extends ChannelInboundHandlerAdapter {
+    private static final int MAX_SHOWN_BYTES = 64;
+
+    private final Connection connection;
+
+    InputMonitor(Connection connection) {
+        this.connection = connection;
+    }
+
+    /** Returns the first bytes as ASCII text with a dot for each other or unprintable character. */
+    static String show(ByteBuf bytes) {
+        String text = bytes.toString(
+                bytes.readerIndex(), Math.min(bytes.readableBytes(), MAX_SHOWN_BYTES), StandardCharsets.ISO_8859_1);
+        return text.replaceAll("[^ -~]", ".");
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (connection.isIdle() && message instanceof ByteBuf bytes) {
+            connection.onIdleBytes(bytes.readableBytes(), show(bytes));
+        }
+        context.fireChannelRead(message);
+    }
+}
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/StreamListener.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/StreamListener.java
@@ -11,6 +11,9 @@
  * listener throws, the call fails as {@linkplain TargetFailure#broken broken}.
  */
 public interface StreamListener {
+    /** Receives where the response comes from, directly before its status and headers. */
+    default void onOrigin(ResponseOrigin origin) {}
+
     /** Receives the status and headers. */
     void onHead(int status, ImmutableListMultimap<String, String> headers);
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
@@ -36,6 +36,7 @@
     private final Counter targetCrashes = registry.counter("boragebarrow.targets.crashed");
     private final Counter targetsLeaving = registry.counter("boragebarrow.targets.leaving");
     private final Counter targetsQuiet = registry.counter("boragebarrow.targets.quiet");
+    private final Counter unexpectedBytes = registry.counter("boragebarrow.targets.unexpected.bytes");
     private final Counter retries = registry.counter("boragebarrow.retries");
     private final Counter resumes = registry.counter("boragebarrow.resumes");
     private final Counter strayMessages = registry.counter("boragebarrow.stray.messages");
@@ -100,6 +101,11 @@
         targetsQuiet.increment();
     }
 
+    /** Counts one time at which a target sent bytes that belong to no request. */
+    public void unexpectedBytes() {
+        unexpectedBytes.increment();
+    }
+
     /** Counts a retry of an attempt. */
     public void retried() {
         retries.increment();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -16,6 +16,7 @@
 import org.boragebarrow.decision.assign.Outcome;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
+import org.boragebarrow.http.client.ResponseOrigin;
 import org.boragebarrow.http.server.ServerResponse;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.TargetId;
@@ -45,6 +46,7 @@
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private Optional<EngineClient.CallHandle> handle = Optional.empty();
     private Optional<Future<?>> stallTimer = Optional.empty();
+    private Optional<ResponseOrigin> origin = Optional.empty();
     private Optional<TargetCalls.Head> head = Optional.empty();
     private Duration longestPause = Duration.ZERO;
     private Duration expectedPause = Duration.ZERO;
@@ -90,6 +92,11 @@
         return longestPause;
     }
 
+    /** Returns where the response comes from, once its head has been received. */
+    Optional<ResponseOrigin> origin() {
+        return origin;
+    }
+
     /** Returns whether the attempt needs the target, to answer it or to store a part of its prompt. */
     boolean needs(TargetIncarnation incarnation) {
         return assignment.needed().stream()
@@ -236,6 +243,11 @@
         exchange.onAttemptFailed(this, outcome, ran, reason);
     }
 
+    @Override
+    public void onOrigin(ResponseOrigin received) {
+        origin = Optional.of(received);
+    }
+
     @Override
     public void onHead(TargetCalls.Head received) {
         if (closed) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -26,6 +26,8 @@
     TARGET(7022),
     /** A target turned a request away and wants no requests of this host for some time. */
     TARGET_QUIET(7023),
+    /** A target sent bytes that belong to no request. */
+    UNEXPECTED_BYTES(7024),
     /** A target was assigned to an attempt. */
     ASSIGNED(7030),
     /** The assigner refused to assign a target to an attempt. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -192,6 +192,7 @@
         assignments.setQuarantineListener(quarantineDuty);
         SignalHandler signals = new SignalHandler(fleet, quiet, ticker, log, metrics, new SignalOutputs());
         calls.setSignalListener(signals);
+        calls.setUnexpectedBytesListener(new UnexpectedBytesLog(log, metrics));
         assignments.setLeavingListener(signals);
         this.hostFollower = new TableFollower(
                 loop,
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
+import com.google.common.base.Ascii;
+import com.google.common.collect.ObjectArrays;
 import org.boragebarrow.decision.assign.AssignEffect;
 import org.boragebarrow.decision.assign.Assignment;
 import org.boragebarrow.decision.assign.Outcome;
@@ -11,11 +13,14 @@
 import org.boragebarrow.decision.assign.Work;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
+import org.boragebarrow.http.client.ResponseOrigin;
 import org.boragebarrow.model.PromptPartId;
 import org.boragebarrow.model.RequestException;
 
 /** Writes the decisions on one request to the decision log; confined to the event loop. */
 final class RelayTrace {
+    private static final int MAX_PHRASE_CHARACTERS = 80;
+
     private final RelayContext context;
     private final RelayRequest request;
     private final Destination destination;
@@ -122,29 +127,51 @@
     }
 
     void attemptFailed(RelayAttempt attempt, Outcome outcome, boolean ran, boolean retried, String reason) {
-        context.log()
-                .write(
-                        RelayEvent.ATTEMPT_FAILED,
-                        "id",
-                        request.id(),
-                        "attempt",
-                        attempt.id(),
-                        "target",
-                        attempt.target().id(),
-                        "outcome",
-                        outcome,
-                        "ran",
-                        ran ? "unknown" : "no",
-                        "retried",
-                        retried,
-                        "first_ms",
-                        attempt.timeToFirstEventMillis(),
-                        "parts",
-                        parts(),
-                        "age_ms",
-                        ageMillis(),
-                        "reason",
-                        reason);
+        Object[] pairs = {
+            "id",
+            request.id(),
+            "attempt",
+            attempt.id(),
+            "target",
+            attempt.target().id(),
+            "outcome",
+            outcome,
+            "ran",
+            ran ? "unknown" : "no",
+            "retried",
+            retried,
+            "first_ms",
+            attempt.timeToFirstEventMillis(),
+            "parts",
+            parts(),
+            "age_ms",
+            ageMillis(),
+            "reason",
+            reason
+        };
+        context.log().write(RelayEvent.ATTEMPT_FAILED, ObjectArrays.concat(pairs, origin(attempt), Object.class));
+    }
+
+    /** Describes the connection of the attempt's response, if its head has been received. */
+    private static Object[] origin(RelayAttempt attempt) {
+        return attempt.origin().map(RelayTrace::describe).orElse(new Object[0]);
+    }
+
+    private static Object[] describe(ResponseOrigin origin) {
+        return new Object[] {
+            "connection",
+            origin.connection(),
+            "uses",
+            origin.uses(),
+            "connection_ms",
+            origin.age().toMillis(),
+            "idle_bytes",
+            origin.idleBytes(),
+            "skipped",
+            origin.skippedResponses(),
+            "phrase",
+            Ascii.truncate(origin.reasonPhrase(), MAX_PHRASE_CHARACTERS, "...")
+        };
     }
 
     void kept(RelayAttempt stalled, String reason) {
@@ -218,26 +245,26 @@
     }
 
     void answered(RelayAttempt attempt, int status, long bytes, int attempts) {
-        context.log()
-                .write(
-                        RelayEvent.ANSWERED,
-                        "id",
-                        request.id(),
-                        "target",
-                        attempt.target().id(),
-                        "status",
-                        status,
-                        "bytes",
-                        bytes,
-                        "first_ms",
-                        attempt.timeToFirstEventMillis(),
-                        "predicted_ms",
-                        attempt.predictedTimeToFirstEvent().toMillis(),
-                        "pause_ms",
-                        attempt.longestPause().toMillis(),
-                        "age_ms",
-                        ageMillis(),
-                        "attempts",
-                        attempts);
+        Object[] pairs = {
+            "id",
+            request.id(),
+            "target",
+            attempt.target().id(),
+            "status",
+            status,
+            "bytes",
+            bytes,
+            "first_ms",
+            attempt.timeToFirstEventMillis(),
+            "predicted_ms",
+            attempt.predictedTimeToFirstEvent().toMillis(),
+            "pause_ms",
+            attempt.longestPause().toMillis(),
+            "age_ms",
+            ageMillis(),
+            "attempts",
+            attempts
+        };
+        context.log().write(RelayEvent.ANSWERED, ObjectArrays.concat(pairs, origin(attempt), Object.class));
     }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
@@ -11,6 +11,8 @@
 import org.boragebarrow.decision.assign.HelperTarget;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetSignal;
+import org.boragebarrow.http.client.ResponseOrigin;
+import org.boragebarrow.http.client.UnexpectedBytes;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.port.EngineClient;
 import org.boragebarrow.port.TargetFailure;
@@ -68,6 +70,9 @@
 
     /** Receives a response incrementally on one event loop; is not called after its end, failure or closing. */
     interface Listener {
+        /** Receives where the response comes from, directly before its head. */
+        default void onOrigin(ResponseOrigin origin) {}
+
         /** Receives the head. */
         void onHead(Head head);
 
@@ -90,6 +95,9 @@
     /** Sets what receives the signals in all answers: to requests, whole or begun, to refused ones, and to reservations. */
     void setSignalListener(SignalListener listener);
 
+    /** Sets what is told of bytes that targets send and that belong to no call. */
+    default void setUnexpectedBytesListener(UnexpectedBytes.Listener listener) {}
+
     /** Sends the call; closing the handle signals to the target that the caller no longer waits. */
     EngineClient.CallHandle start(Call call, Listener listener);
 
