Do not reuse a connection on which bytes arrived that belong to no call

The client gave a connection back as soon as an answer was complete, and noticed bytes on an idle connection only once they made up a whole message: a part of an answer stayed in the decoder until the next answer completed it.

Bytes now count before they are decoded. Any byte on an idle connection closes it; so does a byte that was received together with the end of the answer. Directly before a call is sent, the socket is read without waiting, so that what the event loop has not seen yet, also the end of the connection, counts as well.

HttpClientUnexpectedBytesTest plays fragments and a whole answer behind an answer, on an idle connection, and received but not read.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -63,6 +63,10 @@
         return loop;
     }
 
+    boolean expectsNoBody() {
+        return call.method().equals(HttpMethod.HEAD.name());
+    }
+
     boolean isDone() {
         return done;
     }
@@ -238,7 +242,7 @@
                 || HttpUtil.isContentLengthSet(response)
                 || response.status().equals(HttpResponseStatus.NO_CONTENT)
                 || response.status().equals(HttpResponseStatus.NOT_MODIFIED)
-                || call.method().equals(HttpMethod.HEAD.name());
+                || expectsNoBody();
     }
 
     private void receiveContent(HttpContent content) {
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
@@ -1,9 +1,12 @@
 package org.boragebarrow.http.client;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -49,9 +52,39 @@
         return new ResponseOrigin(number, uses, age, idleBytes, skippedResponses, reasonPhrase);
     }
 
-    void onIdleBytes(int bytes, String start) {
+    /** Returns whether a response to the current call has no body, whatever its head says. */
+    boolean expectsNoBody() {
+        return currentCall.map(ActiveCall::expectsNoBody).orElse(false);
+    }
+
+    /**
+     * Closes the connection because of bytes that belong to no call.
+     *
+     * <p>A decoder would hold a part of a response until the next one completes it.
+     */
+    void onIdleBytes(Channel channel, int bytes, String start) {
         idleBytes += bytes;
         report(UnexpectedBytes.State.IDLE, bytes, start);
+        pool.remove(endpoint, channel);
+        close(channel);
+    }
+
+    /** Returns whether a call may be sent; closes the connection if not, as after unexpected bytes or its end. */
+    boolean prepareReuse(Channel channel) {
+        ByteBuffer received = ByteBuffer.allocate(InputMonitor.MAX_SHOWN_BYTES);
+        int bytes;
+        try {
+            bytes = ((ClientSocketChannel) channel).readReceived(received);
+        } catch (IOException e) {
+            close(channel);
+            return false;
+        }
+        if (bytes > 0) {
+            onIdleBytes(channel, bytes, InputMonitor.show(Unpooled.wrappedBuffer(received.flip())));
+        } else if (bytes < 0) {
+            close(channel);
+        }
+        return bytes == 0;
     }
 
     /** Reports a response to another call that arrived during the current one. */
@@ -70,9 +103,17 @@
         uses++;
     }
 
-    /** Detaches the current call and returns the connection to the pool, or closes it if the pool rejects it. */
+    /**
+     * Detaches the current call and returns the connection to the pool; closes it if the pool rejects it, or if more than the
+     * response was received.
+     */
     void release(Channel channel) {
         currentCall = Optional.empty();
+        ResponseDecoder decoder = channel.pipeline().get(ResponseDecoder.class);
+        if (decoder.unreadBytes() > 0) {
+            onIdleBytes(channel, decoder.unreadBytes(), decoder.unreadStart());
+            return;
+        }
         channel.config().setAutoRead(true);
         idleTimer = Optional.of(channel.eventLoop()
                 .schedule(() -> closeIfIdle(channel), idleTimeout.toMillis(), TimeUnit.MILLISECONDS));
@@ -109,12 +150,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         try {
-            if (currentCall.isEmpty()) {
-                pool.remove(endpoint, ctx.channel());
-                ctx.close();
-                return;
-            }
-            currentCall.get().receive((HttpObject) message);
+            currentCall.ifPresent(call -> call.receive((HttpObject) message));
         } finally {
             ReferenceCountUtil.release(message);
         }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -19,8 +19,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import jdk.net.ExtendedSocketOptions;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.port.EngineClient;
@@ -141,13 +141,18 @@
     }
 
     private void sendOrConnect(ActiveCall active, Endpoint endpoint, Optional<Channel> idle) {
-        if (idle.isPresent() && idle.get().isActive()) {
+        if (idle.isPresent() && prepareReuse(idle.get())) {
             active.start(idle.get());
         } else {
             connect(active, endpoint);
         }
     }
 
+    private static boolean prepareReuse(Channel channel) {
+        // The handlers of a closed channel are removed.
+        return channel.isActive() && channel.pipeline().get(Connection.class).prepareReuse(channel);
+    }
+
     private void connect(ActiveCall active, Endpoint endpoint) {
         if (active.isDone()) {
             return;
@@ -166,7 +171,7 @@
     private Bootstrap createBootstrap(EventLoopGroup loop, Endpoint endpoint) {
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(ClientSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         limits.connectTimeout().toMillis())
@@ -177,7 +182,8 @@
                                 connections.incrementAndGet(), endpoint, pool, limits.idleTimeout(), unexpectedBytes);
                         channel.pipeline()
                                 .addLast(new InputMonitor(connection))
-                                .addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(new ResponseDecoder(decoderConfig(), connection))
+                                .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
                     }
                 });
@@ -190,4 +196,11 @@
         }
         return bootstrap;
     }
+
+    private static HttpDecoderConfig decoderConfig() {
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxChunkSize(MAX_CHUNK_BYTES);
+    }
 }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/InputMonitor.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/InputMonitor.java
@@ -6,9 +6,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
-/** Tells the connection of bytes that arrive while no call is in progress, before they are decoded. */
+/** Passes bytes on to the decoder only while a call is in progress; others end the connection. */
 final class InputMonitor extends ChannelInboundHandlerAdapter {
-    private static final int MAX_SHOWN_BYTES = 64;
+    static final int MAX_SHOWN_BYTES = 64;
 
     private final Connection connection;
 
@@ -26,7 +26,9 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (connection.isIdle() && message instanceof ByteBuf bytes) {
-            connection.onIdleBytes(bytes.readableBytes(), show(bytes));
+            connection.onIdleBytes(context.channel(), bytes.readableBytes(), show(bytes));
+            bytes.release();
+            return;
         }
         context.fireChannelRead(message);
     }
