Reject heads that are joined from those of two responses

The target sent a part of an answer that belongs to no request, on a kept connection, after the next request had arrived there; the decoder takes the status line that follows for the rest of a reason phrase or of a header's value.

Nothing but the form shows such a head, so it is looked at: a status line within a reason phrase, a name or a value, a version other than 1.0 and 1.1, two ids, and a length beside chunks make the answer malformed. It fails the attempt with an unknown outcome: repeatable requests are tried elsewhere, others end as 502. Where a whole answer to another request preceded, the connection is not used again after the call.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -46,6 +46,7 @@
     private boolean readEnabled = true;
     private volatile boolean sent;
     private boolean skipping;
+    private boolean receivedOtherResponse;
     private int skippedAnswers;
     private long skippedBytes;
     private boolean keepAlive;
@@ -191,9 +192,16 @@
             fail(endpoint + " switched protocols without being requested to");
             return;
         }
+        Optional<String> fault = ResponseHeadValidator.findFault(response, call.correlationId());
+        if (fault.isPresent()) {
+            connection().onRejectedHead(response.protocolVersion() + " " + status);
+            fail("malformed response from " + endpoint + ": " + fault.get());
+            return;
+        }
         boolean otherCall = belongsToAnotherCall(response);
         skipping = status.codeClass() == HttpStatusClass.INFORMATIONAL || otherCall;
         if (otherCall) {
+            receivedOtherResponse = true;
             connection()
                     .onOtherResponse(response.protocolVersion() + " " + status + ", "
                             + call.correlationId().get().header() + " "
@@ -211,7 +219,8 @@
             fail("response from " + endpoint + " has neither Content-Length nor chunked encoding");
             return;
         }
-        keepAlive = HttpUtil.isKeepAlive(response) && selfDelimited;
+        // After a response to another call, what else the server sends on this connection is not known.
+        keepAlive = HttpUtil.isKeepAlive(response) && selfDelimited && !receivedOtherResponse;
         ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
         for (Map.Entry<String, String> header : response.headers()) {
             headers.put(header);
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
@@ -92,6 +92,11 @@
         report(UnexpectedBytes.State.IN_CALL, 0, start);
     }
 
+    /** Reports a head that was joined from two or is ambiguous. */
+    void onRejectedHead(String start) {
+        report(UnexpectedBytes.State.IN_HEAD, 0, start);
+    }
+
     private void report(UnexpectedBytes.State state, long bytes, String start) {
         unexpectedBytes.onUnexpectedBytes(new UnexpectedBytes(endpoint, number, uses, state, bytes, start));
     }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
@@ -41,6 +41,11 @@
         }
     }
 
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("Content-Length beside Transfer-Encoding");
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         boolean informational = message instanceof HttpResponse response
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/UnexpectedBytes.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/UnexpectedBytes.java
@@ -19,7 +19,9 @@
         /** No call was in progress. */
         IDLE,
         /** A response to another call, or its part, arrived during a call. */
-        IN_CALL
+        IN_CALL,
+        /** The head of the response was joined from two, or the end of its body is ambiguous. */
+        IN_HEAD
     }
 
     /** Receives notice of unexpected bytes; called on the event loop of the connection. */
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
@@ -61,6 +61,12 @@
         assertFailsAsSent("HTTP/1.1 200 OK\r\nContent-Length: two\r\n\r\nhi");
     }
 
+    @Example
+    void aResponseWithALengthBesideChunksFails() throws Exception {
+        assertFailsAsSent(
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
+    }
+
     @Example
     void anInformationalResponseIsSkipped() throws Exception {
         String answer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
