Send no call on the connection of an earlier call with its id

A late second answer bears the id of the request that it answers.

A connection now knows the ids of its last 16 calls and is closed rather than used for one of them again. After a skipped answer to another call it is not reused in any case. HttpClientUnexpectedBytesTest has the case: it failed before, the second call went out on the same connection.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -64,6 +64,10 @@
         return loop;
     }
 
+    Optional<String> correlationId() {
+        return call.correlationId().map(CorrelationId::value);
+    }
+
     boolean expectsNoBody() {
         return call.method().equals(HttpMethod.HEAD.name());
     }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
@@ -4,8 +4,10 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.collect.EvictingQueue;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -18,12 +20,16 @@
 
 /** A connection that carries one call at a time or is idle in the pool; confined to its event loop. */
 final class Connection extends ChannelInboundHandlerAdapter {
+    /** The number of last calls whose late responses are expected. */
+    private static final int MAX_RECENT_IDS = 16;
+
     private final long number;
     private final Endpoint endpoint;
     private final IdleConnectionPool pool;
     private final Duration idleTimeout;
     private final UnexpectedBytes.Listener unexpectedBytes;
     private final long openedAt = System.nanoTime();
+    private final Queue<String> recentIds = EvictingQueue.create(MAX_RECENT_IDS);
     private int uses;
     private long idleBytes;
     private Optional<ActiveCall> currentCall = Optional.empty();
@@ -69,8 +75,15 @@
         close(channel);
     }
 
-    /** Returns whether a call may be sent; closes the connection if not, as after unexpected bytes or its end. */
-    boolean prepareReuse(Channel channel) {
+    /**
+     * Returns whether the call may be sent; closes the connection if not, as after unexpected bytes or its end, or if a late
+     * response to an earlier call could be taken for that to this one.
+     */
+    boolean prepareReuse(Channel channel, ActiveCall call) {
+        if (call.correlationId().filter(recentIds::contains).isPresent()) {
+            close(channel);
+            return false;
+        }
         ByteBuffer received = ByteBuffer.allocate(InputMonitor.MAX_SHOWN_BYTES);
         int bytes;
         try {
@@ -105,6 +118,7 @@
         idleTimer.ifPresent(timer -> timer.cancel(false));
         idleTimer = Optional.empty();
         currentCall = Optional.of(call);
+        call.correlationId().ifPresent(recentIds::add);
         uses++;
     }
 
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -141,16 +141,16 @@
     }
 
     private void sendOrConnect(ActiveCall active, Endpoint endpoint, Optional<Channel> idle) {
-        if (idle.isPresent() && prepareReuse(idle.get())) {
+        if (idle.isPresent() && prepareReuse(idle.get(), active)) {
             active.start(idle.get());
         } else {
             connect(active, endpoint);
         }
     }
 
-    private static boolean prepareReuse(Channel channel) {
+    private static boolean prepareReuse(Channel channel, ActiveCall call) {
         // The handlers of a closed channel are removed.
-        return channel.isActive() && channel.pipeline().get(Connection.class).prepareReuse(channel);
+        return channel.isActive() && channel.pipeline().get(Connection.class).prepareReuse(channel, call);
     }
 
     private void connect(ActiveCall active, Endpoint endpoint) {
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientUnexpectedBytesTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientUnexpectedBytesTest.java
@@ -8,11 +8,14 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -144,7 +147,7 @@
     }
 
     @Example
-    void aConnectionThatTheServerHasClosedIsNotedBeforeTheNextCallIsSent() throws Exception {
+    void aConnectionThatTheServerHasClosedIsNoticedBeforeTheNextCallIsSent() throws Exception {
         CompletableFuture<HttpAnswer> first = client.exchange(endpoint, CALL, TIMEOUT);
         CountDownLatch closed = new CountDownLatch(1);
         try (Socket connection = server.accept()) {
@@ -167,4 +170,28 @@
         }
         assertThat(reported).isEmpty();
     }
+
+    /** Guards against a late second response to an earlier call with the same id. */
+    @Example
+    void aCallIsNotSentOnTheConnectionOfAnEarlierCallWithItsId() throws Exception {
+        HttpCall call = new HttpCall(
+                "GET",
+                "/",
+                ImmutableListMultimap.of("Request-Id", "a"),
+                ImmutableList.of(),
+                true,
+                Optional.of(new CorrelationId("Request-Id", "a")));
+        String success = SUCCESS.replace("\r\n\r\n", "\r\nRequest-Id: a\r\n\r\n");
+        CompletableFuture<HttpAnswer> first = client.exchange(endpoint, call, TIMEOUT);
+        try (Socket connection = server.accept()) {
+            answer(connection, success);
+            first.join();
+            CompletableFuture<HttpAnswer> second = client.exchange(endpoint, call, TIMEOUT);
+            server.setSoTimeout((int) TIMEOUT.toMillis());
+            try (Socket other = server.accept()) {
+                answer(other, FAILURE.replace("\r\n\r\n", "\r\nRequest-Id: a\r\n\r\n"));
+                assertThat(second.join().status()).isEqualTo(500);
+            }
+        }
+    }
 }
