Send commands to engines on a connection of their own

A reservation, an order, a cancel or a release that the engine refused was believed when a late second answer to a poll came first on the kept-alive connection. These answers have neither an id nor content; only the status counts, so any whole answer that came first was taken.

Commands now open a connection and ask the engine to close it after the answer. Polls stay on kept connections: their answers have content of their own kind, and the next poll replaces them.

Not measured: the time that opening a connection adds to the reservations of a prompt that does not fit one engine.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/engine/HttpEngineControl.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/engine/HttpEngineControl.java
@@ -7,6 +7,8 @@
 import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import org.boragebarrow.http.client.HttpAnswer;
 import org.boragebarrow.http.client.HttpCall;
 import org.boragebarrow.http.client.HttpCallException;
@@ -24,6 +26,8 @@
     private static final int CONFLICT = 409;
     private static final String GET = "GET";
     private static final String DELETE = "DELETE";
+    private static final ImmutableListMultimap<String, String> CLOSE_CONNECTION =
+            ImmutableListMultimap.of("Connection", "close");
 
     private final HttpClient client;
     private final Duration timeout;
@@ -93,7 +97,7 @@
     }
 
     private CompletableFuture<Void> delete(Target engine, String path) {
-        return client.exchange(engine.endpoint(), HttpCall.of(DELETE, path), timeout)
+        return client.exchange(engine.endpoint(), command(DELETE, path), timeout)
                 .thenAccept(answer -> {
                     if (!answer.isSuccess() && answer.status() != NOT_FOUND) {
                         throw unexpectedStatus(engine, path, answer);
@@ -102,8 +106,7 @@
     }
 
     private CompletableFuture<Boolean> trySend(Target engine, String method, String path, JsonNode body) {
-        HttpCall call = HttpCall.of(method, path)
-                .withBody(ByteBuffer.wrap(body.toString().getBytes(StandardCharsets.UTF_8)));
+        HttpCall call = command(method, path, ByteBuffer.wrap(body.toString().getBytes(StandardCharsets.UTF_8)));
         return client.exchange(engine.endpoint(), call, timeout).thenApply(answer -> {
             if (!answer.isSuccess() && answer.status() != CONFLICT) {
                 throw unexpectedStatus(engine, path, answer);
@@ -112,6 +115,16 @@
         });
     }
 
+    /**
+     * Returns a call on a connection of its own.
+     *
+     * <p>Only the status of the response counts, and it has no id: on a kept-alive connection, a late response to an earlier
+     * call would be taken for it.
+     */
+    private static HttpCall command(String method, String path, ByteBuffer... body) {
+        return new HttpCall(method, path, CLOSE_CONNECTION, ImmutableList.copyOf(body), false);
+    }
+
     private static HttpCallException unexpectedStatus(Target engine, String path, HttpAnswer answer) {
         return new HttpCallException(true, engine.id() + " " + path + ": unexpected status " + answer.status());
     }
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/ScriptedServer.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/ScriptedServer.java
@@ -20,6 +20,8 @@
 
     private final ServerSocket server;
     private final byte[] answer;
+    private final byte[] answerToGet;
+    private final boolean getAnsweredTwice;
     private final int answers;
     private final End end;
     private final AtomicInteger connections = new AtomicInteger();
@@ -32,9 +34,12 @@
         UNRESPONSIVE
     }
 
-    private ScriptedServer(String answer, int answers, End end) throws IOException {
+    private ScriptedServer(String answer, String answerToGet, boolean getAnsweredTwice, int answers, End end)
+            throws IOException {
         this.server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
         this.answer = answer.getBytes(StandardCharsets.UTF_8);
+        this.answerToGet = answerToGet.getBytes(StandardCharsets.UTF_8);
+        this.getAnsweredTwice = getAnsweredTwice;
         this.answers = answers;
         this.end = end;
     }
@@ -54,8 +59,16 @@
         return start(answer, 1, End.UNRESPONSIVE);
     }
 
+    /** Starts a server that sends the response to a GET once more when the next request on its connection has arrived. */
+    public static ScriptedServer startAnsweringGetTwice(String answerToGet, String answer) throws IOException {
+        return start(new ScriptedServer(answer, answerToGet, true, Integer.MAX_VALUE, End.CLOSED));
+    }
+
     private static ScriptedServer start(String answer, int answers, End end) throws IOException {
-        ScriptedServer scripted = new ScriptedServer(answer, answers, end);
+        return start(new ScriptedServer(answer, answer, false, answers, end));
+    }
+
+    private static ScriptedServer start(ScriptedServer scripted) {
         Thread.ofVirtual().start(scripted::accept);
         return scripted;
     }
@@ -95,8 +108,14 @@
     private void serve(Socket socket) {
         try (socket) {
             InputStream in = socket.getInputStream();
+            boolean secondDue = false;
             for (int i = 0; i < answers && readRequest(in); i++) {
-                socket.getOutputStream().write(answer);
+                if (secondDue) {
+                    socket.getOutputStream().write(answerToGet);
+                }
+                boolean get = lastHead.startsWith("GET ");
+                socket.getOutputStream().write(get ? answerToGet : answer);
+                secondDue = get && getAnsweredTwice;
             }
             if (end == End.CLOSED_ON_NEXT_REQUEST) {
                 readRequest(in);
