Verify in the load tool that a response belongs to its request

The load tool counted a response to another request as the response to this one: of plain services any whole response that came first on a kept connection, of prompts any refusal. Hosts return the request's id, but nothing read it.

A response with the id of another request now ends as cut off, with that id in its message, in `load` and `send`. Responses without an id are accepted as before: a host has none for a request that it could not read.

--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/CompletionStream.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/CompletionStream.java
@@ -11,11 +11,12 @@
 import org.boragebarrow.http.client.HttpAnswer;
 import org.boragebarrow.http.client.StreamListener;
 import org.boragebarrow.http.engine.SseParser;
+import org.boragebarrow.model.RequestId;
 import org.boragebarrow.port.TargetFailure;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
-/** Decodes a streamed completion into tokens and its end. */
+/** Decodes a streamed completion into tokens and its end; fails on a response that belongs to another request. */
 final class CompletionStream implements StreamListener {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int OK = 200;
@@ -23,6 +24,7 @@
     private static final String DONE = "[DONE]";
     private static final String ERROR_EVENT = "error";
 
+    private final RequestId request;
     private final AnswerListener listener;
     private final SseParser parser = new SseParser(this::onEvent);
     private final StringBuilder errorBody = new StringBuilder();
@@ -32,12 +34,16 @@
     private int tokenCount;
     private boolean endReported;
 
-    CompletionStream(AnswerListener listener) {
+    CompletionStream(RequestId request, AnswerListener listener) {
+        this.request = request;
         this.listener = listener;
     }
 
     @Override
     public void onHead(int answerStatus, ImmutableListMultimap<String, String> headers) {
+        CallerClient.otherRequest(request, headers).ifPresent(other -> {
+            throw new IllegalArgumentException("response belongs to request \"" + other + "\"");
+        });
         status = answerStatus;
         String type = HttpAnswer.header(headers, "content-type").orElse("");
         checkArgument(status != OK || type.startsWith("text/event-stream"), "not an event stream: \"%s\"", type);
--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/PromptCall.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/PromptCall.java
@@ -19,6 +19,9 @@
  */
 public record PromptCall(
         String key, RequestId requestId, ImmutableList<ByteBuffer> body, Duration timeout, OptionalInt promptTokens) {
+    /** The header in which a request has its id, and in which hosts return it. */
+    static final String REQUEST_ID = "request-id";
+
     private static final String PATH = "/v1/completions";
 
     public PromptCall {
@@ -33,7 +36,7 @@
         ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
         headers.put("authorization", "Bearer " + key);
         headers.put("content-type", "application/json");
-        headers.put("request-id", requestId.value());
+        headers.put(REQUEST_ID, requestId.value());
         headers.put("request-timeout-ms", Long.toString(timeout.toMillis()));
         promptTokens.ifPresent(tokens -> headers.put("prompt-tokens", Integer.toString(tokens)));
         return new HttpCall("POST", PATH, headers.build(), body, true);
--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/ServiceCall.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/caller/ServiceCall.java
@@ -44,7 +44,7 @@
         ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
         headers.put("authorization", "Bearer " + key);
         headers.put("content-type", "application/json");
-        headers.put("request-id", requestId.value());
+        headers.put(PromptCall.REQUEST_ID, requestId.value());
         headers.put("request-timeout-ms", Long.toString(timeout.toMillis()));
         idempotencyKey.ifPresent(id -> headers.put("idempotency-key", id));
         ImmutableList<ByteBuffer> bytes = body.isEmpty()
--- a/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/caller/CompletionStreamTest.java
+++ b/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/caller/CompletionStreamTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.boragebarrow.model.RequestId;
 import org.boragebarrow.port.TargetFailure;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -21,7 +22,7 @@
 
     private final List<String> tokens = new ArrayList<>();
     private final List<AnswerEnd> ends = new ArrayList<>();
-    private final CompletionStream stream = new CompletionStream(this);
+    private final CompletionStream stream = new CompletionStream(RequestId.of("r1"), this);
 
     @Override
     public void onToken(String text) {
