Keep a request from overtaking queued ones on its connection

While a response is in progress, further requests of a connection wait in a queue, which is processed in a task after the response. If more input of the same connection was read between the response and the task, as when the target's answer and the caller's input arrive in one iteration of the event loop, the new request was handled at once, before the queued ones; a part of a body was taken for that of another request.

Input now queues as long as anything is queued. The idle and the receive timeout treat such a connection as busy too.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -97,7 +97,7 @@
             ReferenceCountUtil.release(part);
             return;
         }
-        if (response != null) {
+        if (isBusy()) {
             queuedParts.add(part);
             if (queuedParts.size() >= MAX_QUEUED_PARTS) {
                 context.channel().config().setAutoRead(false);
@@ -107,6 +107,11 @@
         acceptPart(part);
     }
 
+    /** Returns whether a response is in progress, or requests that were received during the last one are still queued. */
+    private boolean isBusy() {
+        return response != null || !queuedParts.isEmpty();
+    }
+
     private void acceptPart(HttpObject part) {
         DecoderResult result = part.decoderResult();
         if (result.isFailure()) {
@@ -279,7 +284,7 @@
         if (event instanceof ReceiveTimeoutHandler.Expired) {
             onReceiveTimeout();
         }
-        if (event instanceof IdleStateEvent && response == null && !closing) {
+        if (event instanceof IdleStateEvent && !isBusy() && !closing) {
             onIdle();
         }
         if (event instanceof ShutdownEvent shutdown) {
@@ -308,7 +313,7 @@
         if (closing) {
             return;
         }
-        if (response != null) {
+        if (isBusy()) {
             // The next request stays in the queue while the response before it is in progress.
             receiveTimeout.restart();
             return;
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/RawConnection.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/RawConnection.java
@@ -50,6 +50,15 @@
         return read.toString(StandardCharsets.ISO_8859_1);
     }
 
+    /** Reads the number of bytes. */
+    String read(int bytes) throws IOException {
+        byte[] read = socket.getInputStream().readNBytes(bytes);
+        if (read.length < bytes) {
+            throw new IOException("closed after " + read.length + " of " + bytes + " bytes");
+        }
+        return new String(read, StandardCharsets.ISO_8859_1);
+    }
+
     /** Reads and discards the available bytes, waiting for at least one; returns their number, or -1 at the end. */
     int skip() throws IOException {
         return socket.getInputStream().read(new byte[BUFFER_BYTES]);
