Fail answers that are broken off within their body by another one

The target sends the head and a part of the body of an answer, then another whole one; a length, or the end of the connection, takes the second for the rest of the first. A part of an answer to another request swallowed the request's own in the same way, and the call waited for its time limit.

The client now looks for a head that begins within a body, across its pieces and what was received behind it, with the id of a call that this connection carried, or any id where the answer has no length. The answer then fails before the piece is handed on. An answer to another request that has no end fails the call at once.

HttpClientUnexpectedBytesTest no longer waits without a limit where the client does not connect. Event 7024 now also reports heads that cannot be decoded. What stays: a body whose last bytes are the beginning of another answer, of which nothing more has been received.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -46,6 +46,7 @@
     private boolean readEnabled = true;
     private volatile boolean sent;
     private boolean skipping;
+    private Optional<NestedHeadDetector> nestedHead = Optional.empty();
     private boolean receivedOtherResponse;
     private int skippedAnswers;
     private long skippedBytes;
@@ -116,6 +117,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
+            connection().onRejectedHead("not decodable");
             fail("malformed response from " + endpoint + ": "
                     + message.decoderResult().cause());
             return;
@@ -203,6 +205,10 @@
             return;
         }
         boolean otherCall = belongsToAnotherCall(response);
+        boolean selfDelimited = isSelfDelimited(response);
+        nestedHead = call.correlationId()
+                .map(id -> new NestedHeadDetector(
+                        id.header(), value -> !selfDelimited || connection().hasCarried(value)));
         skipping = status.codeClass() == HttpStatusClass.INFORMATIONAL || otherCall;
         if (otherCall) {
             receivedOtherResponse = true;
@@ -211,6 +217,10 @@
                             + call.correlationId().get().header() + " "
                             + response.headers().get(call.correlationId().get().header()));
         }
+        if (otherCall && !selfDelimited) {
+            fail(endpoint + " sent a response to another request that has no end");
+            return;
+        }
         if (skipping) {
             skippedAnswers++;
             if (skippedAnswers > MAX_SKIPPED_ANSWERS) {
@@ -218,7 +228,6 @@
             }
             return;
         }
-        boolean selfDelimited = isSelfDelimited(response);
         if (!selfDelimited && !allowCloseDelimited) {
             fail("response from " + endpoint + " has neither Content-Length nor chunked encoding");
             return;
@@ -260,6 +269,11 @@
 
     private void receiveContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
+        if (isBrokenOff(content, last)) {
+            connection().onRejectedHead("within a body");
+            fail(endpoint + " broke off a response and sent another one");
+            return;
+        }
         if (skipping) {
             skipContent(content, last);
             return;
@@ -272,6 +286,16 @@
         }
     }
 
+    /** Returns whether another response begins within the body that ends with this content or goes on. */
+    private boolean isBrokenOff(HttpContent content, boolean last) {
+        if (nestedHead.isEmpty()) {
+            return false;
+        }
+        ResponseDecoder decoder = channel.orElseThrow().pipeline().get(ResponseDecoder.class);
+        return nestedHead.get().feed(content.content())
+                || (last && nestedHead.get().continuesIn(decoder.unreadStart()));
+    }
+
     /** Skips content of an informational response or of one to another call, which has no length limit of its own. */
     private void skipContent(HttpContent content, boolean last) {
         skipping = !last;
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/Connection.java
@@ -58,6 +58,11 @@
         return new ResponseOrigin(number, uses, age, idleBytes, skippedResponses, reasonPhrase);
     }
 
+    /** Returns whether a call with the id, one of the last ones, was sent on this connection. */
+    boolean hasCarried(String id) {
+        return recentIds.contains(id);
+    }
+
     /** Returns whether a response to the current call has no body, whatever its head says. */
     boolean expectsNoBody() {
         return currentCall.map(ActiveCall::expectsNoBody).orElse(false);
@@ -130,7 +135,7 @@
         currentCall = Optional.empty();
         ResponseDecoder decoder = channel.pipeline().get(ResponseDecoder.class);
         if (decoder.unreadBytes() > 0) {
-            onIdleBytes(channel, decoder.unreadBytes(), decoder.unreadStart());
+            onIdleBytes(channel, decoder.unreadBytes(), InputMonitor.show(decoder.unreadStart()));
             return;
         }
         channel.config().setAutoRead(true);
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/InputMonitor.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/InputMonitor.java
@@ -18,9 +18,13 @@
 
     /** Returns the first bytes as ASCII text with a dot for each other or unprintable character. */
     static String show(ByteBuf bytes) {
-        String text = bytes.toString(
-                bytes.readerIndex(), Math.min(bytes.readableBytes(), MAX_SHOWN_BYTES), StandardCharsets.ISO_8859_1);
-        return text.replaceAll("[^ -~]", ".");
+        return show(bytes.toString(
+                bytes.readerIndex(), Math.min(bytes.readableBytes(), MAX_SHOWN_BYTES), StandardCharsets.ISO_8859_1));
+    }
+
+    /** Returns the first characters, with a dot for each that is not printable ASCII. */
+    static String show(String text) {
+        return text.substring(0, Math.min(text.length(), MAX_SHOWN_BYTES)).replaceAll("[^ -~]", ".");
     }
 
     @Override
--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/NestedHeadDetector.java
@@ -0,0 +1,90 @@
+package org.boragebarrow.http.client;
+
+import java.nio.charset.StandardCharsets;
+import java.util.function.Predicate;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Finds the head of another response that begins within a body, as where a server breaks off a response and sends the next one on
+ * the same connection.
+ *
+ * <p>A body may quote a response; only one with the id of a call counts. Not thread-safe.
+ */
+final class NestedHeadDetector {
+    private static final String START = "HTTP/1.";
+    private static final ByteBuf START_BYTES =
+            Unpooled.unreleasableBuffer(Unpooled.copiedBuffer(START, StandardCharsets.ISO_8859_1));
+
+    /** The length within which the id is looked for, in bytes. */
+    private static final int MAX_HEAD_BYTES = 4 << 10;
+
+    private final Pattern head;
+    private final Predicate<String> isCallId;
+
+    /** The bytes from the last place at which a head may have begun; empty if there is none. */
+    private String pending = "";
+
+    /**
+     * Creates a detector.
+     *
+     * @param header the header with the id
+     * @param isCallId whether an id is that of a call whose response may arrive
+     */
+    NestedHeadDetector(String header, Predicate<String> isCallId) {
+        this.head = Pattern.compile(
+                "HTTP/1\\.[01] [0-9]{3}[^\r\n]*\r\n(?:[^\r\n]+\r\n)*?" + Pattern.quote(header)
+                        + ":[ \t]*([^\r\n]*)\r\n",
+                Pattern.CASE_INSENSITIVE);
+        this.isCallId = checkNotNull(isCallId);
+    }
+
+    /** Reads the next part of the body; returns whether a head was found. */
+    boolean feed(ByteBuf part) {
+        if (pending.isEmpty() && ByteBufUtil.indexOf(START_BYTES.duplicate(), part) < 0) {
+            int tail = Math.min(part.readableBytes(), START.length() - 1);
+            pending = possibleStart(part.toString(part.writerIndex() - tail, tail, StandardCharsets.ISO_8859_1));
+            return false;
+        }
+        return find(pending + part.toString(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Returns whether a head that began within the body continues in the bytes that were received behind it. */
+    boolean continuesIn(String received) {
+        return !pending.isEmpty() && find(pending + received);
+    }
+
+    private boolean find(String text) {
+        Matcher matcher = head.matcher(text);
+        for (int start = text.indexOf(START); start >= 0; start = text.indexOf(START, start + 1)) {
+            int end = Math.min(text.length(), start + MAX_HEAD_BYTES);
+            if (matcher.region(start, end).lookingAt()
+                    && isCallId.test(matcher.group(1).trim())) {
+                return true;
+            }
+            if (end == text.length() && text.indexOf("\r\n\r\n", start) < 0) {
+                pending = text.substring(start);
+                return false;
+            }
+        }
+        pending = possibleStart(text);
+        return false;
+    }
+
+    /** Returns the longest end of the text with which a head may begin. */
+    private static String possibleStart(String text) {
+        for (int length = Math.min(text.length(), START.length() - 1); length > 0; length--) {
+            String end = text.substring(text.length() - length);
+            if (START.startsWith(end)) {
+                return end;
+            }
+        }
+        return "";
+    }
+}
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.boragebarrow.http.client;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
@@ -13,6 +14,8 @@
 
 /** Decodes the responses on one connection; knows what was received after the end of the last one. */
 final class ResponseDecoder extends HttpResponseDecoder {
+    private static final int MAX_START_BYTES = 4 << 10;
+
     private final Connection connection;
     private int unreadBytes;
     private String unreadStart = "";
@@ -27,7 +30,7 @@
         return unreadBytes;
     }
 
-    /** Returns the first of these bytes as text. */
+    /** Returns the first of these bytes, one character each. */
     String unreadStart() {
         return unreadStart;
     }
@@ -37,7 +40,8 @@
         super.decode(context, in, out);
         if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
             unreadBytes = in.readableBytes();
-            unreadStart = unreadBytes > 0 ? InputMonitor.show(in) : "";
+            unreadStart =
+                    in.toString(in.readerIndex(), Math.min(unreadBytes, MAX_START_BYTES), StandardCharsets.ISO_8859_1);
         }
     }
 
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientUnexpectedBytesTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientUnexpectedBytesTest.java
@@ -46,6 +46,7 @@
 
     HttpClientUnexpectedBytesTest() throws IOException {
         client.setUnexpectedBytesListener(reported::add);
+        server.setSoTimeout((int) TIMEOUT.toMillis());
     }
 
     @AfterProperty
@@ -73,7 +74,6 @@
     /** Sends a call that has to use a new connection, on which the server answers with a failure. */
     private void assertNextCallUsesNewConnection(String fragment) throws Exception {
         CompletableFuture<HttpAnswer> second = client.exchange(endpoint, CALL, TIMEOUT);
-        server.setSoTimeout((int) TIMEOUT.toMillis());
         try (Socket connection = server.accept()) {
             answer(connection, FAILURE);
             assertThat(second.join().status()).isEqualTo(500);
@@ -187,7 +187,6 @@
             answer(connection, success);
             first.join();
             CompletableFuture<HttpAnswer> second = client.exchange(endpoint, call, TIMEOUT);
-            server.setSoTimeout((int) TIMEOUT.toMillis());
             try (Socket other = server.accept()) {
                 answer(other, FAILURE.replace("\r\n\r\n", "\r\nRequest-Id: a\r\n\r\n"));
                 assertThat(second.join().status()).isEqualTo(500);
