Send HEAD requests on connections of their own

HEAD calls now open a connection, and it is not used again, as a late answer to a HEAD would be decoded with a body.

BrokenOffBodiesTest.aHeadRequestIsAnsweredAfterALateAnswerToAnotherRequest failed before and passes now.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -70,7 +70,7 @@
     }
 
     boolean expectsNoBody() {
-        return call.method().equals(HttpMethod.HEAD.name());
+        return call.expectsNoBody();
     }
 
     boolean isDone() {
@@ -233,7 +233,7 @@
             return;
         }
         // After a response to another call, what else the server sends on this connection is not known.
-        keepAlive = HttpUtil.isKeepAlive(response) && selfDelimited && !receivedOtherResponse;
+        keepAlive = HttpUtil.isKeepAlive(response) && selfDelimited && !receivedOtherResponse && !expectsNoBody();
         ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
         for (Map.Entry<String, String> header : response.headers()) {
             headers.put(header);
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpCall.java
@@ -60,6 +60,11 @@
         return new HttpCall(method, path, newHeaders, body, reuseConnection, correlationId);
     }
 
+    /** Returns whether the response has no body, whatever its head says. */
+    boolean expectsNoBody() {
+        return method.equals("HEAD");
+    }
+
     /** Returns the length of the body, in bytes. */
     public long bodyLength() {
         long length = 0;
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -113,7 +113,9 @@
 
     private ActiveCall startCall(Endpoint endpoint, HttpCall call, StreamListener listener) {
         checkNotNull(endpoint);
-        Optional<Channel> idle = call.reuseConnection() ? pool.acquire(endpoint) : Optional.empty();
+        // A late response to a GET before that to a HEAD, or the reverse, would be decoded with a wrong length.
+        boolean reuse = call.reuseConnection() && !call.expectsNoBody();
+        Optional<Channel> idle = reuse ? pool.acquire(endpoint) : Optional.empty();
         EventLoop loop = idle.isPresent() ? idle.get().eventLoop() : group.next();
         ActiveCall active = new ActiveCall(loop, endpoint, call, listener, limits.allowCloseDelimited());
         try {
