Send no chunks to callers of HTTP/1.0

To such a caller a stream now ends with its connection, whatever it asked for. A stream that is aborted resets the connection, since its orderly end would look like a whole answer. Answers with a length are kept alive as before.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableListMultimap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -28,6 +29,7 @@
     }
 
     private final Channel channel;
+    private final boolean chunksAllowed;
     private final BooleanSupplier keepAliveAllowed;
     private final CompletionListener completion;
 
@@ -37,8 +39,15 @@
     private boolean started;
     private boolean finished;
 
-    ChannelResponse(Channel channel, BooleanSupplier keepAliveAllowed, CompletionListener completion) {
+    /**
+     * Creates a response.
+     *
+     * @param chunksAllowed whether the caller knows chunks; otherwise the end of the connection ends the body
+     */
+    ChannelResponse(
+            Channel channel, boolean chunksAllowed, BooleanSupplier keepAliveAllowed, CompletionListener completion) {
         this.channel = channel;
+        this.chunksAllowed = chunksAllowed;
         this.keepAliveAllowed = keepAliveAllowed;
         this.completion = completion;
     }
@@ -69,7 +78,7 @@
         }
         DefaultFullHttpResponse message = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-        setHeaders(message.headers(), headers);
+        setHeaders(message.headers(), headers, keepAliveAllowed.getAsBoolean());
         message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.remaining());
         channel.writeAndFlush(message, channel.voidPromise());
         finish();
@@ -81,18 +90,20 @@
             return;
         }
         DefaultHttpResponse message = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-        setHeaders(message.headers(), headers);
-        message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        setHeaders(message.headers(), headers, chunksAllowed && keepAliveAllowed.getAsBoolean());
+        if (chunksAllowed) {
+            message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
         channel.writeAndFlush(message, channel.voidPromise());
         started = true;
     }
 
-    private void setHeaders(HttpHeaders to, ImmutableListMultimap<String, String> from) {
+    private void setHeaders(HttpHeaders to, ImmutableListMultimap<String, String> from, boolean keptAlive) {
         for (Map.Entry<String, String> header : from.entries()) {
             to.add(header.getKey(), header.getValue());
         }
-        // Read once, so that the connection header agrees with what happens after the response.
-        keepAlive = keepAliveAllowed.getAsBoolean();
+        // Stored, so that the connection header agrees with what happens after the response.
+        keepAlive = keptAlive;
         to.set(HttpHeaderNames.CONNECTION, keepAlive ? HttpHeaderValues.KEEP_ALIVE : HttpHeaderValues.CLOSE);
     }
 
@@ -121,6 +132,10 @@
     public void abort() {
         if (isOpen()) {
             finished = true;
+            if (started && !chunksAllowed) {
+                // An orderly end of the connection would end the body as if it were whole.
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
             channel.close();
         }
     }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -190,12 +190,13 @@
     private void dispatch() {
         receiveTimeout.stop();
         boolean keepAlive = HttpUtil.isKeepAlive(head);
+        boolean chunksAllowed = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         ServerRequest request =
                 new ServerRequest(head.method().name(), head.uri(), headersOf(head), body.toBlocks(), bodyBytes);
         head = null;
         body = null;
-        response =
-                new ChannelResponse(context.channel(), () -> keepAlive && !draining.getAsBoolean(), this::onAnswered);
+        response = new ChannelResponse(
+                context.channel(), chunksAllowed, () -> keepAlive && !draining.getAsBoolean(), this::onAnswered);
         try {
             handler.onRequest(request, response);
         } catch (RequestException e) {
@@ -225,7 +226,7 @@
         head = null;
         body = null;
         receiveTimeout.stop();
-        ChannelResponse errorResponse = new ChannelResponse(context.channel(), () -> false, this::onAnswered);
+        ChannelResponse errorResponse = new ChannelResponse(context.channel(), false, () -> false, this::onAnswered);
         response = errorResponse;
         handler.onRefused(refusal, errorResponse);
     }
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerSeriesTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerSeriesTest.java
@@ -103,6 +103,11 @@
                         later(response, response::end);
                     });
                 }
+                case "/abort" -> {
+                    response.start(200, headers(request));
+                    response.write(bytes(text(request)));
+                    later(response, response::abort);
+                }
                 default -> send(request, response);
             }
         }
@@ -254,6 +259,36 @@
         }
     }
 
+    /** Guards against chunks that a caller of HTTP/1.0, which knows none, takes for a part of the body. */
+    @Example
+    void aStreamToACallerOfHttp10EndsWithItsConnection() throws Exception {
+        for (String header : List.of("", "Connection: keep-alive\r\n")) {
+            try (RawConnection caller = new RawConnection(server.endpoint())) {
+                caller.send("GET /parts HTTP/1.0\r\n" + header + "\r\n");
+                String answer = caller.readUntilClosed();
+                assertThat(answer).contains("\r\nconnection: close\r\n");
+                assertThat(answer).doesNotContain("transfer-encoding");
+                assertThat(answer).endsWith("\r\n\r\nGET /parts ");
+            }
+        }
+    }
+
+    @Example
+    void aCallerOfHttp10CanTellThatAStreamWasAborted() throws Exception {
+        try (RawConnection caller = new RawConnection(server.endpoint())) {
+            caller.send("GET /abort HTTP/1.0\r\n\r\n");
+            assertThat(readOutcome(caller)).isEqualTo("reset");
+        }
+    }
+
+    private static String readOutcome(RawConnection caller) {
+        try {
+            return caller.readUntilClosed();
+        } catch (IOException e) {
+            return "reset";
+        }
+    }
+
     private static List<Request> createSeries(Random random) {
         List<Request> requests = new ArrayList<>();
         List<String> paths = List.of("/now", "/task", "/later", "/parts");
