--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/RequestHeadValidator.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/RequestHeadValidator.java
@@ -9,6 +9,7 @@
 import com.google.common.base.Utf8;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 
 /** Detects request heads that the decoder accepts, but that two HTTP implementations could interpret differently. */
@@ -22,6 +23,9 @@
 
     /** Returns a description of the first error in the request's head, or empty if it is valid. */
     static Optional<String> findError(HttpRequest request) {
+        if (request.method().equals(HttpMethod.CONNECT)) {
+            return Optional.of("CONNECT is not supported");
+        }
         HttpHeaders headers = request.headers();
         if (headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1) {
             return Optional.of("content-length is repeated");
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerSeriesTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerSeriesTest.java
@@ -289,6 +289,15 @@
         }
     }
 
+    /** Guards against an answer to CONNECT, which has no framing, on a connection that is kept. */
+    @Example
+    void tunnelsAreRefused() throws Exception {
+        try (RawConnection caller = new RawConnection(server.endpoint())) {
+            caller.send("CONNECT /parts HTTP/1.1\r\nHost: a\r\n\r\nGET /now HTTP/1.1\r\n\r\n");
+            assertThat(caller.readUntilClosed()).matches("(?s)HTTP/1.1 400 .*\r\n\r\nCONNECT is not supported");
+        }
+    }
+
     private static List<Request> createSeries(Random random) {
         List<Request> requests = new ArrayList<>();
         List<String> paths = List.of("/now", "/task", "/later", "/parts");
