--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerJoinedRequestsTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerJoinedRequestsTest.java
@@ -67,6 +67,24 @@
         }
     }
 
+    @Example
+    void theRestOfARefusedRequestIsNeverARequest() throws Exception {
+        for (String head : List.of(
+                "POST /a HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+                "POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 99999999\r\n\r\n",
+                "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab\r\n\r\n0\r\n\r\n",
+                "POST /a HTTP/1.1\r\nHost: a\r\nHost: a\r\nContent-Length: 1\r\n\r\n")) {
+            try (RawConnection caller = new RawConnection(server.endpoint())) {
+                caller.send(head);
+                TimeUnit.MILLISECONDS.sleep(5);
+                caller.send(FIRST + SECOND);
+                String answer = caller.readUntilClosed();
+                assertThat(answer).startsWith("HTTP/1.1 4");
+                assertThat(answer.split("HTTP/1.1 ", -1)).hasLength(2);
+            }
+        }
+    }
+
     @Example
     void twoHostsAreRefused() throws Exception {
         for (String second : List.of("a", "b")) {
