Read nested heads without a deep stack

The attempt failed although the answer was sound. Lines are now read in a loop.

NestedHeadDetectorTest.aBodyOfManyShortLinesNeedsNoDeepStack failed before with the StackOverflowError, on the stack of a host's event loops; the four tests of the class pass now, as do BrokenOffBodiesTest and BytesAroundAnswersTest.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/NestedHeadDetector.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/NestedHeadDetector.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.function.Predicate;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
@@ -19,13 +18,15 @@
  */
 final class NestedHeadDetector {
     private static final String START = "HTTP/1.";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}( .*)?");
+    private static final String LINE_END = "\r\n";
     private static final ByteBuf START_BYTES =
             Unpooled.unreleasableBuffer(Unpooled.copiedBuffer(START, StandardCharsets.ISO_8859_1));
 
     /** The length within which the id is looked for, in bytes. */
     private static final int MAX_HEAD_BYTES = 4 << 10;
 
-    private final Pattern head;
+    private final String header;
     private final Predicate<String> isCallId;
 
     /** The bytes from the last place at which a head may have begun; empty if there is none. */
@@ -38,10 +39,7 @@
      * @param isCallId whether an id is that of a call whose response may arrive
      */
     NestedHeadDetector(String header, Predicate<String> isCallId) {
-        this.head = Pattern.compile(
-                "HTTP/1\\.[01] [0-9]{3}[^\r\n]*\r\n(?:[^\r\n]+\r\n)*?" + Pattern.quote(header)
-                        + ":[ \t]*([^\r\n]*)\r\n",
-                Pattern.CASE_INSENSITIVE);
+        this.header = header + ":";
         this.isCallId = checkNotNull(isCallId);
     }
 
@@ -61,14 +59,12 @@
     }
 
     private boolean find(String text) {
-        Matcher matcher = head.matcher(text);
         for (int start = text.indexOf(START); start >= 0; start = text.indexOf(START, start + 1)) {
             int end = Math.min(text.length(), start + MAX_HEAD_BYTES);
-            if (matcher.region(start, end).lookingAt()
-                    && isCallId.test(matcher.group(1).trim())) {
+            if (isHeadOfCall(text, start, end)) {
                 return true;
             }
-            if (end == text.length() && text.indexOf("\r\n\r\n", start) < 0) {
+            if (end == text.length() && text.indexOf(LINE_END + LINE_END, start) < 0) {
                 pending = text.substring(start);
                 return false;
             }
@@ -77,6 +73,26 @@
         return false;
     }
 
+    private boolean isHeadOfCall(String text, int start, int end) {
+        int lineEnd = text.indexOf(LINE_END, start);
+        if (lineEnd < 0 || !STATUS_LINE.matcher(text).region(start, lineEnd).matches()) {
+            return false;
+        }
+        int line = lineEnd + LINE_END.length();
+        lineEnd = text.indexOf(LINE_END, line);
+        while (lineEnd > line && lineEnd < end) {
+            boolean hasId = text.regionMatches(true, line, header, 0, header.length());
+            if (hasId
+                    && isCallId.test(
+                            text.substring(line + header.length(), lineEnd).trim())) {
+                return true;
+            }
+            line = lineEnd + LINE_END.length();
+            lineEnd = text.indexOf(LINE_END, line);
+        }
+        return false;
+    }
+
     /** Returns the longest end of the text with which a head may begin. */
     private static String possibleStart(String text) {
         for (int length = Math.min(text.length(), START.length() - 1); length > 0; length--) {
