--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/UnexpectedBytes.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/UnexpectedBytes.java
@@ -20,7 +20,7 @@
         IDLE,
         /** A response to another call, or its part, arrived during a call. */
         IN_CALL,
-        /** The head of the response was joined from two, or the end of its body is ambiguous. */
+        /** The response was joined from two, broken off by another one, or could not be decoded. */
         IN_HEAD
     }
 
