Split the assigner and the region's assignments into parts, and give work its terms

Change: TargetPool, WaitingWork, ActiveAttempts, AdmissionPolicy, PendingRequest, HeldAssignment and AssignMessageHandler hold what these two classes joined, moved without a change of behaviour. Routes and organisations have ranks and homes, services state what cold targets bear, and work carries its terms to the assigner; nothing uses them yet.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -105,6 +105,23 @@
     /** A target, its total predicted loss, the part of it that other callers have, and the time to its first event. */
     private record ScoredTarget(TargetLoad load, double loss, double harm, double firstMillis) {}
 
+    /**
+     * Returns the choice for the work; a long prompt uses targets with little prefill backlog, waits for them as long
+     * as it can, and then uses any target.
+     */
+    Optional<Choice> choose() {
+        if (!isLong()) {
+            return best();
+        }
+        Optional<Choice> ready = bestAmongReady();
+        boolean waits = canWait();
+        boolean harmful = ready.map(this::isHarmful).orElse(false);
+        if (ready.isPresent() && (isOnTime(ready.get()) || allCanHelp()) && !(waits && harmful)) {
+            return ready;
+        }
+        return waits ? Optional.empty() : best();
+    }
+
     /** Returns the choice with the least loss, or empty if no candidate has capacity. */
     Optional<Choice> best() {
         return best(candidates);
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
@@ -0,0 +1,164 @@
+package org.boragebarrow.decision.assign;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
+import org.boragebarrow.decision.routing.EngineProfile;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.TargetId;
+
+/**
+ * The targets of a region with the work that each has, and which of them a piece of work may use.
+ *
+ * <p>Not thread-safe. Times are monotonic nanoseconds.
+ */
+final class TargetPool {
+    private final Map<TargetId, TargetLoad> loads = new LinkedHashMap<>();
+    private final ZoneReachability reachability = new ZoneReachability();
+    private final QuietPairs quietPairs = new QuietPairs();
+
+    /** Replaces the targets; returns the incarnations that ended although they were not draining. */
+    ImmutableList<TargetIncarnation> update(ImmutableList<FleetTarget> targets, long now) {
+        Map<TargetId, FleetTarget> present = new HashMap<>();
+        targets.forEach(target -> present.put(target.id(), target));
+        ImmutableList<TargetIncarnation> ended = ended(present);
+        loads.keySet().removeIf(id -> !present.containsKey(id));
+        for (FleetTarget target : targets) {
+            TargetLoad known = loads.get(target.id());
+            if (known != null && known.target().isSameIncarnation(target)) {
+                known.update(target);
+            } else {
+                loads.put(target.id(), new TargetLoad(target, now));
+            }
+        }
+        return ended;
+    }
+
+    private ImmutableList<TargetIncarnation> ended(Map<TargetId, FleetTarget> present) {
+        ImmutableList.Builder<TargetIncarnation> ended = ImmutableList.builder();
+        for (TargetLoad load : loads.values()) {
+            FleetTarget known = load.target();
+            FleetTarget entry = present.get(known.id());
+            if (!known.draining() && (entry == null || !known.isSameIncarnation(entry))) {
+                ended.add(known.incarnation());
+            }
+        }
+        return ended.build();
+    }
+
+    /** Applies the time since the last call to the prefill of all targets. */
+    void advance(Map<ServiceName, EngineProfile> profiles, long now) {
+        for (TargetLoad load : loads.values()) {
+            if (load.isIdle()) {
+                load.skipTo(now);
+                continue;
+            }
+            load.advance(now, Optional.ofNullable(profiles.get(load.target().service())));
+        }
+    }
+
+    Optional<TargetLoad> find(TargetId id) {
+        return Optional.ofNullable(loads.get(id));
+    }
+
+    /** Returns the loads of those of the targets that are known. */
+    List<TargetLoad> find(Collection<TargetId> ids) {
+        List<TargetLoad> found = new ArrayList<>(ids.size());
+        for (TargetId id : ids) {
+            find(id).ifPresent(found::add);
+        }
+        return found;
+    }
+
+    /** Returns the targets that accept new work of the service. */
+    List<TargetLoad> serving(ServiceName service) {
+        return loads.values().stream().filter(load -> serves(load, service)).toList();
+    }
+
+    private static boolean serves(TargetLoad load, ServiceName service) {
+        FleetTarget target = load.target();
+        return !target.draining() && target.service().equals(service);
+    }
+
+    /** Returns the targets that can be assigned the work; ejected or unreachable ones only if there are no others. */
+    List<TargetLoad> candidates(Work work, long now) {
+        List<TargetLoad> healthy = new ArrayList<>();
+        List<TargetLoad> unhealthy = new ArrayList<>();
+        for (TargetLoad load : loads.values()) {
+            FleetTarget target = load.target();
+            boolean fits = serves(load, work.service())
+                    && !work.excluded().contains(target.id())
+                    && quietPairs.allows(work.id().owner().host(), load, now);
+            if (!fits) {
+                continue;
+            }
+            boolean reachable = reachability.allows(work.zone(), target.zone(), now);
+            (reachable && load.health().allows(now, load.ownedCount()) ? healthy : unhealthy).add(load);
+        }
+        return healthy.isEmpty() ? unhealthy : healthy;
+    }
+
+    /** Records that work was sent to the target. */
+    void onSent(Work work, TargetLoad owner, long now) {
+        reachability.onSent(work.zone(), owner.target().zone(), now);
+    }
+
+    /** Records the outcome of an attempt at the target that answered it. */
+    void recordOutcome(Work work, TargetLoad owner, Outcome outcome, long now) {
+        owner.health().record(outcome, now);
+        reachability.record(work.zone(), owner.target().zone(), outcome, now);
+    }
+
+    /** Records that the target refused a connection. */
+    void recordRefusedConnection(TargetIncarnation target, long now) {
+        find(target.id())
+                .filter(load -> load.target().incarnation().equals(target))
+                .ifPresent(load -> load.health().record(Outcome.UNREACHABLE, now));
+    }
+
+    /** Records that a target wants no requests of a host for a time. */
+    void recordQuiet(HostId host, TargetIncarnation target, Duration time, long now) {
+        quietPairs.report(host, target, time, now);
+    }
+
+    /** Returns the time for which the target wants no requests of the host; zero if it accepts some. */
+    Duration quietTime(HostId host, TargetLoad load, long now) {
+        return quietPairs.remaining(host, load.target(), now);
+    }
+
+    void removeHost(HostId host) {
+        quietPairs.removeHost(host);
+    }
+
+    /** Returns what distinguishes the work's candidates from those of other work, apart from excluded targets. */
+    CandidateGroup group(Work work) {
+        HostId host = work.id().owner().host();
+        return new CandidateGroup(
+                work.service(), work.zone(), quietPairs.concerns(host) ? Optional.of(host) : Optional.empty());
+    }
+
+    /**
+     * Work with the same candidates, apart from those that an earlier attempt excluded.
+     *
+     * @param host the work's host, if some targets may want no requests of it
+     */
+    record CandidateGroup(ServiceName service, AvailabilityZoneId zone, Optional<HostId> host) {}
+
+    ImmutableMap<ServiceName, Integer> countByService() {
+        return ImmutableMap.copyOf(loads.values().stream()
+                .collect(Collectors.toMap(load -> load.target().service(), load -> 1, Integer::sum)));
+    }
+}
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
@@ -25,6 +25,7 @@
  * @param excluded targets that failed an earlier attempt
  * @param parts the parts of the prompt
  * @param crashes the earlier attempts whose connections ended before their first events
+ * @param terms whose work it is, and what it is entitled to
  */
 public record Work(
         AttemptId id,
@@ -37,7 +38,8 @@
         Duration remaining,
         ImmutableSet<TargetId> excluded,
         PromptParts parts,
-        int crashes) {
+        int crashes,
+        WorkTerms terms) {
     public Work {
         checkNotNull(id);
         checkNotNull(service);
@@ -48,6 +50,35 @@
         checkNotNull(excluded);
         checkNotNull(parts);
         checkArgument(crashes >= 0, "negative number of crashes: %s", crashes);
+        checkNotNull(terms);
+    }
+
+    /** Creates work for whose route and organisation nothing is configured. */
+    public Work(
+            AttemptId id,
+            ServiceName service,
+            AvailabilityZoneId zone,
+            Optional<PromptSize> size,
+            Duration objective,
+            Optional<Duration> pauseObjective,
+            Duration age,
+            Duration remaining,
+            ImmutableSet<TargetId> excluded,
+            PromptParts parts,
+            int crashes) {
+        this(
+                id,
+                service,
+                zone,
+                size,
+                objective,
+                pauseObjective,
+                age,
+                remaining,
+                excluded,
+                parts,
+                crashes,
+                WorkTerms.DEFAULT);
     }
 
     /** Returns the work with one more excluded target. */
@@ -63,7 +94,8 @@
                 remaining,
                 ImmutableSet.<TargetId>builder().addAll(excluded).add(target).build(),
                 parts,
-                crashes);
+                crashes,
+                terms);
     }
 
     /** Returns the work with the given time added to its age and subtracted from its remaining time. */
@@ -79,6 +111,7 @@
                 remaining.minus(time),
                 excluded,
                 parts,
-                crashes);
+                crashes,
+                terms);
     }
 }
--- /dev/null
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/WorkTerms.java
@@ -0,0 +1,53 @@
+package org.boragebarrow.decision.assign;
+
+import java.util.Optional;
+
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.RegionId;
+import org.boragebarrow.model.UrgencyRank;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * Whose work it is, and what its route and its organisation are entitled to.
+ *
+ * @param organisation the organisation that is charged; empty for anonymous callers
+ * @param weight the organisation's share of scarce capacity, relative to the weights of other organisations
+ * @param homes the regions whose targets the work may reach; empty if it may reach all
+ * @param purpose why a target is requested
+ * @param callerKey identifies repeated requests of one caller for the same thing; 0 if unknown
+ */
+public record WorkTerms(
+        Optional<OrganisationId> organisation,
+        double weight,
+        UrgencyRank rank,
+        Optional<ImmutableSet<RegionId>> homes,
+        Purpose purpose,
+        long callerKey) {
+    /** The terms of work for which nothing is configured. */
+    public static final WorkTerms DEFAULT =
+            new WorkTerms(Optional.empty(), 1, UrgencyRank.DEFAULT, Optional.empty(), Purpose.FIRST, 0);
+
+    /** Why a target is requested. */
+    public enum Purpose {
+        /** No target was requested for the request before. */
+        FIRST,
+        /** An earlier attempt failed, or its target is unresponsive. */
+        REPEAT,
+        /** An earlier attempt is in progress and slower than usual. */
+        DUPLICATE
+    }
+
+    public WorkTerms {
+        checkNotNull(organisation);
+        checkNotNull(rank);
+        checkNotNull(homes);
+        checkNotNull(purpose);
+    }
+
+    /** Returns the terms with another purpose. */
+    public WorkTerms withPurpose(Purpose other) {
+        return new WorkTerms(organisation, weight, rank, homes, other, callerKey);
+    }
+}
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/Route.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/Route.java
@@ -4,7 +4,10 @@
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.RegionId;
 import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.UrgencyRank;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
@@ -17,6 +20,8 @@
  * @param pauseObjective the service level objective for the pause between two events; present only for streams
  * @param maxTargets the most targets that one request may be sent to
  * @param allowsAnonymous whether requests are accepted without a key
+ * @param rank the rank of its requests, unless their organisation has one
+ * @param homes the regions whose targets its requests may reach; empty if they may reach all
  */
 public record Route(
         String name,
@@ -28,7 +33,9 @@
         Optional<Duration> pauseObjective,
         int maxTargets,
         boolean allowsAnonymous,
-        ImmutableList<WeightedService> services) {
+        ImmutableList<WeightedService> services,
+        Optional<UrgencyRank> rank,
+        ImmutableSet<RegionId> homes) {
     /** A service and its weight among the route's services. */
     public record WeightedService(ServiceName service, int weight) {
         public WeightedService {
@@ -42,6 +49,33 @@
         checkArgument(!services.isEmpty(), "route \"%s\" has no service", name);
     }
 
+    /** Creates a route without a rank and without homes. */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            RequestKind kind,
+            Duration timeout,
+            Duration objective,
+            Optional<Duration> pauseObjective,
+            int maxTargets,
+            boolean allowsAnonymous,
+            ImmutableList<WeightedService> services) {
+        this(
+                name,
+                host,
+                prefix,
+                kind,
+                timeout,
+                objective,
+                pauseObjective,
+                maxTargets,
+                allowsAnonymous,
+                services,
+                Optional.empty(),
+                ImmutableSet.of());
+    }
+
     /**
      * Selects the service for a request in proportion to the weights.
      *
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/RoutingTable.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/RoutingTable.java
@@ -24,6 +24,7 @@
     private final ImmutableListMultimap<String, Route> routes;
     private final ImmutableMap<ServiceName, ServiceProfile> services;
     private final ImmutableMap<String, OrganisationId> keys;
+    private final ImmutableMap<OrganisationId, OrganisationProfile> organisations;
     private final Optional<CallerLimits> limits;
 
     private RoutingTable(
@@ -31,14 +32,30 @@
             ImmutableListMultimap<String, Route> routes,
             ImmutableMap<ServiceName, ServiceProfile> services,
             ImmutableMap<String, OrganisationId> keys,
+            ImmutableMap<OrganisationId, OrganisationProfile> organisations,
             Optional<CallerLimits> limits) {
         this.version = version;
         this.routes = routes;
         this.services = services;
         this.keys = checkNotNull(keys);
+        this.organisations = organisations;
         this.limits = checkNotNull(limits);
     }
 
+    /**
+     * Returns a table of organisations for which nothing is configured.
+     *
+     * @param keys the organisation that owns each key; empty if requests need no key
+     */
+    public static RoutingTable of(
+            long version,
+            ImmutableList<Route> routes,
+            ImmutableList<ServiceProfile> services,
+            ImmutableMap<String, OrganisationId> keys,
+            Optional<CallerLimits> limits) {
+        return of(version, routes, services, keys, ImmutableList.of(), limits);
+    }
+
     /**
      * Returns a table.
      *
@@ -49,13 +66,17 @@
             ImmutableList<Route> routes,
             ImmutableList<ServiceProfile> services,
             ImmutableMap<String, OrganisationId> keys,
+            ImmutableList<OrganisationProfile> organisations,
             Optional<CallerLimits> limits) {
         ImmutableListMultimap.Builder<String, Route> byHost = ImmutableListMultimap.builder();
         byHost.orderValuesBy(LONGEST_PREFIX_FIRST);
         routes.forEach(route -> byHost.put(route.host(), route));
         ImmutableMap.Builder<ServiceName, ServiceProfile> byName = ImmutableMap.builder();
         services.forEach(service -> byName.put(service.name(), service));
-        return new RoutingTable(version, byHost.build(), byName.buildKeepingLast(), keys, limits);
+        ImmutableMap.Builder<OrganisationId, OrganisationProfile> byId = ImmutableMap.builder();
+        organisations.forEach(organisation -> byId.put(organisation.id(), organisation));
+        return new RoutingTable(
+                version, byHost.build(), byName.buildKeepingLast(), keys, byId.buildKeepingLast(), limits);
     }
 
     /** Returns the version of the configuration. */
@@ -83,6 +104,12 @@
         return Optional.ofNullable(keys.get(key));
     }
 
+    /** Returns the configuration of the organisation; a default one if it has none. */
+    public OrganisationProfile profile(OrganisationId organisation) {
+        OrganisationProfile known = organisations.get(organisation);
+        return known == null ? OrganisationProfile.of(organisation) : known;
+    }
+
     /** Returns the configuration of the service. */
     public Optional<ServiceProfile> service(ServiceName name) {
         return Optional.ofNullable(services.get(name));
@@ -95,6 +122,13 @@
         return engines.build();
     }
 
+    /** Returns what the targets of services bear just after their start, where that is less than later. */
+    public ImmutableMap<ServiceName, ColdStart> coldStarts() {
+        ImmutableMap.Builder<ServiceName, ColdStart> starts = ImmutableMap.builder();
+        services.values().forEach(service -> service.coldStart().ifPresent(cold -> starts.put(service.name(), cold)));
+        return starts.build();
+    }
+
     /** Returns the limits for callers, if the configuration has any. */
     public Optional<CallerLimits> limits() {
         return limits;
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -15,7 +15,6 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.Future;
 import org.boragebarrow.decision.assign.AssignEffect;
 import org.boragebarrow.decision.assign.AssignEvent;
 import org.boragebarrow.decision.assign.AssignerChoice;
@@ -46,12 +45,9 @@
 import org.boragebarrow.peer.link.PeerIdentity;
 import org.boragebarrow.peer.link.PeerKey;
 import org.boragebarrow.peer.link.PeerLinks;
-import org.boragebarrow.peer.link.PeerListener;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.peer.proto.Probe;
 import org.boragebarrow.peer.wire.AssignMessages;
-import org.boragebarrow.peer.wire.GrantMessages;
-import org.boragebarrow.peer.wire.QuarantineMessages;
 import org.boragebarrow.port.WatchedTable;
 
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -103,48 +99,6 @@
     private boolean stopping;
     private long probeDueAt;
 
-    /** A request of this host that has no decision yet. */
-    private static final class PendingRequest {
-        private final Work work;
-        private final DecisionListener listener;
-        private final long submittedAt;
-        private Optional<Future<?>> timer = Optional.empty();
-
-        PendingRequest(Work work, DecisionListener listener, long submittedAt) {
-            this.work = work;
-            this.listener = listener;
-            this.submittedAt = submittedAt;
-        }
-
-        void stopTimer() {
-            timer.ifPresent(future -> future.cancel(false));
-            timer = Optional.empty();
-        }
-    }
-
-    /** An assignment in use. */
-    private static final class HeldAssignment {
-        private final Work work;
-        private final TargetId target;
-        private final ImmutableList<HelperTarget.Ref> helpers;
-        private final long submittedAt;
-        private final DecisionListener listener;
-        private boolean firstEventSeen;
-
-        HeldAssignment(PendingRequest request, Assignment assignment) {
-            this.work = request.work;
-            this.target = assignment.target().id();
-            this.helpers = assignment.helperRefs();
-            this.submittedAt = request.submittedAt;
-            this.listener = request.listener;
-        }
-
-        AssignEvent.AssignmentReported toEvent(long now) {
-            return new AssignEvent.AssignmentReported(
-                    work.withElapsed(Duration.ofNanos(now - submittedAt)), target, helpers, firstEventSeen);
-        }
-    }
-
     /**
      * Starts this host's assigner.
      *
@@ -198,30 +152,36 @@
 
     private void requestAssignment(PendingRequest request, HostId host) {
         request.stopTimer();
-        Work work = request.work.withElapsed(Duration.ofNanos(ticker.read() - request.submittedAt));
+        Work work = request.workAt(ticker.read());
         if (host.equals(self.incarnation().host())) {
             if (!duty.offer(new AssignEvent.Submitted(work))) {
                 applyDecision(new AssignEffect.Refused(work.id(), RefusalReason.OVERLOADED, OVERLOAD_RETRY_DELAY));
             }
             return;
         }
-        request.timer = Optional.of(
+        request.startTimer(
                 loop.schedule(() -> onAnswerTimeout(request, host), ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
         send(host, AssignMessages.assignmentRequest(work));
     }
 
     private void onAnswerTimeout(PendingRequest request, HostId host) {
-        if (pending.get(request.work.id()) != request) {
+        if (pending.get(request.work().id()) != request) {
             return;
         }
-        log.write(RelayEvent.ASSIGNER, "host", host, "state", "silent", "attempt", request.work.id());
+        log.write(
+                RelayEvent.ASSIGNER,
+                "host",
+                host,
+                "state",
+                "silent",
+                "attempt",
+                request.work().id());
         assignerChoice.recordTimeout(host);
         links.ifPresent(peerLinks ->
                 Optional.ofNullable(hosts.get(host)).ifPresent(record -> peerLinks.closeLink(record.endpoint())));
-        send(host, AssignMessages.ended(request.work.id(), Outcome.WITHDRAWN));
+        send(host, AssignMessages.ended(request.work().id(), Outcome.WITHDRAWN));
         HostId next = refreshAssigner();
-        if (pending.get(request.work.id()) == request
-                && request.timer.map(Future::isDone).orElse(false)) {
+        if (pending.get(request.work().id()) == request && request.isTimerDone()) {
             requestAssignment(request, next);
         }
     }
@@ -242,7 +202,7 @@
         // Queued work goes first, so that the previous assigner does not assign it to the targets of the held work.
         pending.keySet().forEach(id -> withdrawFrom(previous, id));
         for (HeldAssignment held : heldAssignments.values()) {
-            withdrawFrom(previous, held.work.id());
+            withdrawFrom(previous, held.id());
             deliver(selected, AssignMessages.assignmentReport(held.toEvent(now)), held.toEvent(now));
         }
         announcements.repeatTo(selected);
@@ -367,7 +327,7 @@
     private void onPauseExpected(AssignEffect.PauseExpected expected) {
         HeldAssignment held = heldAssignments.get(expected.id());
         if (held != null) {
-            held.listener.onPauseExpected(expected);
+            held.listener().onPauseExpected(expected);
         }
     }
 
@@ -383,7 +343,7 @@
         if (decided instanceof AssignEffect.Assigned assigned) {
             heldAssignments.put(decided.id(), new HeldAssignment(request, assigned.assignment()));
         }
-        request.listener.onDecided(decided);
+        request.listener().onDecided(decided);
     }
 
     private void onAssigned(AssignMessages.Assigned message) {
@@ -410,8 +370,7 @@
             return;
         }
         request.stopTimer();
-        PendingRequest next =
-                new PendingRequest(request.work.excluding(unknown), request.listener, request.submittedAt);
+        PendingRequest next = request.excluding(unknown);
         pending.put(id, next);
         requestAssignment(next, host);
     }
@@ -429,7 +388,7 @@
     public void reportFirstEvent(AttemptId id) {
         HeldAssignment held = heldAssignments.get(id);
         if (held != null) {
-            held.firstEventSeen = true;
+            held.onFirstEvent();
         }
         deliver(assigner, AssignMessages.progress(id), new AssignEvent.FirstEventSeen(id));
     }
@@ -504,8 +463,8 @@
         public void onKey(PeerKey key) {
             PeerIdentity identity = new PeerIdentity(self.incarnation(), self.zone());
             // Binding blocks until the event loop has run it, so it must not be called on the event loop.
-            CompletableFuture.supplyAsync(
-                            () -> PeerLinks.start(identity, key, new PeerMessageHandler(), loop, self.endpoint()))
+            CompletableFuture.supplyAsync(() -> PeerLinks.start(
+                            identity, key, new AssignMessageHandler(new MessageSink(), log), loop, self.endpoint()))
                     .whenComplete((started, failure) -> loop.execute(() -> onStarted(started, failure)));
         }
 
@@ -550,10 +509,10 @@
         }
     }
 
-    /** Handles the messages of other hosts. */
-    private final class PeerMessageHandler implements PeerListener {
+    /** Applies the messages of other hosts. */
+    private final class MessageSink implements AssignMessageHandler.Sink {
         @Override
-        public void onMessage(HostIncarnation from, Envelope message) {
+        public void onAlive(HostIncarnation from) {
             HostId host = from.host();
             HostIncarnation known = incarnations.put(host, from);
             if (known != null && !known.equals(from)) {
@@ -561,65 +520,60 @@
                 assignerChoice.recordRestart(host);
             }
             assignerChoice.recordResponse(host, ticker.read());
-            try {
-                receive(host, message);
-            } catch (IllegalArgumentException e) {
-                log.write(RelayEvent.UNUSABLE, "host", host, "reason", e.getMessage());
-            }
         }
 
-        private void receive(HostId host, Envelope message) {
-            switch (message.getBodyCase()) {
-                case ASK_TARGET -> {
-                    requesterLastSeen.put(host, ticker.read());
-                    onAssignmentRequested(
-                            AssignMessages.fromWork(message.getAskTarget().getWork()));
-                }
-                case ATTEMPT_PROGRESS ->
-                    duty.offerWithRetry(new AssignEvent.FirstEventSeen(GrantMessages.fromAttempt(
-                            message.getAttemptProgress().getAttempt())));
-                case ATTEMPT_ENDED -> duty.offerWithRetry(AssignMessages.fromEnded(message.getAttemptEnded()));
-                case CONNECTION_REFUSED ->
-                    duty.offerWithRetry(AssignMessages.fromConnectionRefused(message.getConnectionRefused()));
-                case TARGET_QUIET ->
-                    duty.offerWithRetry(AssignMessages.fromTargetQuiet(host, message.getTargetQuiet()));
-                case TARGET_LEAVING -> {
-                    TargetIncarnation target = AssignMessages.fromTargetLeaving(message.getTargetLeaving());
-                    leavingListener.ifPresent(listener -> listener.onAnnouncedLeaving(target));
-                }
-                case HOLD_TARGET -> {
-                    requesterLastSeen.put(host, ticker.read());
-                    duty.offerWithRetry(AssignMessages.fromAssignmentReport(message.getHoldTarget()));
-                }
-                case TARGET_QUEUED ->
-                    Optional.ofNullable(pending.get(GrantMessages.fromAttempt(
-                                    message.getTargetQueued().getAttempt())))
-                            .ifPresent(PendingRequest::stopTimer);
-                case TARGET_ASSIGNED -> onAssigned(AssignMessages.fromAssigned(message.getTargetAssigned()));
-                case TARGET_REFUSED -> applyDecision(AssignMessages.fromRefused(message.getTargetRefused()));
-                case PAUSE_EXPECTED -> onPauseExpected(AssignMessages.fromPauseExpected(message.getPauseExpected()));
-                case QUARANTINE_ENTRY -> {
-                    QuarantineEntry entry = QuarantineMessages.fromMessage(message.getQuarantineEntry());
-                    quarantine.ifPresent(listener -> listener.onAnnounced(entry));
-                }
-                case PROBE -> onProbe(host, message.getProbe());
-                default -> {
-                    if (!sharing.map(tables -> tables.receive(host, message)).orElse(false)) {
-                        log.write(RelayEvent.UNUSABLE, "host", host, "reason", "unexpected " + message.getBodyCase());
-                    }
-                }
+        @Override
+        public void onRequested(HostId host, Work work) {
+            requesterLastSeen.put(host, ticker.read());
+            if (!duty.offer(new AssignEvent.Submitted(work))) {
+                onEffects(ImmutableList.of(
+                        new AssignEffect.Refused(work.id(), RefusalReason.OVERLOADED, OVERLOAD_RETRY_DELAY)));
             }
         }
 
-        private void onAssignmentRequested(Work work) {
-            if (!duty.offer(new AssignEvent.Submitted(work))) {
-                AssignEffect refusal =
-                        new AssignEffect.Refused(work.id(), RefusalReason.OVERLOADED, OVERLOAD_RETRY_DELAY);
-                onEffects(ImmutableList.of(refusal));
-            }
+        @Override
+        public void onReported(HostId host, AssignEvent.AssignmentReported reported) {
+            requesterLastSeen.put(host, ticker.read());
+            duty.offerWithRetry(reported);
         }
 
-        private void onProbe(HostId host, Probe probe) {
+        @Override
+        public void onEvent(AssignEvent event) {
+            duty.offerWithRetry(event);
+        }
+
+        @Override
+        public void onLeaving(TargetIncarnation target) {
+            leavingListener.ifPresent(listener -> listener.onAnnouncedLeaving(target));
+        }
+
+        @Override
+        public void onQueued(AttemptId id) {
+            Optional.ofNullable(pending.get(id)).ifPresent(PendingRequest::stopTimer);
+        }
+
+        @Override
+        public void onAssigned(AssignMessages.Assigned message) {
+            RegionAssignments.this.onAssigned(message);
+        }
+
+        @Override
+        public void onRefused(AssignEffect.Refused refused) {
+            applyDecision(refused);
+        }
+
+        @Override
+        public void onPauseExpected(AssignEffect.PauseExpected expected) {
+            RegionAssignments.this.onPauseExpected(expected);
+        }
+
+        @Override
+        public void onQuarantineEntry(QuarantineEntry entry) {
+            quarantine.ifPresent(listener -> listener.onAnnounced(entry));
+        }
+
+        @Override
+        public void onProbe(HostId host, Probe probe) {
             requesterLastSeen.computeIfPresent(host, (id, lastSeen) -> ticker.read());
             if (!probe.getAnswer()) {
                 send(host, AssignMessages.probe(true, stopping));
@@ -631,8 +585,8 @@
         }
 
         @Override
-        public void onRejected(String reason) {
-            log.write(RelayEvent.PEER, "state", "rejected", "reason", reason);
+        public boolean onTableMessage(HostId host, Envelope message) {
+            return sharing.map(tables -> tables.receive(host, message)).orElse(false);
         }
     }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Destination.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Destination.java
@@ -2,13 +2,48 @@
 
 import java.util.Optional;
 
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import org.boragebarrow.decision.assign.WorkTerms;
+import org.boragebarrow.decision.routing.OrganisationProfile;
 import org.boragebarrow.decision.routing.Route;
+import org.boragebarrow.decision.routing.RoutingTable;
 import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.RegionId;
 import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.model.UrgencyRank;
 
 /**
  * Where a request is sent according to the routing in effect at its arrival.
  *
  * @param organisation the owner of the caller's key; empty if no key is required
+ * @param terms what the route and the organisation entitle the request to
  */
-record Destination(Route route, ServiceName service, Optional<OrganisationId> organisation) {}
+record Destination(Route route, ServiceName service, Optional<OrganisationId> organisation, WorkTerms terms) {
+    /** Returns the destination with the terms of the route and of the organisation, whose rank precedes the route's. */
+    static Destination of(RoutingTable table, Route route, ServiceName service, Optional<OrganisationId> organisation) {
+        Optional<OrganisationProfile> profile = organisation.map(table::profile);
+        UrgencyRank rank =
+                profile.flatMap(OrganisationProfile::rank).or(route::rank).orElse(UrgencyRank.DEFAULT);
+        WorkTerms terms = new WorkTerms(
+                organisation,
+                profile.map(OrganisationProfile::weight).orElse(1.0),
+                rank,
+                homes(route.homes(), profile.map(OrganisationProfile::homes).orElse(ImmutableSet.of())),
+                WorkTerms.Purpose.FIRST,
+                0);
+        return new Destination(route, service, organisation, terms);
+    }
+
+    /** Returns the regions in both sets; an empty set of a route or an organisation stands for all regions. */
+    private static Optional<ImmutableSet<RegionId>> homes(
+            ImmutableSet<RegionId> ofRoute, ImmutableSet<RegionId> ofOrganisation) {
+        if (ofRoute.isEmpty() && ofOrganisation.isEmpty()) {
+            return Optional.empty();
+        }
+        if (ofRoute.isEmpty() || ofOrganisation.isEmpty()) {
+            return Optional.of(ofRoute.isEmpty() ? ofOrganisation : ofRoute);
+        }
+        return Optional.of(Sets.intersection(ofRoute, ofOrganisation).immutableCopy());
+    }
+}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
@@ -73,7 +73,7 @@
         ServiceName service = route.service(hashToUnitInterval(request.id()));
         checkPromptParts(service, request);
         return new RelayExchange(
-                context, this, request, response, new Destination(route, service, organisation), arrival);
+                context, this, request, response, Destination.of(table, route, service, organisation), arrival);
     }
 
     private void checkPromptParts(ServiceName service, RelayRequest request) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -11,6 +11,7 @@
 import org.boragebarrow.decision.assign.Outcome;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.assign.WorkTerms;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.decision.quarantine.QuarantineEntry;
@@ -141,7 +142,8 @@
                 remaining(),
                 excluded,
                 request.promptParts(),
-                crashes);
+                crashes,
+                terms());
         context.assignments().submit(work, new Assignments.DecisionListener() {
             @Override
             public void onDecided(AssignEffect.Decided effect) {
@@ -156,6 +158,13 @@
         });
     }
 
+    private WorkTerms terms() {
+        WorkTerms.Purpose purpose = targetsTried == 0 && excluded.isEmpty() && current.isEmpty()
+                ? WorkTerms.Purpose.FIRST
+                : WorkTerms.Purpose.REPEAT;
+        return destination.terms().withPurpose(purpose);
+    }
+
     private void onDecided(Work work, AssignEffect.Decided effect) {
         if (finished || !requestedAttempt.equals(Optional.of(effect.id()))) {
             context.assignments().reportEnd(effect.id(), Outcome.WITHDRAWN);
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
@@ -12,6 +12,7 @@
 import org.boragebarrow.decision.assign.PromptSize;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.assign.WorkTerms;
 import org.boragebarrow.decision.fleet.QuietPeriods;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.model.AttemptId;
@@ -79,6 +80,9 @@
         work.parts().shared().forEach(part -> message.addSharedParts(part.value()));
         work.parts().own().ifPresent(part -> message.setOwnPart(part.value()));
         message.setCrashes(work.crashes());
+        if (!work.terms().equals(WorkTerms.DEFAULT)) {
+            message.setTerms(WorkTermsMessages.toMessage(work.terms()));
+        }
         return message.build();
     }
 
@@ -103,7 +107,8 @@
                 Duration.ofMillis(message.getRemainingMillis()),
                 excluded,
                 toParts(message),
-                message.getCrashes());
+                message.getCrashes(),
+                message.hasTerms() ? WorkTermsMessages.fromMessage(message.getTerms()) : WorkTerms.DEFAULT);
     }
 
     private static PromptParts toParts(AskedWork message) {
