--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
@@ -53,34 +53,6 @@
         checkNotNull(terms);
     }
 
-    /** Creates work for whose route and organisation nothing is configured. */
-    public Work(
-            AttemptId id,
-            ServiceName service,
-            AvailabilityZoneId zone,
-            Optional<PromptSize> size,
-            Duration objective,
-            Optional<Duration> pauseObjective,
-            Duration age,
-            Duration remaining,
-            ImmutableSet<TargetId> excluded,
-            PromptParts parts,
-            int crashes) {
-        this(
-                id,
-                service,
-                zone,
-                size,
-                objective,
-                pauseObjective,
-                age,
-                remaining,
-                excluded,
-                parts,
-                crashes,
-                WorkTerms.DEFAULT);
-    }
-
     /** Returns the work with one more excluded target. */
     public Work excluding(TargetId target) {
         return new Work(
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/Route.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/Route.java
@@ -49,33 +49,6 @@
         checkArgument(!services.isEmpty(), "route \"%s\" has no service", name);
     }
 
-    /** Creates a route without a rank and without homes. */
-    public Route(
-            String name,
-            String host,
-            String prefix,
-            RequestKind kind,
-            Duration timeout,
-            Duration objective,
-            Optional<Duration> pauseObjective,
-            int maxTargets,
-            boolean allowsAnonymous,
-            ImmutableList<WeightedService> services) {
-        this(
-                name,
-                host,
-                prefix,
-                kind,
-                timeout,
-                objective,
-                pauseObjective,
-                maxTargets,
-                allowsAnonymous,
-                services,
-                Optional.empty(),
-                ImmutableSet.of());
-    }
-
     /**
      * Selects the service for a request in proportion to the weights.
      *
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerQuietTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerQuietTest.java
@@ -78,7 +78,8 @@
                         Duration.ofMillis(limitMillis),
                         without.build(),
                         PromptParts.none(),
-                        0)))
+                        0,
+                        WorkTerms.DEFAULT)))
                 .get(0);
     }
 
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerTest.java
@@ -68,7 +68,8 @@
                 Duration.ofSeconds(2),
                 ImmutableSet.copyOf(excluded),
                 PromptParts.none(),
-                0);
+                0,
+                WorkTerms.DEFAULT);
     }
 
     private Work prompt(long tokens, int objectiveMillis, int pauseMillis) {
@@ -83,7 +84,8 @@
                 Duration.ofSeconds(15),
                 ImmutableSet.of(),
                 PromptParts.none(),
-                0);
+                0,
+                WorkTerms.DEFAULT);
     }
 
     private ImmutableList<AssignEffect> submit(Work work) {
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedCrashes.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedCrashes.java
@@ -292,7 +292,8 @@
                 Duration.ofSeconds(request.size.equals(SHORT) ? 10 : 15),
                 ImmutableSet.copyOf(request.excluded),
                 request.parts,
-                request.crashes);
+                request.crashes,
+                WorkTerms.DEFAULT);
         schedule(reportDelay(), () -> apply(new AssignEvent.Submitted(work)));
     }
 
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
@@ -227,7 +227,8 @@
                 Duration.ofSeconds(10),
                 ImmutableSet.of(),
                 PromptParts.none(),
-                0);
+                0,
+                WorkTerms.DEFAULT);
         SimulatedRequest request = new SimulatedRequest(work, kind, events, now);
         Tally tally = tallies.get(kind);
         tally.submitted++;
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/TargetLoadTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/TargetLoadTest.java
@@ -48,7 +48,8 @@
                 Duration.ofSeconds(10),
                 ImmutableSet.of(),
                 PromptParts.none(),
-                0);
+                0,
+                WorkTerms.DEFAULT);
         load.add(AttemptPart.forOwner(work, ImmutableList.of(), ENGINE, 0));
         return work.id();
     }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/routing/RoutingTableTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/routing/RoutingTableTest.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import net.jqwik.api.Example;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.ServiceName;
@@ -26,7 +27,9 @@
                 Optional.empty(),
                 2,
                 false,
-                ImmutableList.copyOf(services));
+                ImmutableList.copyOf(services),
+                Optional.empty(),
+                ImmutableSet.of());
     }
 
     private static RoutingTable table(long version, Route... routes) {
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/assign/RegionAssignmentsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/assign/RegionAssignmentsTest.java
@@ -22,6 +22,7 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import org.boragebarrow.decision.assign.AssignEffect;
 import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.assign.WorkTerms;
 import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
@@ -125,7 +126,8 @@
                 Duration.ofSeconds(5),
                 ImmutableSet.of(),
                 PromptParts.none(),
-                0);
+                0,
+                WorkTerms.DEFAULT);
         runOnLoop(() -> requester.submit(work, decision::complete));
         return decision;
     }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -18,6 +18,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -142,7 +143,9 @@
                 kind.streamed() ? Optional.of(Duration.ofMillis(250)) : Optional.empty(),
                 maxTargets,
                 false,
-                ImmutableList.of(new Route.WeightedService(SERVICE, 1)));
+                ImmutableList.of(new Route.WeightedService(SERVICE, 1)),
+                Optional.empty(),
+                ImmutableSet.of());
         long version = routing.current().map(RoutingTable::version).orElse(0L) + 1;
         routing.offer(RoutingTable.of(
                 version,
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/StallTimeoutsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/StallTimeoutsTest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import net.jqwik.api.Example;
 import org.boragebarrow.decision.routing.RequestKind;
 import org.boragebarrow.decision.routing.Route;
@@ -23,7 +24,9 @@
                 Optional.of(Duration.ofMillis(pauseMillis)),
                 2,
                 false,
-                ImmutableList.of(new Route.WeightedService(ServiceName.of("service"), 1)));
+                ImmutableList.of(new Route.WeightedService(ServiceName.of("service"), 1)),
+                Optional.empty(),
+                ImmutableSet.of());
     }
 
     @Example
--- a/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
@@ -14,6 +14,7 @@
 import org.boragebarrow.decision.assign.PromptSize;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.assign.WorkTerms;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.model.AttemptId;
@@ -22,10 +23,13 @@
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.HostIncarnation;
 import org.boragebarrow.model.IncarnationNumber;
+import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.PromptPartId;
 import org.boragebarrow.model.PromptParts;
+import org.boragebarrow.model.RegionId;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.UrgencyRank;
 import org.boragebarrow.peer.proto.TargetQuiet;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -46,7 +50,25 @@
                 Duration.ofMillis(9_000),
                 ImmutableSet.of(TargetId.of("a"), TargetId.of("b")),
                 PromptParts.of(ImmutableList.of(PromptPartId.of("a1"), PromptPartId.of("b2"), PromptPartId.of("c3"))),
-                2);
+                2,
+                WorkTerms.DEFAULT);
+    }
+
+    private static Work work(WorkTerms terms) {
+        Work work = work(Optional.empty(), Optional.empty());
+        return new Work(
+                work.id(),
+                work.service(),
+                work.zone(),
+                work.size(),
+                work.objective(),
+                work.pauseObjective(),
+                work.age(),
+                work.remaining(),
+                work.excluded(),
+                work.parts(),
+                work.crashes(),
+                terms);
     }
 
     private static FleetTarget target(String id) {
@@ -73,6 +95,29 @@
                 .isEqualTo(unsized);
     }
 
+    @Example
+    void termsAreUnchangedAfterEncodingAndDecoding() {
+        Optional<OrganisationId> organisation = Optional.of(OrganisationId.of("organisation"));
+        Work withHomes = work(new WorkTerms(
+                organisation,
+                2.5,
+                UrgencyRank.MOST_URGENT,
+                Optional.of(ImmutableSet.of(RegionId.of("region"))),
+                WorkTerms.Purpose.REPEAT,
+                -17));
+        Work withoutAnyHome = work(new WorkTerms(
+                organisation, 1, UrgencyRank.DEFAULT, Optional.of(ImmutableSet.of()), WorkTerms.Purpose.FIRST, 0));
+
+        assertThat(AssignMessages.fromWork(AssignMessages.assignmentRequest(withHomes)
+                        .getAskTarget()
+                        .getWork()))
+                .isEqualTo(withHomes);
+        assertThat(AssignMessages.fromWork(AssignMessages.assignmentRequest(withoutAnyHome)
+                        .getAskTarget()
+                        .getWork()))
+                .isEqualTo(withoutAnyHome);
+    }
+
     @Example
     void anAssignmentIsDecodedWithItsHelpers() {
         Assignment assignment = new Assignment(
