--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AdmissionPolicy.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AdmissionPolicy.java
@@ -20,6 +20,9 @@
     /** Default retry delay of a refused caller: about half the duration of an answer. */
     private static final Duration DEFAULT_RETRY_DELAY = Duration.ofMillis(900);
 
+    /** Retry delay of a refused caller whose targets operators have closed, which does not change soon. */
+    static final Duration PROHIBITED_RETRY_DELAY = Duration.ofSeconds(2);
+
     private final TargetPool pool;
     private final WaitingWork waiting;
 
@@ -49,7 +52,7 @@
         Optional<Duration> earliest = Optional.empty();
         double patience = CostModel.abandonmentMillis(work) - work.age().toMillis();
         double longest = Math.min(patience, work.remaining().toMillis());
-        for (TargetLoad load : pool.serving(work.service())) {
+        for (TargetLoad load : pool.permitted(work)) {
             Duration quiet = pool.quietTime(work.id().owner().host(), load, now);
             boolean excluded = work.excluded().contains(load.target().id());
             if (!excluded && quiet.toMillis() < longest) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
@@ -10,6 +10,7 @@
 import org.boragebarrow.decision.quarantine.PartKey;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.TargetId;
@@ -49,6 +50,12 @@
     record QuarantineChanged(ImmutableSet<PartKey> quarantined, ImmutableSet<PartKey> onProbation)
             implements AssignEvent {}
 
+    /** What determines which targets work may use, apart from the targets themselves, changed. */
+    sealed interface PermissionsChanged extends AssignEvent {}
+
+    /** The zones that operators have emptied changed; {@code zones} are all that are empty now. */
+    record ZonesEmptied(ImmutableSet<AvailabilityZoneId> zones) implements PermissionsChanged {}
+
     /** Time has passed while work is queued. */
     record Ticked() implements AssignEvent {}
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -78,6 +78,10 @@
                 attribution.setQuarantine(changed.quarantined(), changed.onProbation());
                 yield assignQueued(now);
             }
+            case AssignEvent.PermissionsChanged changed -> {
+                pool.apply(changed, now);
+                yield assignQueued(now);
+            }
             case AssignEvent.Ticked ignored -> assignQueued(now);
         };
     }
@@ -117,6 +121,11 @@
         }
         List<TargetLoad> candidates = pool.candidates(work, now);
         if (candidates.isEmpty()) {
+            Optional<RefusalReason> prohibition = pool.prohibition(work);
+            if (prohibition.isPresent()) {
+                return Optional.of(
+                        AdmissionPolicy.refuse(work, prohibition.get(), AdmissionPolicy.PROHIBITED_RETRY_DELAY));
+            }
             return admission.decideWithoutCandidates(work, isNew, now);
         }
         Optional<EngineProfile> profile = profileOf(work);
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/RefusalReason.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/RefusalReason.java
@@ -4,6 +4,8 @@
 public enum RefusalReason {
     /** No target of the service accepts new work. */
     NO_TARGET,
+    /** All targets of the service are in zones that operators have emptied. */
+    ZONES_EMPTIED,
     /** More work is queued than targets become free in time. */
     OVERLOADED,
     /** All targets want no requests of the host until after the request's limit. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
@@ -12,6 +12,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.decision.evacuation.EmptiedZones;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.decision.routing.EngineProfile;
@@ -29,6 +31,14 @@
     private final Map<TargetId, TargetLoad> loads = new LinkedHashMap<>();
     private final ZoneReachability reachability = new ZoneReachability();
     private final QuietPairs quietPairs = new QuietPairs();
+    private final EmptiedZones emptied = new EmptiedZones();
+
+    /** Applies a change of which targets work may use. */
+    void apply(AssignEvent.PermissionsChanged event, long now) {
+        switch (event) {
+            case AssignEvent.ZonesEmptied changed -> emptied.replace(changed.zones(), now);
+        }
+    }
 
     /** Replaces the targets; returns the incarnations that ended although they were not draining. */
     ImmutableList<TargetIncarnation> update(ImmutableList<FleetTarget> targets, long now) {
@@ -83,9 +93,31 @@
         return found;
     }
 
-    /** Returns the targets that accept new work of the service. */
-    List<TargetLoad> serving(ServiceName service) {
-        return loads.values().stream().filter(load -> serves(load, service)).toList();
+    /** Returns the targets that accept new work of the service and that the work may use at some time. */
+    List<TargetLoad> permitted(Work work) {
+        return loads.values().stream()
+                .filter(load -> serves(load, work.service()) && permits(work, load.target()))
+                .toList();
+    }
+
+    /** Returns why the work may use none of the targets that accept new work of its service, if that is so. */
+    Optional<RefusalReason> prohibition(Work work) {
+        boolean served = false;
+        for (TargetLoad load : loads.values()) {
+            if (!serves(load, work.service())) {
+                continue;
+            }
+            if (permits(work, load.target())) {
+                return Optional.empty();
+            }
+            served = true;
+        }
+        return served ? Optional.of(RefusalReason.ZONES_EMPTIED) : Optional.empty();
+    }
+
+    /** Returns whether operators let the work reach the target. */
+    private boolean permits(Work work, FleetTarget target) {
+        return !emptied.contains(target.zone()) && !work.terms().closedZones().contains(target.zone());
     }
 
     private static boolean serves(TargetLoad load, ServiceName service) {
@@ -100,6 +132,7 @@
         for (TargetLoad load : loads.values()) {
             FleetTarget target = load.target();
             boolean fits = serves(load, work.service())
+                    && permits(work, target)
                     && !work.excluded().contains(target.id())
                     && quietPairs.allows(work.id().owner().host(), load, now);
             if (!fits) {
@@ -147,15 +180,23 @@
     CandidateGroup group(Work work) {
         HostId host = work.id().owner().host();
         return new CandidateGroup(
-                work.service(), work.zone(), quietPairs.concerns(host) ? Optional.of(host) : Optional.empty());
+                work.service(),
+                work.zone(),
+                work.terms().closedZones(),
+                quietPairs.concerns(host) ? Optional.of(host) : Optional.empty());
     }
 
     /**
      * Work with the same candidates, apart from those that an earlier attempt excluded.
      *
+     * @param closedZones zones whose targets the work may not use, apart from those that all work may not use
      * @param host the work's host, if some targets may want no requests of it
      */
-    record CandidateGroup(ServiceName service, AvailabilityZoneId zone, Optional<HostId> host) {}
+    record CandidateGroup(
+            ServiceName service,
+            AvailabilityZoneId zone,
+            ImmutableSet<AvailabilityZoneId> closedZones,
+            Optional<HostId> host) {}
 
     ImmutableMap<ServiceName, Integer> countByService() {
         return ImmutableMap.copyOf(loads.values().stream()
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/WorkTerms.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/WorkTerms.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableSet;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.RegionId;
 import org.boragebarrow.model.UrgencyRank;
@@ -17,6 +18,7 @@
  * @param homes the regions whose targets the work may reach; empty if it may reach all
  * @param purpose why a target is requested
  * @param callerKey identifies repeated requests of one caller for the same thing; 0 if unknown
+ * @param closedZones zones whose targets the host sends nothing, as operators have emptied them as far as it knows
  */
 public record WorkTerms(
         Optional<OrganisationId> organisation,
@@ -24,7 +26,8 @@
         UrgencyRank rank,
         Optional<ImmutableSet<RegionId>> homes,
         Purpose purpose,
-        long callerKey) {
+        long callerKey,
+        ImmutableSet<AvailabilityZoneId> closedZones) {
     /** The terms of work for which nothing is configured. */
     public static final WorkTerms DEFAULT =
             new WorkTerms(Optional.empty(), 1, UrgencyRank.DEFAULT, Optional.empty(), Purpose.FIRST, 0);
@@ -44,10 +47,27 @@
         checkNotNull(rank);
         checkNotNull(homes);
         checkNotNull(purpose);
+        checkNotNull(closedZones);
+    }
+
+    /** Creates terms of work for which no zone is closed. */
+    public WorkTerms(
+            Optional<OrganisationId> organisation,
+            double weight,
+            UrgencyRank rank,
+            Optional<ImmutableSet<RegionId>> homes,
+            Purpose purpose,
+            long callerKey) {
+        this(organisation, weight, rank, homes, purpose, callerKey, ImmutableSet.of());
     }
 
     /** Returns the terms with another purpose. */
     public WorkTerms withPurpose(Purpose other) {
-        return new WorkTerms(organisation, weight, rank, homes, other, callerKey);
+        return new WorkTerms(organisation, weight, rank, homes, other, callerKey, closedZones);
+    }
+
+    /** Returns the terms with other closed zones. */
+    public WorkTerms withClosedZones(ImmutableSet<AvailabilityZoneId> zones) {
+        return new WorkTerms(organisation, weight, rank, homes, purpose, callerKey, zones);
     }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/admin/HostStatusPage.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/admin/HostStatusPage.java
@@ -35,6 +35,10 @@
                         .put("target", target.id().value())
                         .put("started_ms", target.startedMillis())
                         .put("for_ms", left.toMillis()));
+        ArrayNode emptied = page.putArray("emptied_zones");
+        status.emptied()
+                .forEach((zone, time) ->
+                        emptied.addObject().put("zone", zone.value()).put("for_ms", time.toMillis()));
         return page;
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -408,6 +408,11 @@
         duty.offerWithRetry(new AssignEvent.FleetChanged(targets));
     }
 
+    /** Changes which targets the assigner's work may use. */
+    public void setPermissions(AssignEvent.PermissionsChanged changed) {
+        duty.offerWithRetry(changed);
+    }
+
     /** Replaces the speeds of engines that the assigner uses. */
     public void setProfiles(ImmutableMap<ServiceName, EngineProfile> profiles) {
         duty.offerWithRetry(new AssignEvent.ProfilesChanged(profiles));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Decoders.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Decoders.java
@@ -4,6 +4,7 @@
 
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.routing.RoutingTable;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.port.WatchedTable.Row;
 
 /** Decodes rows of a deployment's store into domain types. Each deployment has its own implementation. */
@@ -15,6 +16,16 @@
      */
     Optional<RoutingTable> routing(Row row);
 
+    /**
+     * Returns the zone that operators empty by the row, whatever its value, and take back by its removal, or empty if the row is
+     * about something else.
+     *
+     * @throws IllegalArgumentException if the row names no zone
+     */
+    default Optional<AvailabilityZoneId> emptiedZone(Row row) {
+        return Optional.empty();
+    }
+
     /**
      * Returns the target in the row.
      *
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/HostStatus.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/HostStatus.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.HostId;
 
 /**
@@ -17,6 +18,7 @@
  * @param targets all targets, draining ones included
  * @param leaving the targets that said in an answer that they leave
  * @param quiet the targets that want no requests of this host, with the time that is left
+ * @param emptied the zones that operators have emptied, with the time for which this host has known it
  */
 public record HostStatus(
         HostId host,
@@ -27,4 +29,5 @@
         ImmutableList<FleetTarget> targets,
         ImmutableList<FleetTarget> leaving,
         ImmutableMap<TargetIncarnation, Duration> quiet,
+        ImmutableMap<AvailabilityZoneId, Duration> emptied,
         int quarantinedParts) {}
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
@@ -154,6 +154,11 @@
         ImmutableList.copyOf(open).forEach(exchange -> exchange.takeBackFrom(target));
     }
 
+    /** Places requests elsewhere that wait for a target which accepts no new work any more. */
+    void takeBackFromUnusable() {
+        ImmutableList.copyOf(open).forEach(RelayExchange::takeBackIfUnusable);
+    }
+
     /** Renews the memory that requests in progress have reserved on a target that is quiet from now on, while it may be asked. */
     void extendReservations(TargetIncarnation target) {
         if (context.quiet().isQuiet(target, context.ticker().read())) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
@@ -108,6 +109,15 @@
         return handle.map(EngineClient.CallHandle::isSent).orElse(false);
     }
 
+    /** Returns a target that the request would reach and that accepts no new work, whether the request needs it or not. */
+    Optional<FleetTarget> findUnusable() {
+        return Stream.concat(
+                        Stream.of(assignment.target()),
+                        assignment.helpers().stream().map(HelperTarget::target))
+                .filter(target -> !context.isUsable(target))
+                .findFirst();
+    }
+
     /** Returns the phase of the attempt, for the log. */
     String state() {
         if (handle.isEmpty()) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayContext.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayContext.java
@@ -4,6 +4,7 @@
 
 import com.google.common.base.Ticker;
 import io.netty.channel.EventLoop;
+import org.boragebarrow.decision.evacuation.EmptiedZones;
 import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.QuietPeriods;
@@ -28,6 +29,7 @@
         RandomGenerator random,
         RoutingTableHolder routing,
         Fleet fleet,
+        EmptiedZones emptied,
         QuietPeriods quiet,
         RetryQuota retryQuota,
         Quarantine quarantine,
@@ -37,6 +39,8 @@
         HostMetrics metrics) {
     /** Returns whether a new request may be sent to the incarnation of the target. */
     boolean isUsable(FleetTarget target) {
-        return fleet.isUsable(target) && !quiet.isQuiet(target.incarnation(), ticker.read());
+        return fleet.isUsable(target)
+                && !emptied.contains(target.zone())
+                && !quiet.isQuiet(target.incarnation(), ticker.read());
     }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -28,6 +28,8 @@
     TARGET_QUIET(7023),
     /** A target sent bytes that belong to no request. */
     UNEXPECTED_BYTES(7024),
+    /** Operators emptied a zone or took it back. */
+    ZONE(7025),
     /** A target was assigned to an attempt. */
     ASSIGNED(7030),
     /** The assigner refused to assign a target to an attempt. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -162,7 +162,10 @@
         WorkTerms.Purpose purpose = targetsTried == 0 && excluded.isEmpty() && current.isEmpty()
                 ? WorkTerms.Purpose.FIRST
                 : WorkTerms.Purpose.REPEAT;
-        return destination.terms().withPurpose(purpose);
+        return destination
+                .terms()
+                .withPurpose(purpose)
+                .withClosedZones(context.emptied().zones());
     }
 
     private void onDecided(Work work, AssignEffect.Decided effect) {
@@ -234,7 +237,7 @@
 
     private static ErrorKind kindOf(RefusalReason reason) {
         return switch (reason) {
-            case NO_TARGET, TOO_LARGE -> ErrorKind.NO_TARGET;
+            case NO_TARGET, ZONES_EMPTIED, TOO_LARGE -> ErrorKind.NO_TARGET;
             case OVERLOADED, QUIET -> ErrorKind.OVERLOADED;
             case TOO_LATE -> ErrorKind.DEADLINE_UNREACHABLE;
             case QUARANTINED -> ErrorKind.PROMPT_QUARANTINED;
@@ -288,14 +291,25 @@
 
     /** Ends the current attempt if it needs the target and nothing of it was sent, and requests another target. */
     void takeBackFrom(TargetIncarnation target) {
-        Optional<RelayAttempt> waiting = current.filter(attempt -> !attempt.isSent() && attempt.needs(target));
-        if (finished || waiting.isEmpty()) {
+        current.filter(attempt -> attempt.needs(target)).ifPresent(attempt -> takeBack(attempt, target));
+    }
+
+    /** Places the request elsewhere if its current attempt would reach a target that accepts no new work any more. */
+    void takeBackIfUnusable() {
+        if (current.isPresent()) {
+            RelayAttempt attempt = current.get();
+            attempt.findUnusable().ifPresent(target -> takeBack(attempt, target.incarnation()));
+        }
+    }
+
+    private void takeBack(RelayAttempt waiting, TargetIncarnation target) {
+        if (finished || waiting.isSent()) {
             return;
         }
-        waiting.get().close(Outcome.WITHDRAWN);
+        waiting.close(Outcome.WITHDRAWN);
         current = Optional.empty();
         targetsTried--;
-        trace.takenBack(waiting.get(), target);
+        trace.takenBack(waiting, target);
         reassignWithout(target.id());
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -8,7 +8,11 @@
 import com.google.common.base.Ticker;
 import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 import io.netty.channel.EventLoop;
+import org.boragebarrow.decision.assign.AssignEvent;
+import org.boragebarrow.decision.evacuation.EmptiedZones;
 import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.QuietPeriods;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
@@ -21,6 +25,7 @@
 import org.boragebarrow.decision.shutdown.ShutdownDeadline;
 import org.boragebarrow.http.server.ServerLimits;
 import org.boragebarrow.http.server.ServerResponse;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.HostIncarnation;
 import org.boragebarrow.model.IncarnationNumber;
@@ -109,6 +114,7 @@
     private final HostMetrics metrics = new HostMetrics(MAX_ORGANISATION_SERIES);
     private final RoutingTableHolder routing = new RoutingTableHolder();
     private final Fleet fleet = new Fleet();
+    private final EmptiedZones emptied = new EmptiedZones();
     private final QuietPeriods quiet = new QuietPeriods();
     private final RegionAssignments assignments;
     private final Ticker ticker = Ticker.systemTicker();
@@ -168,6 +174,7 @@
                 random,
                 routing,
                 fleet,
+                emptied,
                 quiet,
                 retryQuota,
                 quarantine,
@@ -175,7 +182,7 @@
                 calls,
                 log,
                 metrics));
-        RoutingFeed routingFeed = new RoutingFeed(decoders, routing, log, this::onRouting);
+        RoutingFeed routingFeed = new RoutingFeed(decoders, routing, emptied, log, ticker::read, new OperatorChanges());
         this.fleetFeed = new FleetFeed(decoders, fleet, log, this::monotonicMillis, this::publishFleet);
         this.routingFollower =
                 new TableFollower(loop, sharedRouting, backoff(MAX_RETRY_DELAY), CONFIGURATION_TIMING, routingFeed);
@@ -286,10 +293,16 @@
                         fleet.all(),
                         fleet.leaving(),
                         quiet.current(ticker.read()),
+                        emptiedFor(),
                         quarantinedParts),
                 loop);
     }
 
+    private ImmutableMap<AvailabilityZoneId, Duration> emptiedFor() {
+        long now = ticker.read();
+        return ImmutableMap.copyOf(Maps.transformValues(emptied.since(), since -> Duration.ofNanos(now - since)));
+    }
+
     /** Returns the duty that lists and edits the quarantine. */
     public QuarantineDuty quarantine() {
         return quarantineDuty;
@@ -398,9 +411,18 @@
         }
     }
 
-    private void onRouting(RoutingTable table) {
-        assignments.setProfiles(table.engineProfiles());
-        onReadinessChecked();
+    private final class OperatorChanges implements RoutingFeed.Listener {
+        @Override
+        public void onNewVersion(RoutingTable table) {
+            assignments.setProfiles(table.engineProfiles());
+            onReadinessChecked();
+        }
+
+        @Override
+        public void onZonesChanged() {
+            assignments.setPermissions(new AssignEvent.ZonesEmptied(emptied.zones()));
+            relay.takeBackFromUnusable();
+        }
     }
 
     private void publishFleet() {
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -29,6 +29,7 @@
 import org.boragebarrow.decision.assign.PromptSize;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.assign.Work;
+import org.boragebarrow.decision.evacuation.EmptiedZones;
 import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.QuietPeriods;
@@ -69,6 +70,7 @@
     private final DecisionLog log = new DecisionLog(new PrintStream(logOutput, true, StandardCharsets.UTF_8));
     private long nanos;
     final Fleet fleet = new Fleet();
+    final EmptiedZones emptied = new EmptiedZones();
     final QuietPeriods quiet = new QuietPeriods();
     final Quarantine quarantine = new Quarantine("host", Duration.ofHours(1), new Random(1));
     final RoutingTableHolder routing = new RoutingTableHolder();
@@ -97,6 +99,7 @@
                 new Random(1),
                 routing,
                 fleet,
+                emptied,
                 quiet,
                 new RetryQuota(0, retrySlack, Duration.ofSeconds(10), 1),
                 quarantine,
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/WorkTermsMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/WorkTermsMessages.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import org.boragebarrow.decision.assign.WorkTerms;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.RegionId;
 import org.boragebarrow.model.UrgencyRank;
@@ -22,6 +23,7 @@
                 .setCallerKey(terms.callerKey());
         terms.organisation().ifPresent(organisation -> message.setOrganisation(organisation.value()));
         terms.homes().ifPresent(homes -> homes.forEach(home -> message.addHomes(home.value())));
+        terms.closedZones().forEach(zone -> message.addClosedZones(zone.value()));
         return message.build();
     }
 
@@ -29,6 +31,9 @@
     static WorkTerms fromMessage(AskedTerms message) {
         ImmutableSet<RegionId> homes =
                 message.getHomesList().stream().map(RegionId::of).collect(ImmutableSet.toImmutableSet());
+        ImmutableSet<AvailabilityZoneId> closedZones = message.getClosedZonesList().stream()
+                .map(AvailabilityZoneId::of)
+                .collect(ImmutableSet.toImmutableSet());
         return new WorkTerms(
                 Optional.of(message.getOrganisation())
                         .filter(id -> !id.isEmpty())
@@ -37,6 +42,7 @@
                 UrgencyRank.of(message.getRank()),
                 message.getHasHomes() ? Optional.of(homes) : Optional.empty(),
                 WorkTerms.Purpose.valueOf(message.getPurpose().name()),
-                message.getCallerKey());
+                message.getCallerKey(),
+                closedZones);
     }
 }
--- a/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
@@ -99,12 +99,13 @@
     void termsAreUnchangedAfterEncodingAndDecoding() {
         Optional<OrganisationId> organisation = Optional.of(OrganisationId.of("organisation"));
         Work withHomes = work(new WorkTerms(
-                organisation,
-                2.5,
-                UrgencyRank.MOST_URGENT,
-                Optional.of(ImmutableSet.of(RegionId.of("region"))),
-                WorkTerms.Purpose.REPEAT,
-                -17));
+                        organisation,
+                        2.5,
+                        UrgencyRank.MOST_URGENT,
+                        Optional.of(ImmutableSet.of(RegionId.of("region"))),
+                        WorkTerms.Purpose.REPEAT,
+                        -17)
+                .withClosedZones(ImmutableSet.of(AvailabilityZoneId.of("closed"))));
         Work withoutAnyHome = work(new WorkTerms(
                 organisation, 1, UrgencyRank.DEFAULT, Optional.of(ImmutableSet.of()), WorkTerms.Purpose.FIRST, 0));
 
