Give less work to targets that are clearly slower than usual

Cause: the assigner predicted all targets of a service by one published speed. One at a fifth of its pace got as many prompts as its queue let it, and one of three targets of a plain service at an eighth got a third of the calls. Change: the package decision.pace learns, in the assigner and without new messages, what each target shows against the prediction (prompts) or against the service's usual time (calls). The median of a target's latest answers, at twice the usual or more, multiplies what is predicted for it; evidence ends after 6 s. Event 7026 and a gauge show it.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -39,6 +39,7 @@
     private final ActiveAttempts activeAttempts = new ActiveAttempts();
     private final WaitingWork waiting = new WaitingWork();
     private final CrashAttribution attribution = new CrashAttribution();
+    private final AnswerTimes answerTimes = new AnswerTimes();
     private final AdmissionPolicy admission = new AdmissionPolicy(pool, waiting);
     private final List<AssignEffect> expectedPauses = new ArrayList<>();
     private ImmutableMap<ServiceName, EngineProfile> profiles = ImmutableMap.of();
@@ -96,6 +97,11 @@
         return activeAttempts.size();
     }
 
+    /** Returns the targets that take clearly longer than usual. */
+    public ImmutableMap<TargetId, Double> slowTargets() {
+        return pool.slowTargets();
+    }
+
     private ImmutableList<AssignEffect> submit(Work work, long now) {
         activeAttempts.expired(now).forEach(expired -> release(expired, now));
         pool.advance(profiles, now);
@@ -194,7 +200,7 @@
         if (owner.isPresent()) {
             pool.onSent(work, owner.get(), now);
             owner.get().add(AttemptPart.forOwner(work, helpers, profile, now));
-            profile.ifPresent(engine -> announcePauses(owner.get(), work.id(), engine));
+            profile.ifPresent(engine -> onPrefillAdded(owner.get(), work.id(), engine));
             Duration reading = profile.map(engine -> shortestReading(work, engine, 1 + helpers.size()))
                     .orElse(Duration.ZERO);
             attribution.begin(
@@ -210,13 +216,18 @@
             Optional<TargetLoad> load = pool.find(helper.target());
             if (load.isPresent()) {
                 load.get().add(AttemptPart.forHelper(work, helper, helpers.size(), profile, now));
-                profile.ifPresent(engine -> announcePauses(load.get(), work.id(), engine));
+                profile.ifPresent(engine -> onPrefillAdded(load.get(), work.id(), engine));
                 all.add(helper.target());
             }
         }
         activeAttempts.add(work, all.build(), now);
     }
 
+    private void onPrefillAdded(TargetLoad load, AttemptId added, EngineProfile profile) {
+        AnswerTimes.onPrefillAdded(load, profile);
+        announcePauses(load, added, profile);
+    }
+
     /**
      * Tells the hosts of the other requests that a target answers about a pass that is longer than the pauses of their
      * answers should be, so that they do not take the target for unresponsive.
@@ -241,6 +252,7 @@
         if (targets.isEmpty()) {
             return ImmutableList.of();
         }
+        pool.find(targets.get().get(0)).ifPresent(owner -> answerTimes.onFirstEvent(owner, id, profiles, now));
         pool.find(targets.get()).forEach(load -> load.onPrefilled(id));
         return assignQueued(now);
     }
@@ -255,9 +267,10 @@
         }
         pool.advance(profiles, now);
         for (TargetLoad load : pool.find(targets.get())) {
-            load.remove(ended.id())
-                    .filter(part -> !part.isHelper())
-                    .ifPresent(part -> pool.recordOutcome(part.work(), load, ended.outcome(), now));
+            load.remove(ended.id()).filter(part -> !part.isHelper()).ifPresent(part -> {
+                pool.recordOutcome(part.work(), load, ended.outcome(), now);
+                answerTimes.onEnd(load, part, ended.outcome(), profiles, now);
+            });
         }
         return ImmutableList.<AssignEffect>builder()
                 .addAll(toEffects(attribution.end(ended.id(), toEnd(ended.outcome()), now)))
@@ -281,6 +294,9 @@
         }
         pool.advance(profiles, now);
         recordAssignment(reported.work(), reported.target(), reported.helpers(), now);
+        pool.find(reported.target())
+                .flatMap(load -> load.find(reported.work().id()))
+                .ifPresent(AttemptPart::setAssignedEarlier);
         if (reported.firstEventSeen()) {
             onFirstEvent(reported.work().id(), now);
         }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AttemptPart.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AttemptPart.java
@@ -19,19 +19,33 @@
     private final double prefillMillis;
     private final long arrivedAt;
     private final long memoryTokens;
+    private final boolean split;
+    private final long assignedAt;
+    private boolean timed = true;
+    private long prefilledAt;
+    private double longestPassMillis;
     private double remainingPrefillMillis;
     private double announcedPauseMillis;
     private boolean decoding;
     private boolean prefillFinished;
 
     private AttemptPart(
-            Work work, boolean helper, double prefillTokens, double prefillMillis, long memoryTokens, long arrivedAt) {
+            Work work,
+            boolean helper,
+            double prefillTokens,
+            double prefillMillis,
+            long memoryTokens,
+            int parts,
+            long now) {
         this.work = work;
         this.helper = helper;
         this.prefillTokens = prefillTokens;
         this.prefillMillis = prefillMillis;
         this.memoryTokens = memoryTokens;
-        this.arrivedAt = arrivedAt;
+        this.arrivedAt = now - work.age().toNanos();
+        this.assignedAt = now;
+        this.prefilledAt = now;
+        this.split = parts > 1;
         this.remainingPrefillMillis = prefillMillis;
     }
 
@@ -53,13 +67,7 @@
             Work work, boolean helper, int parts, long memory, Optional<EngineProfile> profile, long now) {
         long tokens = work.size().map(PromptSize::promptTokens).orElse(0L);
         double millis = profile.map(p -> p.prefillMillis(tokens)).orElse(0.0);
-        return new AttemptPart(
-                work,
-                helper,
-                (double) tokens / parts,
-                millis / parts,
-                memory,
-                now - work.age().toNanos());
+        return new AttemptPart(work, helper, (double) tokens / parts, millis / parts, memory, parts, now);
     }
 
     Work work() {
@@ -99,6 +107,48 @@
         return millis - used;
     }
 
+    /** Records when the prefill ended in the prediction, unless it has not ended or had ended before. */
+    void endPrefillAt(long time) {
+        if (remainingPrefillMillis == 0 && prefillMillis > 0 && prefilledAt == assignedAt) {
+            prefilledAt = time;
+        }
+    }
+
+    /** Returns the time since the assignment, in milliseconds. */
+    double elapsedMillis(long now) {
+        return (now - assignedAt) / NANOS_PER_MILLI;
+    }
+
+    /**
+     * Returns the predicted time from the assignment to the end of the prefill, in milliseconds, with what was assigned
+     * to the target later.
+     */
+    double predictedPrefillMillis(long now) {
+        return remainingPrefillMillis > 0
+                ? elapsedMillis(now) + remainingPrefillMillis
+                : (prefilledAt - assignedAt) / NANOS_PER_MILLI;
+    }
+
+    /** Returns the longest pass that was predicted for the target until the first event, in milliseconds. */
+    double longestPassMillis() {
+        return longestPassMillis;
+    }
+
+    /** Records a predicted pass of the target, unless the first event has come. */
+    void recordPass(double millis) {
+        longestPassMillis = decoding ? longestPassMillis : Math.max(longestPassMillis, millis);
+    }
+
+    /** Returns whether the time to its first event shows the pace of its target, as it was assigned here to that alone. */
+    boolean showsPace() {
+        return timed && !helper && !split;
+    }
+
+    /** Records that the part was assigned earlier, by another assigner. */
+    void setAssignedEarlier() {
+        timed = false;
+    }
+
     /** Returns the longest pause of which the host that holds the request was told, in milliseconds. */
     double announcedPauseMillis() {
         return announcedPauseMillis;
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/CostModel.java
@@ -62,12 +62,12 @@
         double prefill = ahead + partMillis;
         double pass = profile.decodePassMillis();
         if (load.decodingCount() == 0) {
-            return prefill + pass;
+            return load.slowness() * (prefill + pass);
         }
         double currentPass = pass + load.passPrefillMillis(profile, 0, 0);
         double passPrefill = Math.max(1, load.passPrefillMillis(profile, partTokens, partMillis));
         double passes = Math.ceil(prefill / passPrefill);
-        return currentPass / 2 + prefill + passes * pass;
+        return load.slowness() * (currentPass / 2 + prefill + passes * pass);
     }
 
     /** Returns the expected loss of a caller whose first event comes the given time after its arrival. */
@@ -100,8 +100,10 @@
 
     /** Returns the additional loss of answers that the engine decodes if a part is prefilled there. */
     static double interferenceLoss(TargetLoad load, EngineProfile profile, double partTokens, double partMillis) {
-        double before = profile.decodePassMillis() + load.passPrefillMillis(profile, 0, 0);
-        double after = profile.decodePassMillis() + load.passPrefillMillis(profile, partTokens, partMillis);
+        double slowness = load.slowness();
+        double before = slowness * (profile.decodePassMillis() + load.passPrefillMillis(profile, 0, 0));
+        double after =
+                slowness * (profile.decodePassMillis() + load.passPrefillMillis(profile, partTokens, partMillis));
         double loss = 0;
         for (AttemptPart part : load.parts()) {
             if (part.isHelper() || part.work().pauseObjective().isEmpty()) {
@@ -131,8 +133,9 @@
         if (work.pauseObjective().isEmpty()) {
             return 0;
         }
-        double remaining = Math.max(0, load.prefillBacklogMillis() - firstMillis);
+        double slowness = load.slowness();
+        double remaining = Math.max(0, slowness * load.prefillBacklogMillis() - firstMillis);
         double bound = work.pauseObjective().get().toMillis() - PAUSE_MARGIN_MILLIS;
-        return remaining + profile.decodePassMillis() > bound ? LATE_LOSS * value : 0;
+        return remaining + slowness * profile.decodePassMillis() > bound ? LATE_LOSS * value : 0;
     }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/LeastLoadedSelector.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/LeastLoadedSelector.java
@@ -18,6 +18,11 @@
 
     private LeastLoadedSelector() {}
 
+    /** Returns the requests at the target; at a slow one, those that an ordinary one would answer in the same time. */
+    private static double load(TargetLoad load) {
+        return load.slowness() * (load.ownedCount() + 1) - 1;
+    }
+
     /** Returns a target with a free slot. */
     static Optional<TargetLoad> choose(Work work, List<TargetLoad> candidates) {
         TargetLoad best = null;
@@ -27,7 +32,7 @@
             if (load.ownedCount() >= target.slots()) {
                 continue;
             }
-            double cost = (double) load.ownedCount() / target.slots();
+            double cost = load(load) / target.slots();
             cost += target.zone().equals(work.zone()) ? 0 : CROSS_ZONE_PENALTY;
             cost += load.health().isEjected() ? EJECTED_PENALTY : 0;
             if (cost < least) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.pace.TargetPace;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.HostId;
@@ -14,6 +15,7 @@
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final TargetHealth health = new TargetHealth();
+    private final TargetPace pace = new TargetPace();
     private final LinkedHashMap<AttemptId, AttemptPart> parts = new LinkedHashMap<>();
     private FleetTarget target;
     private final Totals totals = new Totals();
@@ -33,6 +35,15 @@
         return health;
     }
 
+    TargetPace pace() {
+        return pace;
+    }
+
+    /** Returns how many times longer than usual the target takes, as of the last call of {@link #advance}. */
+    double slowness() {
+        return pace.slowness(advancedAt);
+    }
+
     /** Replaces the target's fleet entry with a newer one of the same incarnation. */
     void update(FleetTarget entry) {
         target = entry;
@@ -67,6 +78,10 @@
         }
     }
 
+    Optional<AttemptPart> find(AttemptId id) {
+        return Optional.ofNullable(parts.get(id));
+    }
+
     Collection<AttemptPart> parts() {
         return parts.values();
     }
@@ -157,15 +172,20 @@
         if (profile.isEmpty() || millis <= 0 || prefillBacklogMillis() == 0) {
             return;
         }
+        double prefillFraction = 1;
         if (decodingCount() > 0) {
             double passPrefill = passPrefillMillis(profile.get(), 0, 0);
-            millis *= passPrefill / (passPrefill + profile.get().decodePassMillis());
+            prefillFraction = passPrefill / (passPrefill + profile.get().decodePassMillis());
+            millis *= prefillFraction;
         }
         for (AttemptPart part : parts.sequencedValues().reversed()) {
             millis = part.isHelper() ? part.prefill(millis) : millis;
         }
         for (AttemptPart part : parts.values()) {
-            millis = part.isHelper() ? millis : part.prefill(millis);
+            if (!part.isHelper()) {
+                millis = part.prefill(millis);
+                part.endPrefillAt(now - (long) (millis / prefillFraction * NANOS_PER_MILLI));
+            }
         }
         totalsStale = true;
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
@@ -172,6 +172,13 @@
         return quietPairs.remaining(host, load.target(), now);
     }
 
+    /** Returns the targets that take clearly longer than usual, with the factor. */
+    ImmutableMap<TargetId, Double> slowTargets() {
+        return loads.values().stream()
+                .filter(load -> load.slowness() > 1)
+                .collect(ImmutableMap.toImmutableMap(load -> load.target().id(), TargetLoad::slowness));
+    }
+
     void removeHost(HostId host) {
         quietPairs.removeHost(host);
     }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedEngine.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedEngine.java
@@ -14,6 +14,7 @@
     private final List<Part> parts = new ArrayList<>();
     private double passEndsAt = -1;
     private boolean passDecodes;
+    private double slowness = 1;
 
     /** The part of one request that an engine processes; {@code remainingTokens} decreases with its prefill. */
     static final class Part {
@@ -34,6 +35,11 @@
         this.profile = profile;
     }
 
+    /** Makes all passes from the next one on take longer by the factor. */
+    void setSlowness(double factor) {
+        slowness = factor;
+    }
+
     boolean isIdle() {
         return parts.isEmpty();
     }
@@ -86,7 +92,7 @@
         int steps = passDecodes ? profile.stepsPerPass() : 1;
         double millis = passDecodes ? steps * step : step;
         millis += prefill((double) steps * profile.chunkTokens());
-        passEndsAt = now + millis;
+        passEndsAt = now + slowness * millis;
     }
 
     private double prefill(double maxTokens) {
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SimulatedLoad.java
@@ -12,9 +12,11 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.collect.HashMultiset;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Multiset;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
@@ -60,6 +62,9 @@
     private final Set<SimulatedRequest> firstEventReported = new HashSet<>();
     private final List<Retry> retries = new ArrayList<>();
     private final Map<Kind, Tally> tallies = new LinkedHashMap<>();
+    private final Multiset<TargetId> assignedTo = HashMultiset.create();
+    private int slowFirst;
+    private int slowOthers;
     private long attempts;
     private double now;
 
@@ -141,6 +146,24 @@
         send(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)));
     }
 
+    /** Makes the first engines work slower by the factor from now on. */
+    void setSlowness(int count, double factor) {
+        targets.subList(0, count).forEach(target -> engines.get(target.id()).setSlowness(factor));
+    }
+
+    /** Returns the prompts that were assigned to the first engine to answer. */
+    int assignedToFirst() {
+        return assignedTo.count(targets.get(0).id());
+    }
+
+    /** Returns the decisions at which the assigner took the first engine for slow, and those at which it took another. */
+    Slow slow() {
+        return new Slow(slowFirst, slowOthers);
+    }
+
+    /** Counts of decisions. */
+    record Slow(int first, int others) {}
+
     /** Runs the simulation for the given time, in seconds. */
     void run(List<Kind> kinds, List<Phase> phases, double seconds) {
         double end = now + seconds * 1_000;
@@ -247,7 +270,13 @@
     }
 
     private void send(AssignEvent event) {
-        for (AssignEffect effect : assigner.apply(event, TimeUnit.MICROSECONDS.toNanos((long) (now * 1_000)))) {
+        ImmutableList<AssignEffect> effects =
+                assigner.apply(event, TimeUnit.MICROSECONDS.toNanos((long) (now * 1_000)));
+        Set<TargetId> slow = assigner.slowTargets().keySet();
+        boolean first = !targets.isEmpty() && slow.contains(targets.get(0).id());
+        slowFirst += first ? 1 : 0;
+        slowOthers += slow.size() > (first ? 1 : 0) ? 1 : 0;
+        for (AssignEffect effect : effects) {
             switch (effect) {
                 case AssignEffect.Queued ignored -> {}
                 case AssignEffect.PauseExpected ignored -> {}
@@ -270,6 +299,7 @@
     private void place(SimulatedRequest request, Assignment assignment) {
         int parts = assignment.helpers().size() + 1;
         request.setParts(parts);
+        assignedTo.add(assignment.target().id());
         double tokens = (double) request.work.size().orElseThrow().promptTokens() / parts;
         for (HelperTarget helper : assignment.helpers()) {
             engines.get(helper.target().id()).add(new SimulatedEngine.Part(request, true, tokens), now);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -14,6 +14,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import io.netty.channel.EventLoop;
 import org.boragebarrow.decision.assign.AssignEffect;
 import org.boragebarrow.decision.assign.AssignEvent;
@@ -95,6 +96,7 @@
     private Optional<PeerLinks> links = Optional.empty();
     private Optional<TableSharing> sharing = Optional.empty();
     private Optional<QuarantineListener> quarantine = Optional.empty();
+    private volatile ImmutableMap<TargetId, Double> slowTargets = ImmutableMap.of();
     private HostId assigner;
     private boolean stopping;
     private long probeDueAt;
@@ -115,7 +117,7 @@
         this.log = checkNotNull(log);
         this.assigner = self.incarnation().host();
         this.assignerChoice = new AssignerChoice(assigner);
-        this.duty = new AssignDuty(loop, ticker, this::onEffects, this::onDutyFailure);
+        this.duty = new AssignDuty(loop, ticker, this::onEffects, this::onSlowTargets, this::onDutyFailure);
         this.directory = new HostDirectory(self, table, loop, log, new DirectoryListener());
         this.announcements = new SignalAnnouncements(assigner, ticker, new SignalTransport());
     }
@@ -418,6 +420,18 @@
         duty.offerWithRetry(new AssignEvent.ProfilesChanged(profiles));
     }
 
+    /** Returns the targets that this host's assigner takes for slow. */
+    public int slowTargetCount() {
+        return slowTargets.size();
+    }
+
+    private void onSlowTargets(ImmutableMap<TargetId, Double> slow) {
+        for (TargetId target : Sets.symmetricDifference(slow.keySet(), slowTargets.keySet())) {
+            log.write(RelayEvent.TARGET_PACE, "target", target, "slowness", slow.getOrDefault(target, 1.0));
+        }
+        slowTargets = slow;
+    }
+
     private void onDutyFailure(String name, Throwable failure) {
         log.write(RelayEvent.UNUSABLE, "duty", name, "reason", failure.toString());
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -30,6 +30,8 @@
     UNEXPECTED_BYTES(7024),
     /** Operators emptied a zone or took it back. */
     ZONE(7025),
+    /** The assigner began to take a target for slow, or ended to; {@code slowness} is 1 then. */
+    TARGET_PACE(7026),
     /** A target was assigned to an attempt. */
     ASSIGNED(7030),
     /** The assigner refused to assign a target to an attempt. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -208,6 +208,7 @@
                 HOSTS_TIMING,
                 new RowRouter(QuarantineDuty.ROW_PREFIX, quarantineDuty, assignments.directory()));
         metrics.gauge("boragebarrow.requests.open", relay::inProgress);
+        metrics.gauge("boragebarrow.targets.slow", assignments::slowTargetCount);
         metrics.gauge("boragebarrow.log.dropped", log::dropped);
         metrics.gauge("boragebarrow.quarantine.parts", () -> quarantinedParts);
     }
