Halve the calls of a zone at rest, and send edits of large values within it

Cause: the watcher of a table confirmed its state only as of the start of its call, so that its wait could be no longer than half of the permitted age; and a changed configuration, which is always over 4 kB, was read by each host. Change: an answer without changes counts as of the end of its wait, so the watcher waits for 0.8 s instead of 0.42 s under the same bounds. Of a value that is too large for a message, the difference from the row that the requesting host has is sent; its result is checked by version and checksum, and the store is read where it does not fit. SimulatedZone now writes random values, so that ZoneReplayTest still replays versions that are no small edit.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/TableMirror.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/TableMirror.java
@@ -1,11 +1,14 @@
 package org.boragebarrow.decision.watch;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import com.google.common.collect.ImmutableList;
 import org.boragebarrow.port.WatchedTable.Row;
@@ -21,8 +24,16 @@
  * version for which tombstones have been dropped has to read the store.
  */
 public final class TableMirror {
+    /** Replaced values that are retained for each row: the changes that a host misses while it pauses after one. */
+    private static final int MAX_EARLIER_ROWS = 3;
+
+    /** Maximum size of all retained values of a row, in bytes. */
+    private static final long MAX_EARLIER_BYTES = 1 << 20;
+
     private final int maxTombstones;
+    private final int minEditedBytes;
     private final Map<String, Row> rows = new HashMap<>();
+    private final Map<String, Deque<Row>> earlierRows = new HashMap<>();
     private long version;
     private long oldestServedVersion = Long.MAX_VALUE;
 
@@ -30,10 +41,12 @@
      * Creates an empty copy.
      *
      * @param maxTombstones the most removed rows that are retained
+     * @param minEditedBytes the least size of a value of which replaced ones are retained, in bytes
      */
-    public TableMirror(int maxTombstones) {
+    public TableMirror(int maxTombstones, int minEditedBytes) {
         checkArgument(maxTombstones >= 0, "negative tombstone limit: %s", maxTombstones);
         this.maxTombstones = maxTombstones;
+        this.minEditedBytes = minEditedBytes;
     }
 
     /** Replaces the copy by all rows of the table; ignores them if their version is lower than the copy's. */
@@ -42,6 +55,7 @@
             return;
         }
         rows.clear();
+        earlierRows.clear();
         snapshot.rows().forEach(row -> rows.put(row.key(), row));
         version = snapshot.version();
         oldestServedVersion = version;
@@ -57,12 +71,36 @@
             Row current = rows.get(row.key());
             if (current == null || current.version() < row.version()) {
                 rows.put(row.key(), row);
+                retainReplaced(Optional.ofNullable(current), row);
             }
         }
         version = Math.max(version, changes.version());
         dropOldTombstones();
     }
 
+    private void retainReplaced(Optional<Row> replaced, Row row) {
+        if (row.removed() || replaced.isEmpty() || replaced.get().value().length < minEditedBytes) {
+            earlierRows.remove(row.key());
+            return;
+        }
+        Deque<Row> earlier = earlierRows.computeIfAbsent(row.key(), key -> new ArrayDeque<>());
+        earlier.addLast(replaced.get());
+        long bytes =
+                earlier.stream().mapToLong(retained -> retained.value().length).sum();
+        while (earlier.size() > MAX_EARLIER_ROWS || (bytes > MAX_EARLIER_BYTES && earlier.size() > 1)) {
+            bytes -= earlier.removeFirst().value().length;
+        }
+    }
+
+    /** Returns the row as of a version, if this copy had it then and retains it. */
+    public Optional<Row> rowAsOf(String key, long asOf) {
+        Optional<Row> current = Optional.ofNullable(rows.get(key));
+        Stream<Row> earlier = earlierRows.getOrDefault(key, new ArrayDeque<>()).stream();
+        return Stream.concat(earlier, current.stream())
+                .filter(row -> row.version() <= asOf)
+                .max(Comparator.comparingLong(Row::version));
+    }
+
     private void dropOldTombstones() {
         List<Row> tombstones =
                 new ArrayList<>(rows.values().stream().filter(Row::removed).toList());
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/WatcherChoice.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/WatcherChoice.java
@@ -24,8 +24,8 @@
  */
 public final class WatcherChoice {
     /**
-     * The least number of hosts in a zone with a watcher; in smaller zones each host watches the store itself. A
-     * watcher's short calls cost as much as the calls of six hosts.
+     * The least number of hosts in a zone with a watcher; in smaller zones each host watches the store itself, as its
+     * deployment may allow less time for a change to take effect than a watcher that is isolated costs.
      */
     public static final int MIN_HOSTS = 8;
 
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/watch/TableMirrorTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/watch/TableMirrorTest.java
@@ -8,7 +8,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 class TableMirrorTest {
-    private final TableMirror mirror = new TableMirror(2);
+    private final TableMirror mirror = new TableMirror(2, 4);
 
     private static Row row(String key, long version) {
         return new Row(key, new byte[0], version, false);
@@ -75,4 +75,19 @@
         mirror.applyChanges(versionedRows(6));
         assertThat(mirror.version()).isEqualTo(6);
     }
+
+    @Example
+    void replacedLargeValuesAreReturnedForTheVersionsAtWhichTheyHeld() {
+        mirror.replace(versionedRows(5, new Row("a", new byte[4], 3, false), row("b", 2)));
+        mirror.applyChanges(versionedRows(8, new Row("a", new byte[5], 7, false), row("b", 8)));
+
+        assertThat(mirror.rowAsOf("a", 2)).isEmpty();
+        assertThat(mirror.rowAsOf("a", 6).orElseThrow().version()).isEqualTo(3);
+        assertThat(mirror.rowAsOf("a", 9).orElseThrow().version()).isEqualTo(7);
+        assertThat(mirror.rowAsOf("b", 5)).isEmpty();
+        for (int version = 10; version < 14; version++) {
+            mirror.applyChanges(versionedRows(version, new Row("a", new byte[5], version, false)));
+        }
+        assertThat(mirror.rowAsOf("a", 7)).isEmpty();
+    }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
@@ -10,12 +10,15 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import com.google.common.base.Throwables;
 import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
 import io.netty.channel.EventLoop;
 import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.decision.watch.TableMirror;
+import org.boragebarrow.decision.watch.ValueEdit;
 import org.boragebarrow.decision.watch.WatcherChoice;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.peer.proto.Envelope;
@@ -40,8 +43,8 @@
     /** Maximum age of the state that is sent to peers; less than {@link #MAX_AGE} by one network delay. */
     static final Duration MAX_SENT_AGE = Duration.ofMillis(900);
 
-    /** Wait of a watcher's call at the store; short, because a call confirms the state until the next one returns. */
-    static final Duration WATCHER_WAIT = Duration.ofMillis(420);
+    /** Wait of a watcher's call at the store: the state that one call confirms is fresh until the next one returns. */
+    static final Duration WATCHER_WAIT = Duration.ofMillis(800);
 
     /** How long a peer may hold a request while there are no changes. */
     static final Duration PEER_WAIT = Duration.ofMillis(500);
@@ -50,8 +53,8 @@
     static final Duration ANSWER_SLACK = Duration.ofMillis(300);
 
     /**
-     * Maximum size of the changes that are sent to a peer, in bytes of keys and values; larger ones are read from the
-     * store. Sent to the 40 hosts of a large zone, they occupy a link of 14 Mbit/s for less than a tenth of a second,
+     * Maximum size of the changes that are sent to a peer, in bytes of keys, values and edits; larger ones are read from
+     * the store. Sent to the 40 hosts of a large zone, they occupy a link of 14 Mbit/s for less than a tenth of a second,
      * half of the permitted delay of a stream's events.
      */
     static final long MAX_SENT_BYTES = 4_000;
@@ -69,8 +72,10 @@
     private final Ticker ticker;
     private final Peers peers;
     private final WatcherChoice choice;
-    private final TableMirror mirror = new TableMirror(MAX_REMOVED_ROWS);
+    private final TableMirror mirror = new TableMirror(MAX_REMOVED_ROWS, (int) MAX_SENT_BYTES);
     private final Map<Long, OutgoingRequest> outgoingRequests = new HashMap<>();
+    private final Map<Long, TableMessages.Content> contents = new HashMap<>();
+    private long contentsVersion;
     private final List<WaitingRequest> waitingRequests = new ArrayList<>();
     private Optional<Long> confirmedAt = Optional.empty();
     private Optional<Long> lastPeerRequestAt = Optional.empty();
@@ -178,7 +183,7 @@
     private CompletableFuture<VersionedRows> callStore(long after, Duration wait, long now) {
         return store.changes(after, wait)
                 .whenCompleteAsync((changes, failure) -> recordStoreResult(Optional.ofNullable(failure), now), loop)
-                .thenApply(changes -> applyStoreChanges(after, changes, now));
+                .thenApply(changes -> applyStoreChanges(after, changes, answeredAt(now, wait, changes, ticker.read())));
     }
 
     /** Records whether the store answered; a {@link HistoryLostException} is an answer and no failure of the store. */
@@ -199,6 +204,15 @@
         return changes;
     }
 
+    /**
+     * Returns a time as of which the store's answer holds: an answer without changes is sent at the end of the wait, any
+     * other one at some time after the call.
+     */
+    private static long answeredAt(long calledAt, Duration wait, VersionedRows changes, long now) {
+        boolean waited = changes.rows().isEmpty() && now - calledAt >= wait.toNanos();
+        return waited ? calledAt + wait.toNanos() : calledAt;
+    }
+
     private void recordConfirmation(long asOf) {
         if (confirmedAt.isEmpty() || asOf - confirmedAt.get() > 0) {
             confirmedAt = Optional.of(asOf);
@@ -246,16 +260,56 @@
         switch (answer.content()) {
             case TableMessages.Changes changes -> {
                 outgoingRequests.remove(answer.number());
-                applyPeerChanges(request, changes.versionedRows(), asOf);
+                resolve(changes)
+                        .ifPresentOrElse(
+                                rows -> applyPeerChanges(request, rows, asOf),
+                                () -> failWith(request, "the changes are to another version"));
             }
             case TableMessages.ChangesTooLarge tooLarge -> {
                 outgoingRequests.remove(answer.number());
-                request.answer().completeExceptionally(new PeerReadException(host + ": the changes are too large"));
+                failWith(request, "the changes are too large");
             }
             case TableMessages.ChangesUnavailable missing -> failRequest(answer.number(), "does not have the changes");
         }
     }
 
+    private static void failWith(OutgoingRequest request, String reason) {
+        request.answer().completeExceptionally(new PeerReadException(request.host() + ": " + reason));
+    }
+
+    /** Returns the changed rows with their values, or empty if this host lacks a value that an edit refers to. */
+    private Optional<VersionedRows> resolve(TableMessages.Changes changes) {
+        ImmutableList.Builder<Row> rows = ImmutableList.builder();
+        for (TableMessages.ChangedRow changed : changes.rows()) {
+            switch (changed) {
+                case TableMessages.WholeRow whole -> rows.add(whole.row());
+                case TableMessages.EditedRow edited -> {
+                    Optional<Row> row = resolve(edited);
+                    if (row.isEmpty()) {
+                        return Optional.empty();
+                    }
+                    rows.add(row.get());
+                }
+            }
+        }
+        return Optional.of(new VersionedRows(rows.build(), changes.version()));
+    }
+
+    private Optional<Row> resolve(TableMessages.EditedRow edited) {
+        Optional<Row> earlier =
+                mirror.rowAsOf(edited.key(), edited.earlierVersion()).filter(row -> isEdited(row, edited));
+        try {
+            return earlier.map(
+                    row -> new Row(edited.key(), edited.edit().applyTo(row.value()), edited.version(), false));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static boolean isEdited(Row row, TableMessages.EditedRow edited) {
+        return row.version() == edited.earlierVersion() && !row.removed();
+    }
+
     private void applyPeerChanges(OutgoingRequest request, VersionedRows changes, long asOf) {
         if (!changes.rows().isEmpty()) {
             long now = ticker.read();
@@ -307,13 +361,42 @@
         peers.send(waiting.host(), TableMessages.toEnvelope(answer));
     }
 
+    /** Returns the changes after a version; computed once for all peers that have the same version. */
     private TableMessages.Content content(long after) {
+        if (contentsVersion != mirror.version()) {
+            contents.clear();
+            contentsVersion = mirror.version();
+        }
+        return contents.computeIfAbsent(after, this::computeContent);
+    }
+
+    private TableMessages.Content computeContent(long after) {
         Optional<VersionedRows> changes = mirror.changesSince(after);
         if (changes.isEmpty()) {
             return new TableMessages.ChangesUnavailable();
         }
-        boolean large = changes.get().bytes() > MAX_SENT_BYTES;
-        return large ? new TableMessages.ChangesTooLarge() : new TableMessages.Changes(changes.get());
+        ImmutableList.Builder<TableMessages.ChangedRow> rows = ImmutableList.builder();
+        long bytes = 0;
+        for (Row row : changes.get().rows()) {
+            Optional<TableMessages.EditedRow> edited = row.value().length > MAX_SENT_BYTES
+                    ? mirror.rowAsOf(row.key(), after)
+                            .filter(earlier -> !earlier.removed())
+                            .map(earlier -> edit(earlier, row))
+                    : Optional.empty();
+            bytes +=
+                    row.key().length() + edited.map(edit -> edit.edit().bytes()).orElse((long) row.value().length);
+            if (bytes > MAX_SENT_BYTES) {
+                return new TableMessages.ChangesTooLarge();
+            }
+            rows.add(edited.<TableMessages.ChangedRow>map(Function.identity())
+                    .orElseGet(() -> new TableMessages.WholeRow(row)));
+        }
+        return new TableMessages.Changes(rows.build(), changes.get().version());
+    }
+
+    private static TableMessages.EditedRow edit(Row earlier, Row row) {
+        return new TableMessages.EditedRow(
+                row.key(), row.version(), earlier.version(), ValueEdit.between(earlier.value(), row.value()));
     }
 
     /** Queries the store once, without a wait, to confirm that the known state is current. */
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,6 +15,7 @@
 
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Bytes;
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.boragebarrow.decision.placement.SizedHost;
 import org.boragebarrow.decision.retry.Backoff;
@@ -81,9 +83,28 @@
         return storeCalls;
     }
 
-    /** Writes the row; the store acknowledges the write at once. */
+    /** Writes a new random value of the row; the store acknowledges the write at once. */
     void write(int bytes) {
-        row = new Row("row", new byte[bytes], row.version() + 1, false);
+        byte[] value = new byte[bytes];
+        random.nextBytes(value);
+        write(value);
+    }
+
+    /** Changes the row's value at its start and inserts some bytes in its middle. */
+    void edit() {
+        byte[] inserted = new byte[20];
+        random.nextBytes(inserted);
+        int middle = row.value().length / 2;
+        byte[] value = Bytes.concat(
+                Arrays.copyOf(row.value(), middle),
+                inserted,
+                Arrays.copyOfRange(row.value(), middle, row.value().length));
+        value[0]++;
+        write(value);
+    }
+
+    private void write(byte[] value) {
+        row = new Row("row", value, row.version() + 1, false);
         writtenAt.put(row.version(), nowMillis);
         hosts.values().forEach(SimulatedHost::answerPendingCalls);
         runTasks();
@@ -319,7 +340,12 @@
 
         @Override
         public void onChanges(VersionedRows changes) {
-            changes.rows().forEach(changed -> receivedAt.putIfAbsent(changed.version(), nowMillis));
+            for (Row changed : changes.rows()) {
+                if (changed.version() == row.version() && !Arrays.equals(changed.value(), row.value())) {
+                    throw new IllegalStateException(id + " received another value of version " + changed.version());
+                }
+                receivedAt.putIfAbsent(changed.version(), nowMillis);
+            }
         }
 
         @Override
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/TableMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/TableMessages.java
@@ -4,12 +4,13 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
+import org.boragebarrow.decision.watch.ValueEdit;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.peer.proto.FollowTable;
 import org.boragebarrow.peer.proto.TableChanges;
 import org.boragebarrow.peer.proto.TableRow;
+import org.boragebarrow.peer.proto.ValuePart;
 import org.boragebarrow.port.WatchedTable.Row;
-import org.boragebarrow.port.WatchedTable.VersionedRows;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -35,7 +36,7 @@
     public sealed interface Content {}
 
     /** The changes after the requested version. */
-    public record Changes(VersionedRows versionedRows) implements Content {}
+    public record Changes(ImmutableList<ChangedRow> rows, long version) implements Content {}
 
     /** The changes are too large for one message; the requesting host has to read them from the store. */
     public record ChangesTooLarge() implements Content {}
@@ -57,6 +58,19 @@
         }
     }
 
+    /** A changed row. */
+    public sealed interface ChangedRow {}
+
+    /** A row with its value. */
+    public record WholeRow(Row row) implements ChangedRow {}
+
+    /**
+     * A row whose value is given by its difference from an earlier one.
+     *
+     * @param earlierVersion the version of the row to which the difference applies
+     */
+    public record EditedRow(String key, long version, long earlierVersion, ValueEdit edit) implements ChangedRow {}
+
     /** Encodes a request. */
     public static Envelope toEnvelope(ChangesRequest request) {
         return Envelope.newBuilder()
@@ -77,8 +91,8 @@
                 .setHeldMillis(answer.holdTime().toMillis());
         switch (answer.content()) {
             case Changes changes -> {
-                message.setKnown(true).setVersion(changes.versionedRows().version());
-                changes.versionedRows().rows().forEach(row -> message.addRows(toRow(row)));
+                message.setKnown(true).setVersion(changes.version());
+                changes.rows().forEach(row -> message.addRows(toRow(row)));
             }
             case ChangesTooLarge tooLarge -> message.setTooLarge(true);
             case ChangesUnavailable unavailable -> message.setKnown(false);
@@ -86,6 +100,31 @@
         return Envelope.newBuilder().setTableChanges(message).build();
     }
 
+    private static TableRow toRow(ChangedRow row) {
+        return switch (row) {
+            case WholeRow whole -> toRow(whole.row());
+            case EditedRow edited -> toRow(edited);
+        };
+    }
+
+    private static TableRow toRow(EditedRow row) {
+        TableRow.Builder message = TableRow.newBuilder()
+                .setKey(row.key())
+                .setVersion(row.version())
+                .setEarlierVersion(row.earlierVersion())
+                .setChecksum(row.edit().checksum());
+        for (ValueEdit.Part part : row.edit().parts()) {
+            message.addParts(
+                    switch (part) {
+                        case ValueEdit.Copy copy ->
+                            ValuePart.newBuilder().setOffset(copy.offset()).setLength(copy.length());
+                        case ValueEdit.Insert insert ->
+                            ValuePart.newBuilder().setInserted(ByteString.copyFrom(insert.bytes()));
+                    });
+        }
+        return message.build();
+    }
+
     private static TableRow toRow(Row row) {
         return TableRow.newBuilder()
                 .setKey(row.key())
@@ -126,14 +165,24 @@
         if (message.getTooLarge()) {
             return new ChangesTooLarge();
         }
-        return message.getKnown()
-                ? new Changes(new VersionedRows(rows(message), message.getVersion()))
-                : new ChangesUnavailable();
+        return message.getKnown() ? new Changes(rows(message), message.getVersion()) : new ChangesUnavailable();
+    }
+
+    private static ImmutableList<ChangedRow> rows(TableChanges message) {
+        return message.getRowsList().stream().map(TableMessages::fromRow).collect(ImmutableList.toImmutableList());
     }
 
-    private static ImmutableList<Row> rows(TableChanges message) {
-        return message.getRowsList().stream()
-                .map(row -> new Row(row.getKey(), row.getValue().toByteArray(), row.getVersion(), row.getRemoved()))
+    private static ChangedRow fromRow(TableRow row) {
+        if (row.getPartsCount() == 0) {
+            return new WholeRow(
+                    new Row(row.getKey(), row.getValue().toByteArray(), row.getVersion(), row.getRemoved()));
+        }
+        ImmutableList<ValueEdit.Part> parts = row.getPartsList().stream()
+                .map(part -> part.getLength() > 0
+                        ? new ValueEdit.Copy(part.getOffset(), part.getLength())
+                        : new ValueEdit.Insert(part.getInserted().toByteArray()))
                 .collect(ImmutableList.toImmutableList());
+        return new EditedRow(
+                row.getKey(), row.getVersion(), row.getEarlierVersion(), new ValueEdit(parts, row.getChecksum()));
     }
 }
