Deal out what cold targets bear, and keep requests in the regions of their homes

Cause: cold targets got whatever came, from every host; homes of routes and organisations were read and not used. Both change which targets the pool offers, in the same lines, so they are one commit. ZoneRegions, from the settings, and the homes of a request bind the choice and are checked again before anything is sent; a version that adds homes binds waiting requests.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
@@ -1,13 +1,16 @@
 package org.boragebarrow.decision.assign;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
+import org.boragebarrow.decision.home.ZoneRegions;
 import org.boragebarrow.decision.quarantine.PartKey;
+import org.boragebarrow.decision.routing.ColdStart;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.AvailabilityZoneId;
@@ -56,6 +59,22 @@
     /** The zones that operators have emptied changed; {@code zones} are all that are empty now. */
     record ZonesEmptied(ImmutableSet<AvailabilityZoneId> zones) implements PermissionsChanged {}
 
+    /** The regions of zones changed. */
+    record RegionsChanged(ZoneRegions regions) implements PermissionsChanged {}
+
+    /** What targets bear while they are cold changed. */
+    record ColdStartsChanged(ImmutableMap<ServiceName, ColdStart> starts) implements PermissionsChanged {}
+
+    /**
+     * A target's entry states for how much longer it is cold.
+     *
+     * @param left empty if what it states cannot be used
+     */
+    record ColdReported(TargetIncarnation target, Optional<Duration> left) implements PermissionsChanged {}
+
+    /** All hosts, and those whose work is assigned here, which share the pace of cold targets, changed. */
+    record HostsChanged(ImmutableSet<HostId> registered, ImmutableSet<HostId> served) implements PermissionsChanged {}
+
     /** Time has passed while work is queued. */
     record Ticked() implements AssignEvent {}
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -143,7 +143,8 @@
     private Optional<AssignEffect> decidePrompt(
             Work work, EngineProfile profile, List<TargetLoad> candidates, boolean isNew, long now) {
         PromptSize size = work.size().orElseGet(() -> defaultSize(profile));
-        if (size.totalTokens() > Placement.plannedCapacityTokens(profile) * candidates.size()) {
+        int usable = candidates.size() + pool.countPaced(work, now);
+        if (size.totalTokens() > Placement.plannedCapacityTokens(profile) * usable) {
             return Optional.of(admission.refuseTooLarge(work));
         }
         Placement placement = new Placement(work, size, profile, candidates, now);
@@ -158,6 +159,7 @@
             return Optional.of(admission.refuseTooLate(work));
         }
         Assignment assignment = choice.get().assignment();
+        pool.recordDealt(assignment, now);
         recordAssignment(work, assignment.target().id(), assignment.helperRefs(), now);
         return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
     }
@@ -167,8 +169,9 @@
         if (target.isEmpty()) {
             return admission.queueOrRefuse(work, candidates, isNew);
         }
-        recordAssignment(work, target.get().target().id(), ImmutableList.of(), now);
         Assignment assignment = Assignment.of(target.get().target(), work.objective());
+        pool.recordDealt(assignment, now);
+        recordAssignment(work, target.get().target().id(), ImmutableList.of(), now);
         return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
     }
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/RefusalReason.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/RefusalReason.java
@@ -6,6 +6,8 @@
     NO_TARGET,
     /** All targets of the service are in zones that operators have emptied. */
     ZONES_EMPTIED,
+    /** No target of the service is in a region that the work may reach. */
+    OUTSIDE_HOMES,
     /** More work is queued than targets become free in time. */
     OVERLOADED,
     /** All targets want no requests of the host until after the request's limit. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
@@ -10,15 +10,19 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import org.boragebarrow.decision.evacuation.EmptiedZones;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
+import org.boragebarrow.decision.home.ZoneRegions;
 import org.boragebarrow.decision.routing.EngineProfile;
+import org.boragebarrow.decision.warmth.ColdTargets;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.RegionId;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.TargetId;
 
@@ -32,26 +36,66 @@
     private final ZoneReachability reachability = new ZoneReachability();
     private final QuietPairs quietPairs = new QuietPairs();
     private final EmptiedZones emptied = new EmptiedZones();
+    private final ColdTargets cold = new ColdTargets();
+    private ZoneRegions regions = ZoneRegions.NONE;
 
     /** Applies a change of which targets work may use. */
     void apply(AssignEvent.PermissionsChanged event, long now) {
         switch (event) {
-            case AssignEvent.ZonesEmptied changed -> emptied.replace(changed.zones(), now);
+            case AssignEvent.ZonesEmptied changed ->
+                takeBack(emptied.replace(changed.zones(), now).takenBack(), now);
+            case AssignEvent.RegionsChanged changed -> regions = changed.regions();
+            case AssignEvent.ColdStartsChanged changed -> cold.setColdStarts(changed.starts());
+            case AssignEvent.ColdReported reported -> cold.recordReport(reported.target(), reported.left(), now);
+            case AssignEvent.HostsChanged changed -> cold.setHosts(changed.registered(), changed.served());
         }
     }
 
+    private void takeBack(ImmutableSet<AvailabilityZoneId> zones, long now) {
+        for (TargetLoad load : loads.values()) {
+            if (zones.contains(load.target().zone())) {
+                cold.recordTakenBack(load.target().incarnation(), now);
+            }
+        }
+    }
+
+    /** Records that work was newly assigned to the targets, which counts for the pace of cold ones. */
+    void recordDealt(Assignment assignment, long now) {
+        cold.take(assignment.target(), now);
+        assignment.helpers().forEach(helper -> cold.take(helper.target(), now));
+    }
+
+    /** Returns the number of targets that the work may use as soon as their pace allows one more request. */
+    int countPaced(Work work, long now) {
+        int count = 0;
+        for (TargetLoad load : loads.values()) {
+            boolean fits = serves(load, work.service()) && permits(work, load.target());
+            count += fits && !cold.wait(load.target(), now).isZero() ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Replaces the targets; returns the incarnations that ended although they were not draining. */
     ImmutableList<TargetIncarnation> update(ImmutableList<FleetTarget> targets, long now) {
         Map<TargetId, FleetTarget> present = new HashMap<>();
         targets.forEach(target -> present.put(target.id(), target));
         ImmutableList<TargetIncarnation> ended = ended(present);
-        loads.keySet().removeIf(id -> !present.containsKey(id));
+        boolean isFirst = loads.isEmpty();
+        for (TargetId id : ImmutableList.copyOf(loads.keySet())) {
+            if (!present.containsKey(id)) {
+                loads.remove(id);
+                cold.forget(id);
+            }
+        }
         for (FleetTarget target : targets) {
             TargetLoad known = loads.get(target.id());
             if (known != null && known.target().isSameIncarnation(target)) {
                 known.update(target);
             } else {
                 loads.put(target.id(), new TargetLoad(target, now));
+                if (!isFirst) {
+                    cold.recordStart(target.incarnation(), now);
+                }
             }
         }
         return ended;
@@ -102,7 +146,7 @@
 
     /** Returns why the work may use none of the targets that accept new work of its service, if that is so. */
     Optional<RefusalReason> prohibition(Work work) {
-        boolean served = false;
+        Optional<RefusalReason> reason = Optional.empty();
         for (TargetLoad load : loads.values()) {
             if (!serves(load, work.service())) {
                 continue;
@@ -110,14 +154,24 @@
             if (permits(work, load.target())) {
                 return Optional.empty();
             }
-            served = true;
+            if (isAtHome(work, load.target())) {
+                reason = Optional.of(RefusalReason.ZONES_EMPTIED);
+            } else if (reason.isEmpty()) {
+                reason = Optional.of(RefusalReason.OUTSIDE_HOMES);
+            }
         }
-        return served ? Optional.of(RefusalReason.ZONES_EMPTIED) : Optional.empty();
+        return reason;
+    }
+
+    private boolean isAtHome(Work work, FleetTarget target) {
+        return regions.allows(work.terms().homes(), target.zone());
     }
 
     /** Returns whether operators let the work reach the target. */
     private boolean permits(Work work, FleetTarget target) {
-        return !emptied.contains(target.zone()) && !work.terms().closedZones().contains(target.zone());
+        return !emptied.contains(target.zone())
+                && !work.terms().closedZones().contains(target.zone())
+                && isAtHome(work, target);
     }
 
     private static boolean serves(TargetLoad load, ServiceName service) {
@@ -134,6 +188,7 @@
             boolean fits = serves(load, work.service())
                     && permits(work, target)
                     && !work.excluded().contains(target.id())
+                    && cold.wait(target, now).isZero()
                     && quietPairs.allows(work.id().owner().host(), load, now);
             if (!fits) {
                 continue;
@@ -167,9 +222,9 @@
         quietPairs.report(host, target, time, now);
     }
 
-    /** Returns the time for which the target wants no requests of the host; zero if it accepts some. */
+    /** Returns the time until the target may get a request of the host: it wants none, or its pace as a cold one allows none. */
     Duration quietTime(HostId host, TargetLoad load, long now) {
-        return quietPairs.remaining(host, load.target(), now);
+        return Comparators.max(quietPairs.remaining(host, load.target(), now), cold.wait(load.target(), now));
     }
 
     /** Returns the targets that take clearly longer than usual, with the factor. */
@@ -190,6 +245,7 @@
                 work.service(),
                 work.zone(),
                 work.terms().closedZones(),
+                work.terms().homes(),
                 quietPairs.concerns(host) ? Optional.of(host) : Optional.empty());
     }
 
@@ -197,12 +253,14 @@
      * Work with the same candidates, apart from those that an earlier attempt excluded.
      *
      * @param closedZones zones whose targets the work may not use, apart from those that all work may not use
+     * @param homes the regions that the work may reach, if not all
      * @param host the work's host, if some targets may want no requests of it
      */
     record CandidateGroup(
             ServiceName service,
             AvailabilityZoneId zone,
             ImmutableSet<AvailabilityZoneId> closedZones,
+            Optional<ImmutableSet<RegionId>> homes,
             Optional<HostId> host) {}
 
     ImmutableMap<ServiceName, Integer> countByService() {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/WorkTerms.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/WorkTerms.java
@@ -66,6 +66,11 @@
         return new WorkTerms(organisation, weight, rank, homes, other, callerKey, closedZones);
     }
 
+    /** Returns the terms with other homes. */
+    public WorkTerms withHomes(Optional<ImmutableSet<RegionId>> others) {
+        return new WorkTerms(organisation, weight, rank, others, purpose, callerKey, closedZones);
+    }
+
     /** Returns the terms with other closed zones. */
     public WorkTerms withClosedZones(ImmutableSet<AvailabilityZoneId> zones) {
         return new WorkTerms(organisation, weight, rank, homes, purpose, callerKey, zones);
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerPermissionsTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerPermissionsTest.java
@@ -1,13 +1,16 @@
 package org.boragebarrow.decision.assign;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import net.jqwik.api.Example;
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.home.ZoneRegions;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Endpoint;
@@ -15,6 +18,7 @@
 import org.boragebarrow.model.HostIncarnation;
 import org.boragebarrow.model.IncarnationNumber;
 import org.boragebarrow.model.PromptParts;
+import org.boragebarrow.model.RegionId;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.TargetId;
 
@@ -122,6 +126,37 @@
         assertThat(reasonOf(submit())).hasValue(RefusalReason.ZONES_EMPTIED);
     }
 
+    private static WorkTerms homes(String... regions) {
+        return WorkTerms.DEFAULT.withHomes(
+                Optional.of(Arrays.stream(regions).map(RegionId::of).collect(ImmutableSet.toImmutableSet())));
+    }
+
+    private void regionOfA(String region) {
+        apply(new AssignEvent.RegionsChanged(new ZoneRegions(ImmutableMap.of(A, RegionId.of(region)))));
+    }
+
+    @Example
+    void workWithHomesReachesTargetsInThemOnlyAndOthersReachAll() {
+        fleet(inA, inB);
+        regionOfA("home");
+        for (int i = 0; i < 3; i++) {
+            assertThat(targetOf(submit(homes("home")))).hasValue(inA);
+        }
+        assertThat(submit(homes("home"))).isInstanceOf(AssignEffect.Queued.class);
+        assertThat(targetOf(submit())).hasValue(inB);
+    }
+
+    @Example
+    void noTargetAtHomeRefusesTheWorkAtOnceAndAZoneOfUnknownRegionIsOutsideEveryHome() {
+        fleet(inA, inB);
+        assertThat(reasonOf(submit(homes("home")))).hasValue(RefusalReason.OUTSIDE_HOMES);
+        regionOfA("home");
+        assertThat(reasonOf(submit(homes("elsewhere")))).hasValue(RefusalReason.OUTSIDE_HOMES);
+        assertThat(reasonOf(submit(homes()))).hasValue(RefusalReason.OUTSIDE_HOMES);
+        emptied(A);
+        assertThat(reasonOf(submit(homes("home")))).hasValue(RefusalReason.ZONES_EMPTIED);
+    }
+
     @Example
     void aZoneThatIsTakenBackGetsWorkAgain() {
         fleet(inA, inB);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -89,6 +89,7 @@
     private final Map<AttemptId, PendingRequest> pending = new LinkedHashMap<>();
     private final Map<AttemptId, HeldAssignment> heldAssignments = new LinkedHashMap<>();
     private final Map<HostId, Long> requesterLastSeen = new HashMap<>();
+    private final ServedHosts served;
     private final Map<HostId, HostIncarnation> incarnations = new HashMap<>();
     private final SignalAnnouncements announcements;
     private Optional<LeavingListener> leavingListener = Optional.empty();
@@ -119,6 +120,7 @@
         this.assignerChoice = new AssignerChoice(assigner);
         this.duty = new AssignDuty(loop, ticker, this::onEffects, this::onSlowTargets, this::onDutyFailure);
         this.directory = new HostDirectory(self, table, loop, log, new DirectoryListener());
+        this.served = new ServedHosts(assigner, HOST_TIMEOUT_NANOS, duty::offerWithRetry);
         this.announcements = new SignalAnnouncements(assigner, ticker, new SignalTransport());
     }
 
@@ -443,6 +445,7 @@
             send(host, AssignMessages.probe(false, stopping));
         }
         refreshAssigner();
+        served.update(hosts.keySet(), now);
         Iterator<Map.Entry<HostId, Long>> entries = requesterLastSeen.entrySet().iterator();
         while (entries.hasNext()) {
             Map.Entry<HostId, Long> entry = entries.next();
@@ -544,6 +547,7 @@
         @Override
         public void onRequested(HostId host, Work work) {
             requesterLastSeen.put(host, ticker.read());
+            served.recordContact(host, ticker.read());
             if (!duty.offer(new AssignEvent.Submitted(work))) {
                 onEffects(ImmutableList.of(
                         new AssignEffect.Refused(work.id(), RefusalReason.OVERLOADED, OVERLOAD_RETRY_DELAY)));
@@ -595,6 +599,7 @@
         public void onProbe(HostId host, Probe probe) {
             requesterLastSeen.computeIfPresent(host, (id, lastSeen) -> ticker.read());
             if (!probe.getAnswer()) {
+                served.recordContact(host, ticker.read());
                 send(host, AssignMessages.probe(true, stopping));
             }
             if (probe.getStopping()) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Decoders.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Decoders.java
@@ -1,5 +1,6 @@
 package org.boragebarrow.node.relay;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import org.boragebarrow.decision.fleet.FleetTarget;
@@ -26,6 +27,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns for how much longer the target in the row is cold, or empty if the row does not state it.
+     *
+     * @throws IllegalArgumentException if the row states no time that is possible
+     */
+    default Optional<Duration> coldLeft(Row row) {
+        return Optional.empty();
+    }
+
     /**
      * Returns the target in the row.
      *
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Destination.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Destination.java
@@ -29,12 +29,26 @@
                 organisation,
                 profile.map(OrganisationProfile::weight).orElse(1.0),
                 rank,
-                homes(route.homes(), profile.map(OrganisationProfile::homes).orElse(ImmutableSet.of())),
+                homes(route, profile),
                 WorkTerms.Purpose.FIRST,
                 0);
         return new Destination(route, service, organisation, terms);
     }
 
+    /** Returns the destination with the homes that another configuration gives the request; all else stays as it was. */
+    Destination withHomesOf(RoutingTable table, String host, String path) {
+        Optional<OrganisationProfile> profile = organisation.map(table::profile);
+        return new Destination(
+                route,
+                service,
+                organisation,
+                terms.withHomes(homes(table.match(host, path).orElse(route), profile)));
+    }
+
+    private static Optional<ImmutableSet<RegionId>> homes(Route route, Optional<OrganisationProfile> profile) {
+        return homes(route.homes(), profile.map(OrganisationProfile::homes).orElse(ImmutableSet.of()));
+    }
+
     /** Returns the regions in both sets; an empty set of a route or an organisation stands for all regions. */
     private static Optional<ImmutableSet<RegionId>> homes(
             ImmutableSet<RegionId> ofRoute, ImmutableSet<RegionId> ofOrganisation) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/FleetFeed.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/FleetFeed.java
@@ -1,10 +1,13 @@
 package org.boragebarrow.node.relay;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 
 import com.google.common.collect.ImmutableList;
 import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.model.Ids;
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.port.WatchedTable.Row;
@@ -17,21 +20,33 @@
     private final Decoders decoders;
     private final Fleet fleet;
     private final LongSupplier millis;
-    private final Runnable onChange;
+    private final Listener listener;
     private volatile boolean loaded;
 
+    /** Receives what the targets' entries say, after the fleet has it. */
+    interface Listener {
+        /** Called after each change of the fleet. */
+        void onFleetChanged();
+
+        /**
+         * Called after {@link #onFleetChanged} for an entry that states that its target is cold.
+         *
+         * @param left empty if the time that it states cannot be used
+         */
+        void onCold(TargetIncarnation target, Optional<Duration> left);
+    }
+
     /**
      * Creates a feed.
      *
      * @param millis supplies the monotonic time in milliseconds
-     * @param onChange runs after each change of the fleet
      */
-    FleetFeed(Decoders decoders, Fleet fleet, DecisionLog log, LongSupplier millis, Runnable onChange) {
+    FleetFeed(Decoders decoders, Fleet fleet, DecisionLog log, LongSupplier millis, Listener listener) {
         super(log, "fleet");
         this.decoders = checkNotNull(decoders);
         this.fleet = checkNotNull(fleet);
         this.millis = checkNotNull(millis);
-        this.onChange = checkNotNull(onChange);
+        this.listener = checkNotNull(listener);
     }
 
     /** Returns whether the targets have been read at least once. */
@@ -52,14 +67,33 @@
         fleet.replace(targets.build(), millis.getAsLong());
         loaded = true;
         log().write(RelayEvent.TARGET, "read", snapshot.rows().size(), "row_version", snapshot.version());
-        onChange.run();
+        listener.onFleetChanged();
+        snapshot.rows().forEach(this::reportCold);
     }
 
     @Override
     public void onChanges(VersionedRows changes) {
         changes.rows().forEach(this::applyRow);
         if (!changes.rows().isEmpty()) {
-            onChange.run();
+            listener.onFleetChanged();
+            changes.rows().forEach(this::reportCold);
+        }
+    }
+
+    private void reportCold(Row row) {
+        Optional<FleetTarget> target = Optional.of(row)
+                .filter(entry -> !entry.removed() && Ids.isValid(entry.key()))
+                .flatMap(entry -> fleet.find(TargetId.of(entry.key())));
+        if (target.isEmpty()) {
+            return;
+        }
+        try {
+            decoders.coldLeft(row)
+                    .filter(left -> !left.isZero())
+                    .ifPresent(left -> listener.onCold(target.get().incarnation(), Optional.of(left)));
+        } catch (IllegalArgumentException e) {
+            logUnusable(row, e);
+            listener.onCold(target.get().incarnation(), Optional.empty());
         }
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
@@ -159,6 +159,11 @@
         ImmutableList.copyOf(open).forEach(RelayExchange::takeBackIfUnusable);
     }
 
+    /** Applies the homes of a new configuration to the requests in progress. */
+    void onNewRouting(RoutingTable table) {
+        ImmutableList.copyOf(open).forEach(exchange -> exchange.onNewRouting(table));
+    }
+
     /** Renews the memory that requests in progress have reserved on a target that is quiet from now on, while it may be asked. */
     void extendReservations(TargetIncarnation target) {
         if (context.quiet().isQuiet(target, context.ticker().read())) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -114,7 +114,7 @@
         return Stream.concat(
                         Stream.of(assignment.target()),
                         assignment.helpers().stream().map(HelperTarget::target))
-                .filter(target -> !context.isUsable(target))
+                .filter(target -> !exchange.mayReach(target))
                 .findFirst();
     }
 
@@ -174,7 +174,7 @@
     /** A helper that stores tokens is always needed; one that only does prefill is omitted if it is not usable. */
     private ImmutableList<HelperTarget> usableHelpers() {
         return assignment.helpers().stream()
-                .filter(helper -> helper.storedTokens() > 0 || context.isUsable(helper.target()))
+                .filter(helper -> helper.storedTokens() > 0 || exchange.mayReach(helper.target()))
                 .collect(ImmutableList.toImmutableList());
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayContext.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayContext.java
@@ -1,5 +1,6 @@
 package org.boragebarrow.node.relay;
 
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import com.google.common.base.Ticker;
@@ -8,6 +9,7 @@
 import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.QuietPeriods;
+import org.boragebarrow.decision.home.ZoneRegions;
 import org.boragebarrow.decision.quarantine.Quarantine;
 import org.boragebarrow.decision.retry.RetryQuota;
 import org.boragebarrow.decision.routing.RoutingTableHolder;
@@ -19,6 +21,7 @@
  * State shared by all requests of a host; all but the log and the metrics is confined to the event loop.
  *
  * @param loop the event loop on which requests, the fleet and the routing are handled
+ * @param regions supplies the regions of zones
  * @param random seeded by the process; adds jitter to the retry delays of refused callers
  */
 public record RelayContext(
@@ -30,6 +33,7 @@
         RoutingTableHolder routing,
         Fleet fleet,
         EmptiedZones emptied,
+        Supplier<ZoneRegions> regions,
         QuietPeriods quiet,
         RetryQuota retryQuota,
         Quarantine quarantine,
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -17,6 +17,7 @@
 import org.boragebarrow.decision.quarantine.QuarantineEntry;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.decision.routing.Route;
+import org.boragebarrow.decision.routing.RoutingTable;
 import org.boragebarrow.decision.routing.ServiceProfile;
 import org.boragebarrow.decision.shutdown.ShutdownDeadline;
 import org.boragebarrow.http.server.ServerResponse;
@@ -50,10 +51,10 @@
     private final Relay relay;
     private final RelayRequest request;
     private final ServerResponse response;
-    private final Destination destination;
     private final RelayTrace trace;
     private final long arrival;
     private final long deadline;
+    private Destination destination;
     private long waitingSince;
     private final EventSequence sequence;
 
@@ -237,7 +238,7 @@
 
     private static ErrorKind kindOf(RefusalReason reason) {
         return switch (reason) {
-            case NO_TARGET, ZONES_EMPTIED, TOO_LARGE -> ErrorKind.NO_TARGET;
+            case NO_TARGET, ZONES_EMPTIED, OUTSIDE_HOMES, TOO_LARGE -> ErrorKind.NO_TARGET;
             case OVERLOADED, QUIET -> ErrorKind.OVERLOADED;
             case TOO_LATE -> ErrorKind.DEADLINE_UNREACHABLE;
             case QUARANTINED -> ErrorKind.PROMPT_QUARANTINED;
@@ -275,11 +276,29 @@
         attempt.start();
     }
 
+    /** Returns whether the request may be sent to the target now, in this host's view. */
+    boolean mayReach(FleetTarget target) {
+        return context.isUsable(target)
+                && context.regions().get().allows(destination.terms().homes(), target.zone());
+    }
+
+    /** Applies the homes of a new configuration, which also bind a request that waits for a target. */
+    void onNewRouting(RoutingTable table) {
+        Destination updated = destination.withHomesOf(table, request.host(), request.path());
+        if (finished || updated.equals(destination)) {
+            return;
+        }
+        destination = updated;
+        if (current.isEmpty() && requestedAttempt.isPresent()) {
+            withdrawAssignmentRequest();
+            requestAssignment();
+        }
+        takeBackIfUnusable();
+    }
+
     /** Returns a target that the attempt needs and that accepts no new work in this host's view. */
     private Optional<FleetTarget> findUnusable(Assignment assignment) {
-        return assignment.needed().stream()
-                .filter(needed -> !context.isUsable(needed))
-                .findFirst();
+        return assignment.needed().stream().filter(needed -> !mayReach(needed)).findFirst();
     }
 
     /** Places the request elsewhere if a target that its current attempt needs accepts no new work; returns whether it does. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -1,6 +1,7 @@
 package org.boragebarrow.node.relay;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -160,6 +161,7 @@
                 fleet,
                 tables.hosts(),
                 log);
+        assignments.setPermissions(new AssignEvent.RegionsChanged(settings.regions()));
         SharedTable sharedRouting = sharedTable(tables.routing());
         SharedTable sharedFleet = sharedTable(tables.fleet());
         assignments.setTableSharing(new TableSharing(ImmutableList.of(sharedRouting, sharedFleet)));
@@ -175,6 +177,7 @@
                 routing,
                 fleet,
                 emptied,
+                () -> this.settings.regions(),
                 quiet,
                 retryQuota,
                 quarantine,
@@ -183,7 +186,7 @@
                 log,
                 metrics));
         RoutingFeed routingFeed = new RoutingFeed(decoders, routing, emptied, log, ticker::read, new OperatorChanges());
-        this.fleetFeed = new FleetFeed(decoders, fleet, log, this::monotonicMillis, this::publishFleet);
+        this.fleetFeed = new FleetFeed(decoders, fleet, log, this::monotonicMillis, new FleetChanges());
         this.routingFollower =
                 new TableFollower(loop, sharedRouting, backoff(MAX_RETRY_DELAY), CONFIGURATION_TIMING, routingFeed);
         this.fleetFollower =
@@ -241,11 +244,13 @@
         loop.execute(hostFollower::start);
     }
 
-    /** Applies the settings that may change at run time: the store's address, the retry quota and the grace period. */
+    /** Applies the settings that may change at run time: the store's address, the regions of zones, the retry quota and the grace period. */
     public void reload(RelaySettings newSettings) {
         boolean storeMoved = !newSettings.store().equals(settings.store());
         settings = checkNotNull(newSettings);
         loop.execute(() -> {
+            assignments.setPermissions(new AssignEvent.RegionsChanged(newSettings.regions()));
+            relay.takeBackFromUnusable();
             quarantine.setBaseDuration(newSettings.quarantineDuration());
             retryQuota.setLimits(newSettings.retryRatio(), newSettings.retrySlack(), newSettings.retryWindow());
             if (storeMoved) {
@@ -416,6 +421,8 @@
         @Override
         public void onNewVersion(RoutingTable table) {
             assignments.setProfiles(table.engineProfiles());
+            assignments.setPermissions(new AssignEvent.ColdStartsChanged(table.coldStarts()));
+            relay.onNewRouting(table);
             onReadinessChecked();
         }
 
@@ -426,6 +433,18 @@
         }
     }
 
+    private final class FleetChanges implements FleetFeed.Listener {
+        @Override
+        public void onFleetChanged() {
+            publishFleet();
+        }
+
+        @Override
+        public void onCold(TargetIncarnation target, Optional<Duration> left) {
+            assignments.setPermissions(new AssignEvent.ColdReported(target, left));
+        }
+    }
+
     private void publishFleet() {
         assignments.setFleet(fleet.all());
         scheduleExpiry();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -6,9 +6,13 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import com.google.common.collect.ImmutableMap;
+import org.boragebarrow.decision.home.ZoneRegions;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.model.HostId;
+import org.boragebarrow.model.Ids;
+import org.boragebarrow.model.RegionId;
 
 /**
  * The validated settings of a host that relays requests to targets unchanged.
@@ -24,6 +28,7 @@
  * @param retrySlack retries that all hosts together may send beyond the ratio in a window
  * @param retryWindow the sliding window in which retries are counted
  * @param quarantineDuration how long the first quarantine of a part of prompts lasts
+ * @param regions the regions of zones
  * @param admin where operators list and edit the quarantine; empty if they cannot
  */
 public record RelaySettings(
@@ -41,12 +46,15 @@
         int retrySlack,
         Duration retryWindow,
         Duration quarantineDuration,
+        ZoneRegions regions,
         Optional<Admin> admin) {
     /** The endpoint where operators connect, and the token that they present. */
     public record Admin(Endpoint endpoint, Secret token) {}
 
     private static final String ENDPOINT_TYPE = "IP address and port";
     private static final Endpoint NO_ENDPOINT = Endpoint.of("127.0.0.1", 0);
+    private static final String REGIONS_SECTION = "regions";
+    private static final RegionId UNKNOWN_REGION = RegionId.of("unknown");
     private static final double HOUR_SECONDS = 3_600;
     private static final double MIN_RETRY_WINDOW_SECONDS = 0.1;
     private static final double MAX_RETRY_RATIO = 1_000;
@@ -172,11 +180,26 @@
                 file.get(RETRY_SLACK, 0.0).intValue(),
                 file.get(RETRY_WINDOW, Duration.ZERO),
                 Duration.ofMinutes(file.get(QUARANTINE_MINUTES, 1)),
+                regions(file),
                 admin(file));
         file.throwIfInvalid();
         return settings;
     }
 
+    private static ZoneRegions regions(SettingsFile file) {
+        ImmutableMap.Builder<AvailabilityZoneId, RegionId> regions = ImmutableMap.builder();
+        for (String zone : file.keys(REGIONS_SECTION)) {
+            Setting<RegionId> setting = Setting.required(
+                    REGIONS_SECTION, zone, "region", "The region of an availability zone.", RegionId::of);
+            if (Ids.isValid(zone)) {
+                regions.put(AvailabilityZoneId.of(zone), file.get(setting, UNKNOWN_REGION));
+            } else {
+                file.addProblem(REGIONS_SECTION, zone, "not the name of an availability zone");
+            }
+        }
+        return new ZoneRegions(regions.buildOrThrow());
+    }
+
     private static Optional<Admin> admin(SettingsFile file) {
         Optional<Endpoint> endpoint = file.get(ADMIN_ENDPOINT, Optional.empty());
         Optional<Secret> token = file.get(ADMIN_TOKEN, Optional.empty());
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingsFile.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingsFile.java
@@ -81,6 +81,15 @@
                 .collect(ImmutableSet.toImmutableSet());
     }
 
+    /** Returns the keys of a section, in alphabetical order. */
+    ImmutableSet<String> keys(String section) {
+        String prefix = qualifiedKey(section, "");
+        return lineNumbers.keySet().stream()
+                .filter(key -> key.startsWith(prefix))
+                .map(key -> key.substring(prefix.length()))
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /**
      * Returns the value; for a missing or invalid value records a problem and returns {@code fallback}. An empty value
      * counts as missing, as templates leave it where they have no value.
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -34,6 +34,7 @@
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.QuietPeriods;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
+import org.boragebarrow.decision.home.ZoneRegions;
 import org.boragebarrow.decision.quarantine.Quarantine;
 import org.boragebarrow.decision.quarantine.QuarantineEvent;
 import org.boragebarrow.decision.retry.RetryQuota;
@@ -51,6 +52,7 @@
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.PromptPartId;
 import org.boragebarrow.model.PromptParts;
+import org.boragebarrow.model.RegionId;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.node.metrics.HostMetrics;
@@ -71,6 +73,7 @@
     private long nanos;
     final Fleet fleet = new Fleet();
     final EmptiedZones emptied = new EmptiedZones();
+    ZoneRegions regions = ZoneRegions.NONE;
     final QuietPeriods quiet = new QuietPeriods();
     final Quarantine quarantine = new Quarantine("host", Duration.ofHours(1), new Random(1));
     final RoutingTableHolder routing = new RoutingTableHolder();
@@ -100,6 +103,7 @@
                 routing,
                 fleet,
                 emptied,
+                () -> regions,
                 quiet,
                 new RetryQuota(0, retrySlack, Duration.ofSeconds(10), 1),
                 quarantine,
@@ -134,8 +138,8 @@
         }
     }
 
-    /** Puts one route into effect. */
-    void setRoute(RequestKind kind, int maxTargets) {
+    /** Puts one route with homes, none of which are all regions, into effect. */
+    void setRoute(RequestKind kind, int maxTargets, RegionId... homes) {
         Route route = new Route(
                 "route",
                 "shop",
@@ -148,14 +152,16 @@
                 false,
                 ImmutableList.of(new Route.WeightedService(SERVICE, 1)),
                 Optional.empty(),
-                ImmutableSet.of());
+                ImmutableSet.copyOf(homes));
         long version = routing.current().map(RoutingTable::version).orElse(0L) + 1;
-        routing.offer(RoutingTable.of(
+        RoutingTable table = RoutingTable.of(
                 version,
                 ImmutableList.of(route),
                 ImmutableList.of(),
                 ImmutableMap.of(KEY, OrganisationId.of("organisation")),
-                Optional.empty()));
+                Optional.empty());
+        routing.offer(table);
+        relay.onNewRouting(table);
     }
 
     FleetTarget addTarget(String id) {
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayPermissionsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayPermissionsTest.java
@@ -2,13 +2,17 @@
 
 import java.util.concurrent.CompletableFuture;
 
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.home.ZoneRegions;
 import org.boragebarrow.decision.routing.RequestKind;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Endpoint;
+import org.boragebarrow.model.RegionId;
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.node.relay.RelayFixture.FakeResponse;
 
@@ -120,6 +124,33 @@
         assertThat(fixture.calls.started).hasSize(1);
     }
 
+    @Example
+    void aVersionThatAddsHomesBindsRequestsThatWaitForATarget() {
+        fixture.setRoute(RequestKind.AT_MOST_ONCE, 1);
+        FakeResponse response = fixture.send();
+        fixture.regions = new ZoneRegions(ImmutableMap.of(EMPTIED, RegionId.of("home")));
+        fixture.setRoute(RequestKind.AT_MOST_ONCE, 1, RegionId.of("home"));
+        assertThat(fixture.assignments.lastSubmitted().terms().homes()).hasValue(ImmutableSet.of(RegionId.of("home")));
+        fixture.assignments.assign(other);
+        assertThat(fixture.calls.started).isEmpty();
+        fixture.assignments.assign(first);
+        fixture.calls.last().head(200).body("done").end();
+
+        assertThat(response.status).isEqualTo(200);
+        assertThat(fixture.calls.started).hasSize(1);
+    }
+
+    @Example
+    void aVersionThatAddsHomesTakesARequestBackThatWaitsForAConnection() {
+        fixture.setRoute(RequestKind.AT_MOST_ONCE, 1);
+        fixture.send();
+        fixture.assignments.assign(other);
+        fixture.calls.last().sent = false;
+        fixture.setRoute(RequestKind.AT_MOST_ONCE, 1, RegionId.of("home"));
+
+        assertThat(fixture.calls.last().closed).isTrue();
+    }
+
     @Example
     void allZonesEmptiedIsRefusedAsNotRunWithTheReason() {
         fixture.setRoute(RequestKind.AT_MOST_ONCE, 1);
