--- a/boragebarrow-core/src/main/java/org/boragebarrow/model/UrgencyRank.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/model/UrgencyRank.java
@@ -12,6 +12,9 @@
     private static final int DEFAULT_VALUE = 5;
     private static final int LEAST_URGENT_VALUE = 9;
 
+    /** The number of ranks. */
+    public static final int COUNT = LEAST_URGENT_VALUE + 1;
+
     public static final UrgencyRank MOST_URGENT = new UrgencyRank(MOST_URGENT_VALUE);
     public static final UrgencyRank LEAST_URGENT = new UrgencyRank(LEAST_URGENT_VALUE);
 
