Admit, displace and recall work by forecast, rank and share

The assigner queued one piece of work a slot and then refused the newcomer, whoever it was; all callers that it refused in one moment returned in one moment. Work now waits as long as its service can answer it in time, in the order of its standing; what cannot is refused at once; refused callers are given places, and go before new work of their rank when they return there. Free places are kept for more urgent work that arrives within the second.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/ActiveAttempts.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/ActiveAttempts.java
@@ -25,12 +25,18 @@
     private final Map<AttemptId, ActiveAttempt> attempts = new LinkedHashMap<>();
     private long lastExpiryAt;
 
-    /** The targets of an attempt, the answering one first in the list, and its expiry if no end event arrives. */
-    private record ActiveAttempt(ImmutableList<TargetId> targets, long expiresAt) {}
+    /**
+     * An attempt that has targets.
+     *
+     * @param targets the targets, the answering one first
+     * @param assignedAt when this assigner assigned it; empty if another one did
+     * @param expiresAt when it is treated as ended if no end event arrives
+     */
+    record ActiveAttempt(Work work, ImmutableList<TargetId> targets, Optional<Long> assignedAt, long expiresAt) {}
 
-    void add(Work work, ImmutableList<TargetId> targets, long now) {
+    void add(Work work, ImmutableList<TargetId> targets, Optional<Long> assignedAt, long now) {
         long expiresAt = now + work.remaining().plus(EXPIRY_GRACE).toNanos();
-        attempts.put(work.id(), new ActiveAttempt(targets, expiresAt));
+        attempts.put(work.id(), new ActiveAttempt(work, targets, assignedAt, expiresAt));
     }
 
     boolean contains(AttemptId id) {
@@ -42,9 +48,9 @@
         return Optional.ofNullable(attempts.get(id)).map(ActiveAttempt::targets);
     }
 
-    /** Removes the attempt and returns its targets, the answering one first. */
-    Optional<ImmutableList<TargetId>> remove(AttemptId id) {
-        return Optional.ofNullable(attempts.remove(id)).map(ActiveAttempt::targets);
+    /** Removes and returns the attempt. */
+    Optional<ActiveAttempt> remove(AttemptId id) {
+        return Optional.ofNullable(attempts.remove(id));
     }
 
     /** Returns the attempts of a host. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -15,10 +15,12 @@
 import org.boragebarrow.decision.quarantine.CrashAttribution;
 import org.boragebarrow.decision.quarantine.CrashVerdict;
 import org.boragebarrow.decision.routing.EngineProfile;
+import org.boragebarrow.decision.urgency.Standing;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.UrgencyRank;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
@@ -26,8 +28,8 @@
  * Assigns work to targets, queues it while all targets are full, and refuses work that cannot be served.
  *
  * <p>Two assigners that are active at the same time cost efficiency only, not correctness: a host checks each
- * assignment against its own view of the fleet. Queued work is reconsidered whenever an attempt ends, the earliest
- * objective first; queued long prompts are reconsidered at intervals, as each weighs many targets.
+ * assignment against its own view of the fleet. Queued work is reconsidered whenever an attempt ends, in the order of its
+ * {@link Standing}; queued long prompts are reconsidered at intervals, as each weighs many targets.
  */
 public final class Assigner implements Machine<AssignEvent, AssignEffect> {
     private static final double NANOS_PER_MILLI = 1e6;
@@ -37,10 +39,12 @@
 
     private final TargetPool pool = new TargetPool();
     private final ActiveAttempts activeAttempts = new ActiveAttempts();
-    private final WaitingWork waiting = new WaitingWork();
+    private final ServiceRooms rooms = new ServiceRooms();
+    private final WaitingWork waiting = new WaitingWork(rooms);
     private final CrashAttribution attribution = new CrashAttribution();
     private final AnswerTimes answerTimes = new AnswerTimes();
-    private final AdmissionPolicy admission = new AdmissionPolicy(pool, waiting);
+    private final AdmissionPolicy admission = new AdmissionPolicy(pool, waiting, rooms);
+    private final UrgentRoom urgentRoom = new UrgentRoom(rooms);
     private final List<AssignEffect> expectedPauses = new ArrayList<>();
     private ImmutableMap<ServiceName, EngineProfile> profiles = ImmutableMap.of();
 
@@ -73,6 +77,7 @@
             case AssignEvent.FleetChanged changed -> updateTargets(changed.targets(), now);
             case AssignEvent.ProfilesChanged changed -> {
                 profiles = changed.profiles();
+                admission.setProfiles(profiles);
                 yield ImmutableList.of();
             }
             case AssignEvent.QuarantineChanged changed -> {
@@ -83,7 +88,7 @@
                 pool.apply(changed, now);
                 yield assignQueued(now);
             }
-            case AssignEvent.Ticked ignored -> assignQueued(now);
+            case AssignEvent.Ticked ignored -> onTick(now);
         };
     }
 
@@ -92,6 +97,11 @@
         return !waiting.isEmpty();
     }
 
+    /** Returns the number of attempts that wait for a target. */
+    public int queuedCount() {
+        return waiting.size();
+    }
+
     /** Returns the number of attempts that have a target. */
     public int assignedCount() {
         return activeAttempts.size();
@@ -109,70 +119,101 @@
             // The host sent the work to another assigner in the meantime and now submits it here again.
             release(work.id(), now);
         }
-        Optional<AssignEffect> decided = decide(work, now, true);
+        rooms.advance(now);
+        boolean returning = rooms.of(work.service()).onArrived(work, now);
+        QueuedWork newcomer = new QueuedWork(work, now, isLong(work), returning);
+        Optional<AssignEffect> decided = decide(newcomer, now, true);
         if (decided.isPresent()) {
             return ImmutableList.of(decided.get());
         }
-        waiting.add(work, isLong(work), now);
-        return ImmutableList.of(new AssignEffect.Queued(work.id()));
+        waiting.add(newcomer, now);
+        return ImmutableList.<AssignEffect>builder()
+                .add(new AssignEffect.Queued(work.id()))
+                .addAll(removeHopeless(work.service(), RefusalReason.DISPLACED, now))
+                .build();
+    }
+
+    private List<AssignEffect.Refused> removeHopeless(ServiceName service, RefusalReason reason, long now) {
+        List<AssignEffect.Refused> refused = admission.refuseHopeless(service, reason, now);
+        refused.forEach(effect -> waiting.remove(effect.id()));
+        return refused;
+    }
+
+    private ImmutableList<AssignEffect> onTick(long now) {
+        ImmutableList.Builder<AssignEffect> effects = ImmutableList.builder();
+        effects.addAll(assignQueued(now));
+        for (ServiceName service : waiting.services()) {
+            effects.addAll(removeHopeless(service, RefusalReason.OVERLOADED, now));
+        }
+        return effects.build();
     }
 
     /** Returns the decision, or empty if the work should be queued. */
-    private Optional<AssignEffect> decide(Work work, long now, boolean isNew) {
+    private Optional<AssignEffect> decide(QueuedWork queued, long now, boolean isNew) {
+        Work work = queued.workAt(now);
         if (attribution.findQuarantined(work.service(), work.parts()).isPresent()) {
-            return Optional.of(AdmissionPolicy.refuse(work, RefusalReason.QUARANTINED, Duration.ZERO));
+            return Optional.of(new AssignEffect.Refused(work.id(), RefusalReason.QUARANTINED, Duration.ZERO));
         }
         if (work.crashes() > 0 && attribution.isSuspected(work.service(), work.parts(), now)) {
-            return Optional.of(AdmissionPolicy.refuse(work, RefusalReason.SUSPECTED, Duration.ZERO));
+            return Optional.of(new AssignEffect.Refused(work.id(), RefusalReason.SUSPECTED, Duration.ZERO));
         }
         List<TargetLoad> candidates = pool.candidates(work, now);
         if (candidates.isEmpty()) {
             Optional<RefusalReason> prohibition = pool.prohibition(work);
             if (prohibition.isPresent()) {
                 return Optional.of(
-                        AdmissionPolicy.refuse(work, prohibition.get(), AdmissionPolicy.PROHIBITED_RETRY_DELAY));
+                        new AssignEffect.Refused(work.id(), prohibition.get(), AdmissionPolicy.PROHIBITED_RETRY_DELAY));
             }
-            return admission.decideWithoutCandidates(work, isNew, now);
+            return admission.decideWithoutCandidates(queued, isNew, now);
         }
         Optional<EngineProfile> profile = profileOf(work);
         return profile.isEmpty()
-                ? decideLeastLoaded(work, candidates, isNew, now)
-                : decidePrompt(work, profile.get(), candidates, isNew, now);
+                ? decideLeastLoaded(queued, candidates, isNew, now)
+                : decidePrompt(queued, profile.get(), candidates, isNew, now);
     }
 
     private Optional<AssignEffect> decidePrompt(
-            Work work, EngineProfile profile, List<TargetLoad> candidates, boolean isNew, long now) {
+            QueuedWork queued, EngineProfile profile, List<TargetLoad> candidates, boolean isNew, long now) {
+        Work work = queued.workAt(now);
         PromptSize size = work.size().orElseGet(() -> defaultSize(profile));
         int usable = candidates.size() + pool.countPaced(work, now);
         if (size.totalTokens() > Placement.plannedCapacityTokens(profile) * usable) {
-            return Optional.of(admission.refuseTooLarge(work));
+            return Optional.of(admission.refuseTooLarge(work, now));
         }
         Placement placement = new Placement(work, size, profile, candidates, now);
         Optional<Placement.Choice> choice = placement.choose();
-        if (choice.isEmpty() && placement.isLong() && placement.canWait()) {
-            return Optional.empty();
+        boolean waitsForSeveral = placement.isLong() && placement.canWait();
+        boolean lacksRoom = choice.isEmpty()
+                || ((waitsForSeveral || !placement.isLong())
+                        && urgentRoom.isNeeded(work, Optional.of(profile), candidates, now));
+        if (lacksRoom && (isNew || !waitsForSeveral)) {
+            return admission.queueOrRefuse(queued, candidates, isNew, now);
         }
-        if (choice.isEmpty()) {
-            return admission.queueOrRefuse(work, candidates, isNew);
+        if (lacksRoom) {
+            return Optional.empty();
         }
         if (choice.get().tooLate()) {
-            return Optional.of(admission.refuseTooLate(work));
+            return Optional.of(admission.refuseTooLate(work, now));
         }
         Assignment assignment = choice.get().assignment();
-        pool.recordDealt(assignment, now);
-        recordAssignment(work, assignment.target().id(), assignment.helperRefs(), now);
-        return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
+        return Optional.of(assign(work, assignment, now));
     }
 
-    private Optional<AssignEffect> decideLeastLoaded(Work work, List<TargetLoad> candidates, boolean isNew, long now) {
+    private Optional<AssignEffect> decideLeastLoaded(
+            QueuedWork queued, List<TargetLoad> candidates, boolean isNew, long now) {
+        Work work = queued.workAt(now);
         Optional<TargetLoad> target = LeastLoadedSelector.choose(work, candidates);
-        if (target.isEmpty()) {
-            return admission.queueOrRefuse(work, candidates, isNew);
+        if (target.isEmpty() || urgentRoom.isNeeded(work, Optional.empty(), candidates, now)) {
+            return admission.queueOrRefuse(queued, candidates, isNew, now);
         }
-        Assignment assignment = Assignment.of(target.get().target(), work.objective());
+        return Optional.of(assign(work, Assignment.of(target.get().target(), work.objective()), now));
+    }
+
+    private AssignEffect assign(Work work, Assignment assignment, long now) {
         pool.recordDealt(assignment, now);
-        recordAssignment(work, target.get().target().id(), ImmutableList.of(), now);
-        return Optional.of(new AssignEffect.Assigned(work.id(), assignment));
+        rooms.of(work.service()).onServed(work, waiting.ranks(work.service()));
+        recordAssignment(work, assignment.target().id(), assignment.helperRefs(), Optional.of(now), now);
+        return new AssignEffect.Assigned(work.id(), assignment);
     }
 
     private static PromptSize defaultSize(EngineProfile profile) {
@@ -196,7 +237,9 @@
         return Optional.ofNullable(profiles.get(work.service()));
     }
 
-    private void recordAssignment(Work work, TargetId target, ImmutableList<HelperTarget.Ref> helpers, long now) {
+    /** Records an assignment; {@code assignedAt} is empty if another assigner made it. */
+    private void recordAssignment(
+            Work work, TargetId target, ImmutableList<HelperTarget.Ref> helpers, Optional<Long> assignedAt, long now) {
         Optional<EngineProfile> profile = profileOf(work);
         ImmutableList.Builder<TargetId> all = ImmutableList.builder();
         Optional<TargetLoad> owner = pool.find(target);
@@ -223,7 +266,8 @@
                 all.add(helper.target());
             }
         }
-        activeAttempts.add(work, all.build(), now);
+        activeAttempts.add(work, all.build(), assignedAt, now);
+        rooms.of(work.service()).onAssigned(work, admission.targetMillis(work), now);
     }
 
     private void onPrefillAdded(TargetLoad load, AttemptId added, EngineProfile profile) {
@@ -264,12 +308,13 @@
         if (waiting.remove(ended.id())) {
             return ImmutableList.of();
         }
-        Optional<ImmutableList<TargetId>> targets = activeAttempts.remove(ended.id());
-        if (targets.isEmpty()) {
+        Optional<ActiveAttempts.ActiveAttempt> attempt = activeAttempts.remove(ended.id());
+        if (attempt.isEmpty()) {
             return ImmutableList.of();
         }
         pool.advance(profiles, now);
-        for (TargetLoad load : pool.find(targets.get())) {
+        rooms.of(attempt.get().work().service()).onEnded(attempt.get(), ended.outcome(), now);
+        for (TargetLoad load : pool.find(attempt.get().targets())) {
             load.remove(ended.id()).filter(part -> !part.isHelper()).ifPresent(part -> {
                 pool.recordOutcome(part.work(), load, ended.outcome(), now);
                 answerTimes.onEnd(load, part, ended.outcome(), profiles, now);
@@ -296,7 +341,7 @@
             return ImmutableList.of();
         }
         pool.advance(profiles, now);
-        recordAssignment(reported.work(), reported.target(), reported.helpers(), now);
+        recordAssignment(reported.work(), reported.target(), reported.helpers(), Optional.empty(), now);
         pool.find(reported.target())
                 .flatMap(load -> load.find(reported.work().id()))
                 .ifPresent(AttemptPart::setAssignedEarlier);
@@ -316,7 +361,10 @@
 
     private void release(AttemptId id, long now) {
         attribution.forget(id, now);
-        activeAttempts.remove(id).ifPresent(targets -> pool.find(targets).forEach(load -> load.remove(id)));
+        activeAttempts.remove(id).ifPresent(attempt -> {
+            rooms.of(attempt.work().service()).onEnded(attempt, Outcome.WITHDRAWN, now);
+            pool.find(attempt.targets()).forEach(load -> load.remove(id));
+        });
     }
 
     private ImmutableList<AssignEffect> updateTargets(ImmutableList<FleetTarget> targets, long now) {
@@ -326,6 +374,7 @@
             effects.addAll(toEffects(attribution.recordEntryEnded(ended, now)));
         }
         attribution.setTargetCounts(pool.countByService());
+        rooms.retain(pool.countByService().keySet());
         return effects.addAll(assignQueued(now)).build();
     }
 
@@ -345,16 +394,17 @@
         }
         pool.advance(profiles, now);
         ImmutableList.Builder<AssignEffect> effects = ImmutableList.builder();
-        Map<TargetPool.CandidateGroup, Long> smallestUnplaced = new HashMap<>();
+        Map<CompetingGroup, Long> smallestUnplaced = new HashMap<>();
         for (QueuedWork queued : waiting.due(now)) {
             Work work = queued.workAt(now);
-            TargetPool.CandidateGroup group = pool.group(work);
+            CompetingGroup group =
+                    new CompetingGroup(pool.group(work), work.terms().rank());
             long tokens = work.size().map(PromptSize::totalTokens).orElse(0L);
             boolean fitsNowhere = tokens >= smallestUnplaced.getOrDefault(group, Long.MAX_VALUE);
             if (fitsNowhere && !queued.isLong() && !mustDecide(work)) {
                 continue;
             }
-            Optional<AssignEffect> decided = decide(work, now, false);
+            Optional<AssignEffect> decided = decide(queued, now, false);
             if (decided.isPresent()) {
                 waiting.remove(work.id());
                 effects.add(decided.get());
@@ -365,6 +415,9 @@
         return effects.build();
     }
 
+    /** Work with the same candidates and the same rank: if one piece does not fit, no larger one does. */
+    private record CompetingGroup(TargetPool.CandidateGroup candidates, UrgencyRank rank) {}
+
     /** Returns whether queued work is decided although no candidate has capacity: it is refused. */
     private boolean mustDecide(Work work) {
         return AdmissionPolicy.isTooOld(work)
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/QueuedWork.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/QueuedWork.java
@@ -2,16 +2,20 @@
 
 import java.time.Duration;
 
+import org.boragebarrow.decision.urgency.Standing;
+
 /**
- * Work in the queue.
+ * Work in the queue, or about to be queued.
  *
  * @param isLong whether its prompt waits for several targets instead of one
+ * @param returning whether its caller was refused before, and has returned when it was told to
  */
-record QueuedWork(Work work, long queuedAt, boolean isLong) {
+record QueuedWork(Work work, long queuedAt, boolean isLong, boolean returning) {
     private static final double NANOS_PER_MILLI = 1e6;
 
     /**
-     * Fraction of the caller's abandonment time after which work precedes all other work, which prevents starvation.
+     * Fraction of the caller's abandonment time after which work precedes other work of its rank, which prevents
+     * starvation.
      */
     private static final double URGENT_AGE_FRACTION = 0.6;
 
@@ -20,27 +24,45 @@
 
     /** Returns the work with its age and remaining time as of {@code now}. */
     Work workAt(long now) {
-        return work.withElapsed(Duration.ofNanos(now - queuedAt));
+        return now == queuedAt ? work : work.withElapsed(Duration.ofNanos(now - queuedAt));
     }
 
     private double ageMillis(long now) {
         return work.age().toMillis() + (now - queuedAt) / NANOS_PER_MILLI;
     }
 
-    /**
-     * Returns the rank in the queue: 0 for work whose caller is about to abandon it, 1 for work that can still be on
-     * time, 2 for work that is late in any case.
-     */
-    int rank(long now) {
+    /** Returns the work's right to the next room of its service. */
+    Standing standing(boolean overShare, long now) {
+        return new Standing(
+                work.terms().rank(), overShare, phase(now), work.objective().toMillis() - ageMillis(now));
+    }
+
+    private Standing.Phase phase(long now) {
         double age = ageMillis(now);
         if (age > CostModel.abandonmentMillis(work) * URGENT_AGE_FRACTION) {
-            return 0;
+            return Standing.Phase.NEARLY_ABANDONED;
         }
-        return age < work.objective().toMillis() * ON_TIME_AGE_FRACTION ? 1 : 2;
+        if (returning) {
+            return Standing.Phase.RETURNING;
+        }
+        return age < work.objective().toMillis() * ON_TIME_AGE_FRACTION
+                ? Standing.Phase.CAN_BE_ON_TIME
+                : Standing.Phase.LATE;
+    }
+
+    /** Returns the longest further wait with which the answer can be on time, in milliseconds. */
+    double onTimeWaitMillis(long now) {
+        return work.objective().toMillis() * ON_TIME_AGE_FRACTION - ageMillis(now);
     }
 
-    /** Returns the time left until the objective; work with less slack comes first within a rank. */
-    double slackMillis(long now) {
-        return work.objective().toMillis() - ageMillis(now);
+    /**
+     * Returns the longest further wait with which the answer reaches the caller, in milliseconds.
+     *
+     * @param answerMillis the time that a complete answer takes; 0 if the caller waits for the first event only
+     */
+    double longestWaitMillis(double answerMillis, long now) {
+        double patience = CostModel.abandonmentMillis(work) - ageMillis(now);
+        double remaining = work.remaining().toMillis() - (now - queuedAt) / NANOS_PER_MILLI;
+        return Math.min(patience, remaining) - answerMillis;
     }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/RefusalReason.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/RefusalReason.java
@@ -10,6 +10,10 @@
     OUTSIDE_HOMES,
     /** More work is queued than targets become free in time. */
     OVERLOADED,
+    /** As {@link #OVERLOADED}, and the organisation has used more than its share of the service. */
+    OVER_SHARE,
+    /** Work with more right to the room arrived, behind which the queued work would wait for too long. */
+    DISPLACED,
     /** All targets want no requests of the host until after the request's limit. */
     QUIET,
     /** No target could send the first event before the caller disconnects or the request's limit passes. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
@@ -116,6 +116,11 @@
         return totals().memoryTokens;
     }
 
+    /** Returns whether an engine has planned memory left for an answer of ordinary length. */
+    boolean hasMemoryForAnswer(EngineProfile profile) {
+        return Placement.plannedCapacityTokens(profile) - memoryTokens() >= profile.meanAnswerTokens();
+    }
+
     private Totals totals() {
         if (totalsStale) {
             totals.set(parts.values());
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Work.java
@@ -53,6 +53,12 @@
         checkNotNull(terms);
     }
 
+    /** Returns the work with other terms. */
+    public Work withTerms(WorkTerms other) {
+        return new Work(
+                id, service, zone, size, objective, pauseObjective, age, remaining, excluded, parts, crashes, other);
+    }
+
     /** Returns the work with one more excluded target. */
     public Work excluding(TargetId target) {
         return new Work(
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/WorkTerms.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/WorkTerms.java
@@ -61,6 +61,11 @@
         this(organisation, weight, rank, homes, purpose, callerKey, ImmutableSet.of());
     }
 
+    /** Returns the terms with another key of the caller. */
+    public WorkTerms withCallerKey(long key) {
+        return new WorkTerms(organisation, weight, rank, homes, purpose, key, closedZones);
+    }
+
     /** Returns the terms with another purpose. */
     public WorkTerms withPurpose(Purpose other) {
         return new WorkTerms(organisation, weight, rank, homes, other, callerKey, closedZones);
