Send ranks to targets, and callers' places unchanged

Targets that order their requests are told the rank that is configured for the organisation or the route, as the adapter's header; without one none is sent. Hosts add no jitter to a place of the assigner's book; delays of their own are spread as before. A key of organisation, path, last part of the prompt and body tells the assigner which callers return. A host that cannot hand a request to the assigner gives spread delays instead of one second.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -31,6 +31,7 @@
 import org.boragebarrow.decision.quarantine.CrashVerdict;
 import org.boragebarrow.decision.quarantine.PartKey;
 import org.boragebarrow.decision.quarantine.QuarantineEntry;
+import org.boragebarrow.decision.returning.SpreadDelays;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.Endpoint;
@@ -59,9 +60,6 @@
  * <p>Confined to the event loop. While no other host is responsive, this host's own assigner decides.
  */
 public final class RegionAssignments implements Assignments, AutoCloseable {
-    /** Retry delay for a request that is refused because the assigner's ring is full. */
-    private static final Duration OVERLOAD_RETRY_DELAY = Duration.ofSeconds(1);
-
     /** Time to wait for the assigner before the request goes to the next one: far longer than any ordinary answer. */
     private static final long ANSWER_TIMEOUT_MILLIS = 200;
 
@@ -92,6 +90,7 @@
     private final ServedHosts served;
     private final Map<HostId, HostIncarnation> incarnations = new HashMap<>();
     private final SignalAnnouncements announcements;
+    private final SpreadDelays spreadDelays;
     private Optional<LeavingListener> leavingListener = Optional.empty();
     private ImmutableMap<HostId, HostRecord> hosts = ImmutableMap.of();
     private Optional<PeerLinks> links = Optional.empty();
@@ -117,6 +116,7 @@
         this.fleet = checkNotNull(fleet);
         this.log = checkNotNull(log);
         this.assigner = self.incarnation().host();
+        this.spreadDelays = new SpreadDelays(assigner.hashCode());
         this.assignerChoice = new AssignerChoice(assigner);
         this.duty = new AssignDuty(loop, ticker, this::onEffects, this::onSlowTargets, this::onDutyFailure);
         this.directory = new HostDirectory(self, table, loop, log, new DirectoryListener());
@@ -159,7 +159,7 @@
         Work work = request.workAt(ticker.read());
         if (host.equals(self.incarnation().host())) {
             if (!duty.offer(new AssignEvent.Submitted(work))) {
-                applyDecision(new AssignEffect.Refused(work.id(), RefusalReason.OVERLOADED, OVERLOAD_RETRY_DELAY));
+                applyDecision(refuseWithoutDecision(work));
             }
             return;
         }
@@ -168,6 +168,11 @@
         send(host, AssignMessages.assignmentRequest(work));
     }
 
+    /** Refuses work because the assigner's ring is full. */
+    private AssignEffect.Refused refuseWithoutDecision(Work work) {
+        return new AssignEffect.Refused(work.id(), RefusalReason.OVERLOADED, spreadDelays.next(work.remaining()));
+    }
+
     private void onAnswerTimeout(PendingRequest request, HostId host) {
         if (pending.get(request.work().id()) != request) {
             return;
@@ -549,8 +554,7 @@
             requesterLastSeen.put(host, ticker.read());
             served.recordContact(host, ticker.read());
             if (!duty.offer(new AssignEvent.Submitted(work))) {
-                onEffects(ImmutableList.of(
-                        new AssignEffect.Refused(work.id(), RefusalReason.OVERLOADED, OVERLOAD_RETRY_DELAY)));
+                onEffects(ImmutableList.of(refuseWithoutDecision(work)));
             }
         }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
@@ -14,6 +14,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.boragebarrow.decision.assign.Outcome;
+import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.model.ErrorKind;
 import org.boragebarrow.model.LengthClass;
 import org.boragebarrow.model.OrganisationId;
@@ -77,6 +78,12 @@
         registry.counter("boragebarrow.failed", "kind", kind.name()).increment();
     }
 
+    /** Counts a request that the assigner refused, by the reason. */
+    public void unassigned(RefusalReason reason) {
+        registry.counter("boragebarrow.unassigned", "reason", reason.name().toLowerCase(Locale.ROOT))
+                .increment();
+    }
+
     /** Counts an attempt at a target that failed, by its outcome. */
     public void attemptFailed(Outcome outcome) {
         registry.counter(
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Destination.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Destination.java
@@ -17,22 +17,27 @@
  * Where a request is sent according to the routing in effect at its arrival.
  *
  * @param organisation the owner of the caller's key; empty if no key is required
+ * @param rank the rank that is configured for the organisation or the route; empty if none is
  * @param terms what the route and the organisation entitle the request to
  */
-record Destination(Route route, ServiceName service, Optional<OrganisationId> organisation, WorkTerms terms) {
+record Destination(
+        Route route,
+        ServiceName service,
+        Optional<OrganisationId> organisation,
+        Optional<UrgencyRank> rank,
+        WorkTerms terms) {
     /** Returns the destination with the terms of the route and of the organisation, whose rank precedes the route's. */
     static Destination of(RoutingTable table, Route route, ServiceName service, Optional<OrganisationId> organisation) {
         Optional<OrganisationProfile> profile = organisation.map(table::profile);
-        UrgencyRank rank =
-                profile.flatMap(OrganisationProfile::rank).or(route::rank).orElse(UrgencyRank.DEFAULT);
+        Optional<UrgencyRank> rank = profile.flatMap(OrganisationProfile::rank).or(route::rank);
         WorkTerms terms = new WorkTerms(
                 organisation,
                 profile.map(OrganisationProfile::weight).orElse(1.0),
-                rank,
+                rank.orElse(UrgencyRank.DEFAULT),
                 homes(route, profile),
                 WorkTerms.Purpose.FIRST,
                 0);
-        return new Destination(route, service, organisation, terms);
+        return new Destination(route, service, organisation, rank, terms);
     }
 
     /** Returns the destination with the homes that another configuration gives the request; all else stays as it was. */
@@ -42,6 +47,7 @@
                 route,
                 service,
                 organisation,
+                rank,
                 terms.withHomes(homes(table.match(host, path).orElse(route), profile)));
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -157,6 +157,7 @@
                 exchange.request(),
                 assignment.target(),
                 exchange.organisation(),
+                exchange.rank(),
                 exchange.remaining(),
                 exchange.sequence().lastId(),
                 usableHelpers(),
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -27,6 +27,7 @@
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.RequestException;
 import org.boragebarrow.model.TargetId;
+import org.boragebarrow.model.UrgencyRank;
 
 /** One request from its arrival to its response; confined to the event loop. */
 final class RelayExchange {
@@ -57,6 +58,7 @@
     private Destination destination;
     private long waitingSince;
     private final EventSequence sequence;
+    private final long callerKey;
 
     private ImmutableSet<TargetId> excluded = ImmutableSet.of();
     private Optional<RelayAttempt> current = Optional.empty();
@@ -91,6 +93,7 @@
                 .orElse(timeout);
         this.deadline = arrival + limit.toNanos();
         this.sequence = new EventSequence(request.resumeAfter());
+        this.callerKey = CallerKeys.of(request, destination.organisation());
     }
 
     void start() {
@@ -117,6 +120,10 @@
         return destination.organisation();
     }
 
+    Optional<UrgencyRank> rank() {
+        return destination.rank();
+    }
+
     EventSequence sequence() {
         return sequence;
     }
@@ -166,7 +173,8 @@
         return destination
                 .terms()
                 .withPurpose(purpose)
-                .withClosedZones(context.emptied().zones());
+                .withClosedZones(context.emptied().zones())
+                .withCallerKey(callerKey);
     }
 
     private void onDecided(Work work, AssignEffect.Decided effect) {
@@ -183,7 +191,9 @@
             case AssignEffect.Assigned assigned -> send(work, assigned.assignment());
             case AssignEffect.Refused refused -> {
                 trace.unassigned(refused, excluded.size());
-                fail(kindOf(refused.reason()), "no target: " + refused.reason(), refused.retryAfter());
+                Duration delay = hasOwnPlace(refused.reason()) ? refused.retryAfter() : spread(refused.retryAfter());
+                context.metrics().unassigned(refused.reason());
+                fail(kindOf(refused.reason()), "no target: " + refused.reason(), delay);
             }
         }
     }
@@ -236,10 +246,18 @@
         keepTarget(stalled, reason);
     }
 
+    /** Returns whether the assigner gave each refused caller a time of its own, as opposed to one time for all. */
+    private static boolean hasOwnPlace(RefusalReason reason) {
+        return switch (reason) {
+            case QUIET, ZONES_EMPTIED, OUTSIDE_HOMES -> false;
+            default -> true;
+        };
+    }
+
     private static ErrorKind kindOf(RefusalReason reason) {
         return switch (reason) {
             case NO_TARGET, ZONES_EMPTIED, OUTSIDE_HOMES, TOO_LARGE -> ErrorKind.NO_TARGET;
-            case OVERLOADED, QUIET -> ErrorKind.OVERLOADED;
+            case OVERLOADED, OVER_SHARE, DISPLACED, QUIET -> ErrorKind.OVERLOADED;
             case TOO_LATE -> ErrorKind.DEADLINE_UNREACHABLE;
             case QUARANTINED -> ErrorKind.PROMPT_QUARANTINED;
             case SUSPECTED -> ErrorKind.TARGET_FAILED;
@@ -261,12 +279,15 @@
         }
         if (remaining().compareTo(MIN_REMAINING) < 0) {
             context.assignments().reportEnd(work.id(), Outcome.WITHDRAWN);
-            fail(ErrorKind.DEADLINE_UNREACHABLE, "too little time is left for any target", REFUSED_RETRY_DELAY);
+            fail(ErrorKind.DEADLINE_UNREACHABLE, "too little time is left for any target", spread(REFUSED_RETRY_DELAY));
             return;
         }
         if (!canEndBeforeShutdown(assignment)) {
             context.assignments().reportEnd(work.id(), Outcome.WITHDRAWN);
-            fail(ErrorKind.SHUTTING_DOWN, "the host would exit before the answer's end", Relay.STOPPING_RETRY_DELAY);
+            fail(
+                    ErrorKind.SHUTTING_DOWN,
+                    "the host would exit before the answer's end",
+                    spread(Relay.STOPPING_RETRY_DELAY));
             return;
         }
         RelayAttempt attempt = new RelayAttempt(context, this, work.id(), assignment);
@@ -340,7 +361,7 @@
         excluded = ImmutableSet.<TargetId>builder().addAll(excluded).add(failed).build();
         reassignments++;
         if (reassignments > MAX_REASSIGNMENTS) {
-            fail(ErrorKind.NO_TARGET, "no target could be reached", REFUSED_RETRY_DELAY);
+            fail(ErrorKind.NO_TARGET, "no target could be reached", spread(REFUSED_RETRY_DELAY));
             return;
         }
         requestAssignment();
@@ -389,10 +410,13 @@
             return RequestException.of(kind, reason).withUnknownExecutionStatus();
         }
         ErrorKind reported = mayHaveRunDespiteKind ? kindAfterRun() : kind;
-        Duration delay = retryAfter
-                .multipliedBy(THOUSANDTHS + context.random().nextInt(RETRY_JITTER))
+        return RequestException.of(reported, reason, reported.retryable() ? retryAfter : Duration.ZERO);
+    }
+
+    /** Returns a somewhat longer delay, so that callers that are refused in one moment return one after the other. */
+    private Duration spread(Duration delay) {
+        return delay.multipliedBy(THOUSANDTHS + context.random().nextInt(RETRY_JITTER))
                 .dividedBy(THOUSANDTHS);
-        return RequestException.of(reported, reason, reported.retryable() ? delay : Duration.ZERO);
     }
 
     /** Fails the request if its prompt is quarantined, unless the current target is already sending its answer. */
@@ -423,7 +447,10 @@
             return;
         }
         cancelAttempt();
-        fail(ErrorKind.SHUTTING_DOWN, "the host exits before any target could answer", Relay.STOPPING_RETRY_DELAY);
+        fail(
+                ErrorKind.SHUTTING_DOWN,
+                "the host exits before any target could answer",
+                spread(Relay.STOPPING_RETRY_DELAY));
     }
 
     private boolean canEndBeforeShutdown(Assignment assignment) {
@@ -445,7 +472,7 @@
     void endForShutdown() {
         mayHaveRun |= current.map(RelayAttempt::isSent).orElse(false);
         cancelAttempt();
-        fail(ErrorKind.SHUTTING_DOWN, "the host exits before the answer's end", Relay.STOPPING_RETRY_DELAY);
+        fail(ErrorKind.SHUTTING_DOWN, "the host exits before the answer's end", spread(Relay.STOPPING_RETRY_DELAY));
     }
 
     private ErrorKind kindAfterRun() {
@@ -465,7 +492,7 @@
         mayHaveRun |= current.isPresent();
         cancelAttempt();
         ErrorKind kind = mayHaveRun ? ErrorKind.TIMED_OUT : ErrorKind.DEADLINE_UNREACHABLE;
-        fail(kind, "the time limit passed", REFUSED_RETRY_DELAY);
+        fail(kind, "the time limit passed", spread(REFUSED_RETRY_DELAY));
     }
 
     private void onCallerDisconnected() {
@@ -534,7 +561,7 @@
             reassignWithout(attempt.target().id());
             return;
         }
-        fail(mayHaveRun ? kindAfterRun() : ErrorKind.NO_TARGET, reason, REFUSED_RETRY_DELAY);
+        fail(mayHaveRun ? kindAfterRun() : ErrorKind.NO_TARGET, reason, spread(REFUSED_RETRY_DELAY));
     }
 
     /** Returns whether the request may be sent to one more target, apart from the host's retry quota. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
@@ -14,6 +14,7 @@
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.http.client.ResponseOrigin;
+import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.PromptPartId;
 import org.boragebarrow.model.RequestException;
 
@@ -56,6 +57,12 @@
                         destination.service(),
                         "reason",
                         refused.reason(),
+                        "organisation",
+                        destination.organisation().map(OrganisationId::value).orElse("none"),
+                        "rank",
+                        destination.terms().rank().value(),
+                        "retry_ms",
+                        refused.retryAfter().toMillis(),
                         "age_ms",
                         ageMillis(),
                         "excluded",
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/TargetCalls.java
@@ -14,6 +14,7 @@
 import org.boragebarrow.http.client.ResponseOrigin;
 import org.boragebarrow.http.client.UnexpectedBytes;
 import org.boragebarrow.model.OrganisationId;
+import org.boragebarrow.model.UrgencyRank;
 import org.boragebarrow.port.EngineClient;
 import org.boragebarrow.port.TargetFailure;
 
@@ -23,6 +24,7 @@
      * One request to one target.
      *
      * @param organisation the organisation that is named to the target as the caller
+     * @param rank the rank of the request among those that wait at the target; empty if none is configured
      * @param remaining how long the target may work on the request
      * @param resumeAfter the id of the last event that the response need not repeat
      * @param helpers targets that each prefill a part of the prompt
@@ -33,6 +35,7 @@
             RelayRequest request,
             FleetTarget target,
             Optional<OrganisationId> organisation,
+            Optional<UrgencyRank> rank,
             Duration remaining,
             OptionalLong resumeAfter,
             ImmutableList<HelperTarget> helpers,
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
@@ -294,6 +294,19 @@
         assertThat(response.body.toString()).contains("\"ran\":\"no\"");
     }
 
+    /** Guards against callers that all return somewhat later than the place that each of them was given. */
+    @Example
+    void workThatIsDisplacedIsRefusedAsNotRunAndItsCallerToldItsPlace() {
+        fixture.setRoute(RequestKind.AT_MOST_ONCE, 1);
+        FakeResponse response = fixture.send();
+        fixture.assignments.refuse(RefusalReason.DISPLACED);
+
+        assertThat(response.status).isEqualTo(503);
+        assertThat(response.body.toString()).contains("\"ran\":\"no\"");
+        assertThat(response.headers.get("retry-after")).containsExactly("0.400");
+        assertThat(fixture.assignments.lastSubmitted().terms().callerKey()).isNotEqualTo(0);
+    }
+
     @Example
     void anUnresponsiveTargetIsKeptUntilThereIsAnother() {
         FakeResponse response = sendAndAssign(RequestKind.RESUMABLE_STREAM, 2);
