--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
@@ -38,6 +38,7 @@
     private final EmptiedZones emptied = new EmptiedZones();
     private final ColdTargets cold = new ColdTargets();
     private ZoneRegions regions = ZoneRegions.NONE;
+    private boolean hasHadTargets;
 
     /** Applies a change of which targets work may use. */
     void apply(AssignEvent.PermissionsChanged event, long now) {
@@ -67,6 +68,9 @@
 
     /** Returns the number of targets that the work may use as soon as their pace allows one more request. */
     int countPaced(Work work, long now) {
+        if (cold.isEmpty()) {
+            return 0;
+        }
         int count = 0;
         for (TargetLoad load : loads.values()) {
             boolean fits = serves(load, work.service()) && permits(work, load.target());
@@ -80,7 +84,6 @@
         Map<TargetId, FleetTarget> present = new HashMap<>();
         targets.forEach(target -> present.put(target.id(), target));
         ImmutableList<TargetIncarnation> ended = ended(present);
-        boolean isFirst = loads.isEmpty();
         for (TargetId id : ImmutableList.copyOf(loads.keySet())) {
             if (!present.containsKey(id)) {
                 loads.remove(id);
@@ -93,11 +96,12 @@
                 known.update(target);
             } else {
                 loads.put(target.id(), new TargetLoad(target, now));
-                if (!isFirst) {
+                if (hasHadTargets) {
                     cold.recordStart(target.incarnation(), now);
                 }
             }
         }
+        hasHadTargets |= !targets.isEmpty();
         return ended;
     }
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/warmth/ColdTargets.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/warmth/ColdTargets.java
@@ -132,6 +132,11 @@
         paces.remove(target);
     }
 
+    /** Returns whether no target is limited, as far as is known without looking at each. */
+    public boolean isEmpty() {
+        return paces.isEmpty();
+    }
+
     /** Returns the time until the target may get one more request; zero if it may now. */
     public Duration wait(FleetTarget target, long now) {
         Optional<Pace> found = find(target, now);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/FleetFeed.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/FleetFeed.java
@@ -88,9 +88,18 @@
             return;
         }
         try {
-            decoders.coldLeft(row)
-                    .filter(left -> !left.isZero())
-                    .ifPresent(left -> listener.onCold(target.get().incarnation(), Optional.of(left)));
+            Optional<Duration> left = decoders.coldLeft(row).filter(time -> !time.isZero());
+            if (left.isPresent()) {
+                log().write(
+                                RelayEvent.TARGET_COLD,
+                                "target",
+                                row.key(),
+                                "left_ms",
+                                left.get().toMillis(),
+                                "row_version",
+                                row.version());
+                listener.onCold(target.get().incarnation(), left);
+            }
         } catch (IllegalArgumentException e) {
             logUnusable(row, e);
             listener.onCold(target.get().incarnation(), Optional.empty());
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -32,6 +32,8 @@
     ZONE(7025),
     /** The assigner began to take a target for slow, or ended to; {@code slowness} is 1 then. */
     TARGET_PACE(7026),
+    /** A target's entry states that it is cold. */
+    TARGET_COLD(7027),
     /** A target was assigned to an attempt. */
     ASSIGNED(7030),
     /** The assigner refused to assign a target to an attempt. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -131,6 +131,7 @@
     private volatile boolean stopping;
     private volatile boolean readinessHeld;
     private volatile int quarantinedParts;
+    private volatile int emptiedZones;
     private boolean loggedReadiness;
 
     /**
@@ -214,6 +215,7 @@
         metrics.gauge("boragebarrow.targets.slow", assignments::slowTargetCount);
         metrics.gauge("boragebarrow.log.dropped", log::dropped);
         metrics.gauge("boragebarrow.quarantine.parts", () -> quarantinedParts);
+        metrics.gauge("boragebarrow.zones.emptied", () -> emptiedZones);
     }
 
     /** The tables of the store that a host follows, and the decoders of their rows. */
@@ -428,6 +430,7 @@
 
         @Override
         public void onZonesChanged() {
+            emptiedZones = emptied.zones().size();
             assignments.setPermissions(new AssignEvent.ZonesEmptied(emptied.zones()));
             relay.takeBackFromUnusable();
         }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayPermissionsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayPermissionsTest.java
@@ -1,10 +1,15 @@
 package org.boragebarrow.node.relay;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.fleet.FleetTarget;
@@ -151,6 +156,48 @@
         assertThat(fixture.calls.last().closed).isTrue();
     }
 
+    @Property(tries = 60, seed = "21")
+    void nothingIsSentToAnEmptiedZoneInAnyOrderOfEvents(
+            @ForAll @Size(max = 40) List<@IntRange(max = 7) Integer> steps) {
+        fixture.setRoute(RequestKind.RESUMABLE_STREAM, 3);
+        for (int step : steps) {
+            switch (step) {
+                case 0 -> fixture.send();
+                case 1 -> emptyZone();
+                case 2 -> fixture.emptied.takeBack(EMPTIED, fixture.now());
+                case 3 -> fixture.advance(400);
+                case 4 -> fixture.calls.sendsAtOnce = !fixture.calls.sendsAtOnce;
+                default -> assign(step);
+            }
+            if (fixture.emptied.contains(EMPTIED)) {
+                assertThat(fixture.calls.started.stream()
+                                .filter(call -> !call.sent && !call.closed)
+                                .filter(call -> call.call.target().equals(first)
+                                        || !call.call.helpers().isEmpty())
+                                .count())
+                        .isEqualTo(0);
+            }
+        }
+    }
+
+    private void assign(int step) {
+        if (fixture.assignments.submitted.isEmpty()) {
+            return;
+        }
+        int before = fixture.calls.started.size();
+        boolean wasEmptied = fixture.emptied.contains(EMPTIED);
+        switch (step) {
+            case 5 -> fixture.assignments.assign(first);
+            case 6 -> fixture.assignments.assign(other, first);
+            default -> fixture.assignments.assign(other);
+        }
+        for (RelayFixture.FakeCall call : fixture.calls.started.subList(before, fixture.calls.started.size())) {
+            boolean reachesZone =
+                    call.call.target().equals(first) || !call.call.helpers().isEmpty();
+            assertThat(wasEmptied && reachesZone).isFalse();
+        }
+    }
+
     @Example
     void allZonesEmptiedIsRefusedAsNotRunWithTheReason() {
         fixture.setRoute(RequestKind.AT_MOST_ONCE, 1);
