Bound what callers, strangers and slow readers make a host hold

Cause: bodies alone were bounded, by 64 MiB beside a heap of 96 MiB; heads, pipelined requests, unread responses, messages of peers before their handshake, and connections were not.

Change: one account of memory for all requests of a process, a third of the heap, with a quarter kept for short requests; a declared body is accounted for before it is received; the one that has held most for longest without a complete request or a reading caller is evicted. Requests behind the current one stay undecoded. A connection at the bound takes the place of one that never completed a request. Messages of peers are short until the handshake, and strangers are of bounded number. Bounds of connections follow from the descriptors and the heap. What is not received in time gets a 408.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/model/ErrorKind.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/model/ErrorKind.java
@@ -10,6 +10,8 @@
 public enum ErrorKind {
     /** The request is malformed. */
     BAD_REQUEST(400, ExecutionStatus.NO, false),
+    /** The request was not received completely in time. */
+    RECEIVE_TIMED_OUT(408, ExecutionStatus.NO, true),
     /** The request has no API key, or an unknown one. */
     UNAUTHENTICATED(401, ExecutionStatus.NO, false),
     /** The organisation's plan does not allow the model, service or operation. */
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/BodyBuffer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/BodyBuffer.java
@@ -17,18 +17,47 @@
 
     private final ImmutableList.Builder<ByteBuffer> finishedBlocks = ImmutableList.builder();
 
+    private final int expectedSize;
     private ByteBuffer block = ByteBuffer.allocate(0);
     private int size;
 
+    private BodyBuffer(int expectedSize) {
+        this.expectedSize = expectedSize;
+    }
+
+    /** Returns a buffer for a body whose length is known; its blocks have exactly this length together. */
+    static BodyBuffer ofSize(int expectedSize) {
+        return new BodyBuffer(expectedSize);
+    }
+
+    /** Returns a buffer for a body of unknown length. */
+    static BodyBuffer ofUnknownSize() {
+        return new BodyBuffer(Integer.MAX_VALUE);
+    }
+
     int size() {
         return size;
     }
 
+    /** Returns by how much the blocks grow together if so many bytes are added. */
+    int growthFor(int added) {
+        int left = added - block.remaining();
+        int sizeAtBlock = size + block.remaining();
+        int growth = 0;
+        while (left > 0) {
+            int blockBytes = blockBytes(left, sizeAtBlock);
+            growth += blockBytes;
+            sizeAtBlock += blockBytes;
+            left -= blockBytes;
+        }
+        return growth;
+    }
+
     void add(ByteBuf bytes) {
         while (bytes.isReadable()) {
             if (!block.hasRemaining()) {
                 finishBlock();
-                block = ByteBuffer.allocate(nextBlockBytes(bytes.readableBytes()));
+                block = ByteBuffer.allocate(blockBytes(bytes.readableBytes(), size));
             }
             int copied = Math.min(block.remaining(), bytes.readableBytes());
             bytes.readBytes(block.array(), block.position(), copied);
@@ -37,8 +66,9 @@
         }
     }
 
-    private int nextBlockBytes(int required) {
-        return Math.clamp(Math.max(required, size), MIN_BLOCK_BYTES, MAX_BLOCK_BYTES);
+    private int blockBytes(int required, int sizeAtBlock) {
+        int bytes = Math.clamp(Math.max(required, sizeAtBlock), MIN_BLOCK_BYTES, MAX_BLOCK_BYTES);
+        return Math.min(bytes, expectedSize - sizeAtBlock);
     }
 
     private void finishBlock() {
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -32,13 +33,10 @@
 import org.boragebarrow.model.RequestException;
 
 /**
- * Assembles one request at a time and passes it to the {@link ServerHandler}. Pipelined requests wait in a bounded
- * queue until the preceding response is complete.
+ * Assembles one request at a time and passes it to the {@link ServerHandler}. Pipelined requests wait in the
+ * {@link InputGate} until the preceding response is complete and mostly written.
  */
-final class ConnectionHandler extends ChannelInboundHandlerAdapter {
-    /** The number of queued parts of pipelined requests at which the connection is no longer read. */
-    private static final int MAX_QUEUED_PARTS = 64;
-
+final class ConnectionHandler extends ChannelInboundHandlerAdapter implements InputGate.Connection {
     /**
      * How long a connection whose output was shut down is still read while the caller sends nothing. Closing it at once
      * could reset it before the caller has read the response.
@@ -48,14 +46,22 @@
     /** How long such a connection is read in total, so that a caller that never stops sending cannot hold it. */
     private static final long MAX_LINGER_MILLIS = 30_000;
 
+    /** What a caller that does not read makes its target's side hold: what was received before reading stopped. */
+    private static final long UNREAD_TARGET_BYTES = 128 << 10;
+
     private static final long NANOS_PER_SECOND = 1_000_000_000;
 
+    /** Within this time, requests that hold the memory end, or those that are not received are evicted. */
+    private static final Duration OVERLOADED_RETRY_DELAY = Duration.ofMillis(500);
+
     /** Another host can handle the request at once. */
     private static final Duration STOPPING_RETRY_DELAY = Duration.ofMillis(50);
 
     private final ServerLimits limits;
     private final ServerHandler handler;
-    private final BodyBudget budget;
+    private final ConnectionTable connections;
+    private final MemoryShare memory;
+    private final InputGate gate = new InputGate(this);
     private final ReceiveTimeoutHandler receiveTimeout;
     private final BooleanSupplier draining;
     private final Deque<HttpObject> queuedParts = new ArrayDeque<>();
@@ -65,8 +71,11 @@
     private BodyBuffer body;
     private long bodyBytesAtLastTimeout;
     private int bodyBytes;
+    private long requestMemory;
+    private long outputMemory;
     private ChannelResponse response;
     private boolean closing;
+    private boolean continuing;
     private boolean refusedIncomplete;
     private boolean refusing;
     private boolean receivedSinceLingerCheck;
@@ -74,12 +83,14 @@
     ConnectionHandler(
             ServerLimits limits,
             ServerHandler handler,
-            BodyBudget budget,
+            ConnectionTable connections,
+            MemoryAccount account,
             ReceiveTimeoutHandler receiveTimeout,
             BooleanSupplier draining) {
         this.limits = limits;
         this.handler = handler;
-        this.budget = budget;
+        this.connections = connections;
+        this.memory = new MemoryShare(account, this::evict);
         this.receiveTimeout = receiveTimeout;
         this.draining = draining;
     }
@@ -89,29 +100,102 @@
         context = addedContext;
     }
 
+    /** Returns the handler that goes before the decoder. */
+    InputGate gate() {
+        return gate;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ignored, Object message) {
-        HttpObject part = (HttpObject) message;
         if (closing) {
             receivedSinceLingerCheck = true;
-            ReferenceCountUtil.release(part);
+            ReferenceCountUtil.release(message);
             return;
         }
-        if (isBusy()) {
+        HttpObject part = (HttpObject) message;
+        if (hasRequestInProgress()) {
             queuedParts.add(part);
-            if (queuedParts.size() >= MAX_QUEUED_PARTS) {
-                context.channel().config().setAutoRead(false);
-            }
             return;
         }
         acceptPart(part);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ignored) {
+        if (response == null && memory.heldBytes() > 0) {
+            memory.setEvictable(true);
+        }
+    }
+
     /** Returns whether a response is in progress, or requests that were received during the last one are still queued. */
-    private boolean isBusy() {
+    private boolean hasRequestInProgress() {
         return response != null || !queuedParts.isEmpty();
     }
 
+    @Override
+    public boolean isBusy() {
+        return !closing
+                && (hasRequestInProgress() || continuing || !context.channel().isWritable());
+    }
+
+    @Override
+    public long remainingBodyBytes() {
+        if (head == null) {
+            return closing ? Integer.MAX_VALUE : 0;
+        }
+        return HttpUtil.getContentLength(head, -1L) < 0 ? -1 : HttpUtil.getContentLength(head, -1L) - bodyBytes;
+    }
+
+    @Override
+    public boolean holdHead(long bytes) {
+        return holdRequest(bytes);
+    }
+
+    private boolean holdRequest(long bytes) {
+        if (closing) {
+            return false;
+        }
+        if (!memory.tryHold(bytes)) {
+            refuse(memoryFull());
+            return false;
+        }
+        requestMemory += bytes;
+        return true;
+    }
+
+    @Override
+    public boolean holdKept(long bytes) {
+        return memory.tryHold(bytes);
+    }
+
+    @Override
+    public void releaseKept(long bytes) {
+        memory.release(bytes);
+    }
+
+    private static RequestException memoryFull() {
+        return RequestException.of(
+                ErrorKind.OVERLOADED, "the host's memory for requests is full", OVERLOADED_RETRY_DELAY);
+    }
+
+    private void evict() {
+        if (context.executor().inEventLoop()) {
+            onEvicted();
+        } else {
+            context.executor().execute(this::onEvicted);
+        }
+    }
+
+    private void onEvicted() {
+        requestMemory = 0;
+        outputMemory = 0;
+        if (response == null && !closing) {
+            refuse(memoryFull());
+        } else {
+            context.close();
+        }
+    }
+
     private void acceptPart(HttpObject part) {
         DecoderResult result = part.decoderResult();
         if (result.isFailure()) {
@@ -135,7 +219,6 @@
 
     private void beginRequest(HttpRequest request) {
         head = request;
-        body = new BodyBuffer();
         bodyBytes = 0;
         bodyBytesAtLastTimeout = 0;
         Optional<String> error = RequestHeadValidator.findError(request);
@@ -143,10 +226,16 @@
             refuse(RequestException.of(ErrorKind.BAD_REQUEST, error.get()));
             return;
         }
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+        long length = HttpUtil.getContentLength(request, -1L);
+        if (length > limits.maxBodyBytes()) {
             refuse(bodyTooLarge());
             return;
         }
+        // Held before it is received, so that a body that has begun can be completed.
+        if (length > 0 && !holdRequest(length)) {
+            return;
+        }
+        body = length < 0 ? BodyBuffer.ofUnknownSize() : BodyBuffer.ofSize((int) length);
         boolean waitsForContinue = HttpUtil.is100ContinueExpected(request);
         if (refusing && waitsForContinue) {
             refuse(shuttingDown());
@@ -171,8 +260,8 @@
             refuse(bodyTooLarge());
             return;
         }
-        if (!budget.tryAcquire(size)) {
-            refuse(RequestException.of(ErrorKind.OVERLOADED, "the host's buffer for request bodies is full"));
+        boolean lengthUnknown = remainingBodyBytes() < 0;
+        if (lengthUnknown && !holdRequest(body.growthFor(size))) {
             return;
         }
         bodyBytes += size;
@@ -189,6 +278,8 @@
 
     private void dispatch() {
         receiveTimeout.stop();
+        memory.setEvictable(false);
+        connections.onRequest(context.channel());
         boolean keepAlive = HttpUtil.isKeepAlive(head);
         boolean chunksAllowed = head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
         ServerRequest request =
@@ -226,13 +317,15 @@
         head = null;
         body = null;
         receiveTimeout.stop();
+        memory.setEvictable(false);
         ChannelResponse errorResponse = new ChannelResponse(context.channel(), false, () -> false, this::onAnswered);
         response = errorResponse;
         handler.onRefused(refusal, errorResponse);
     }
 
     private void onAnswered(boolean keepAlive) {
-        budget.release(bodyBytes);
+        memory.release(requestMemory);
+        requestMemory = 0;
         bodyBytes = 0;
         response = null;
         if (!keepAlive) {
@@ -240,14 +333,28 @@
             context.channel().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ignored -> linger());
             return;
         }
-        // Runs as a separate task, so that a long queue of pipelined requests cannot overflow the stack.
-        context.executor().execute(this::processQueuedParts);
+        connections.onIdle(context.channel());
+        continueLater();
+    }
+
+    /** Handles the next pipelined request after other connections had a turn, and with an empty stack. */
+    private void continueLater() {
+        if (!continuing) {
+            continuing = true;
+            context.executor().execute(this::processQueuedParts);
+        }
     }
 
     private void linger() {
         SocketChannel connection = (SocketChannel) context.channel();
         queuedParts.forEach(ReferenceCountUtil::release);
         queuedParts.clear();
+        gate.discard();
+        // Frees what is decoded of an incomplete request.
+        if (context.pipeline().get(HttpServerCodec.class) != null) {
+            context.pipeline().remove(HttpServerCodec.class);
+        }
+        connections.offer(connection);
         connection.shutdownOutput();
         connection.config().setAutoRead(true);
         closeWhenIdle(MAX_LINGER_MILLIS);
@@ -272,11 +379,12 @@
     }
 
     private void processQueuedParts() {
+        continuing = false;
         while (response == null && !closing && !queuedParts.isEmpty()) {
             acceptPart(queuedParts.poll());
         }
-        if (queuedParts.size() < MAX_QUEUED_PARTS) {
-            context.channel().config().setAutoRead(true);
+        if (!closing) {
+            gate.resume();
         }
     }
 
@@ -285,7 +393,7 @@
         if (event instanceof ReceiveTimeoutHandler.Expired) {
             onReceiveTimeout();
         }
-        if (event instanceof IdleStateEvent && !isBusy() && !closing) {
+        if (event instanceof IdleStateEvent && !hasRequestInProgress() && !closing) {
             onIdle();
         }
         if (event instanceof ShutdownEvent shutdown) {
@@ -314,7 +422,7 @@
         if (closing) {
             return;
         }
-        if (isBusy()) {
+        if (hasRequestInProgress()) {
             // The next request stays in the queue while the response before it is in progress.
             receiveTimeout.restart();
             return;
@@ -337,13 +445,23 @@
     }
 
     private static RequestException requestTimedOut() {
-        return RequestException.of(ErrorKind.BAD_REQUEST, "the request was not received completely in time");
+        return RequestException.of(ErrorKind.RECEIVE_TIMED_OUT, "the request was not received completely in time");
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ignored) {
+        memory.release(outputMemory);
+        outputMemory = 0;
+        boolean writable = context.channel().isWritable();
+        memory.setEvictable(!writable);
+        if (!writable) {
+            outputMemory = context.channel().unsafe().outboundBuffer().totalPendingWriteBytes() + UNREAD_TARGET_BYTES;
+            memory.hold(outputMemory);
+        }
         if (response != null) {
             response.writabilityChanged();
+        } else if (writable && !closing) {
+            continueLater();
         }
     }
 
@@ -352,7 +470,9 @@
         closing = true;
         queuedParts.forEach(ReferenceCountUtil::release);
         queuedParts.clear();
-        budget.release(bodyBytes);
+        memory.releaseAll();
+        requestMemory = 0;
+        outputMemory = 0;
         bodyBytes = 0;
         if (response != null) {
             ChannelResponse interrupted = response;
@@ -363,6 +483,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ignored, Throwable cause) {
+        FatalErrors.exitIfFatal(cause);
         context.close();
     }
 }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
@@ -31,31 +31,49 @@
 public final class HttpServer implements AutoCloseable {
     private static final int MAX_CHUNK_BYTES = 64 << 10;
     private static final int BACKLOG = 1_024;
-    private static final WriteBufferWaterMark RESPONSE_BUFFER_WATER_MARK =
-            new WriteBufferWaterMark(32 << 10, 128 << 10);
+    private static final WriteBufferWaterMark RESPONSE_BUFFER_WATER_MARK = new WriteBufferWaterMark(16 << 10, 32 << 10);
 
-    /** The maximum number of reads of one connection before other connections are read; Netty's default for sockets. */
-    private static final int MAX_READS_PER_LOOP = 16;
+    /** Otherwise a caller that does not read has its socket buffer filled with megabytes first. */
+    private static final int SOCKET_BUFFER_BYTES = 64 << 10;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2 << 10;
+
+    /** Bounds what is received beyond the end of a request while its response is in progress. */
+    private static final int MAX_READ_BYTES = 16 << 10;
+
+    /** The maximum number of reads of one connection before other connections are read. */
+    private static final int MAX_READS_PER_LOOP = 4;
 
     private final Supplier<ServerLimits> limits;
     private final ServerHandler handler;
-    private final BodyBudget budget;
+    private final MemoryAccount memory;
+    private final ConnectionTable connections;
     private final ChannelGroup openChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final Channel channel;
 
     private volatile boolean draining;
     private volatile Optional<ShutdownEvent> shutdownEvent = Optional.empty();
 
-    private HttpServer(EventLoopGroup group, Endpoint endpoint, Supplier<ServerLimits> limits, ServerHandler handler) {
+    private HttpServer(
+            EventLoopGroup group,
+            Endpoint endpoint,
+            Supplier<ServerLimits> limits,
+            MemoryAccount memory,
+            ConnectionTable connections,
+            ServerHandler handler) {
         this.limits = limits;
+        this.connections = connections;
         this.handler = handler;
-        this.budget = new BodyBudget(limits.get().maxBufferedBytes());
+        this.memory = memory;
         this.channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+                .childOption(ChannelOption.SO_RCVBUF, SOCKET_BUFFER_BYTES)
                 .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, RESPONSE_BUFFER_WATER_MARK)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, createReceiveAllocator())
@@ -71,7 +89,9 @@
      * later, when the request may already have been relayed.
      */
     private static RecvByteBufAllocator createReceiveAllocator() {
-        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_LOOP);
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                .respectMaybeMoreData(false)
+                .maxMessagesPerRead(MAX_READS_PER_LOOP);
     }
 
     /**
@@ -82,18 +102,47 @@
     public static HttpServer start(
             EventLoopGroup group, Endpoint endpoint, ServerLimits limits, ServerHandler handler) {
         checkNotNull(limits);
-        return start(group, endpoint, () -> limits, handler);
+        return start(group, endpoint, () -> limits, MemoryAccount.of(limits.maxBufferedBytes()), handler);
     }
 
     /**
-     * Starts listening with limits that may change. Each connection keeps the limits that applied when it was accepted;
-     * {@link ServerLimits#maxBufferedBytes} is read only once, at the start.
+     * Starts listening with limits that may change, and an account that other servers may share. Each connection keeps
+     * the limits that applied when it was accepted; {@link ServerLimits#maxBufferedBytes} has no effect.
      *
      * @throws RuntimeException if the endpoint cannot be bound
      */
     public static HttpServer start(
-            EventLoopGroup group, Endpoint endpoint, Supplier<ServerLimits> limits, ServerHandler handler) {
-        return new HttpServer(checkNotNull(group), checkNotNull(endpoint), checkNotNull(limits), checkNotNull(handler));
+            EventLoopGroup group,
+            Endpoint endpoint,
+            Supplier<ServerLimits> limits,
+            MemoryAccount memory,
+            ServerHandler handler) {
+        return new HttpServer(
+                checkNotNull(group),
+                checkNotNull(endpoint),
+                checkNotNull(limits),
+                checkNotNull(memory),
+                ConnectionTable.keepingIdle(),
+                checkNotNull(handler));
+    }
+
+    /**
+     * Starts listening for few callers of which each may come back at any time, such as operators: at the bound, a new
+     * connection takes the place of the one that has been idle longest.
+     *
+     * @throws RuntimeException if the endpoint cannot be bound
+     */
+    public static HttpServer startReplacingIdle(
+            EventLoopGroup group, Endpoint endpoint, ServerLimits limits, ServerHandler handler) {
+        checkNotNull(limits);
+        MemoryAccount memory = MemoryAccount.of(limits.maxBufferedBytes());
+        return new HttpServer(
+                checkNotNull(group),
+                checkNotNull(endpoint),
+                () -> limits,
+                memory,
+                ConnectionTable.replacingIdle(),
+                checkNotNull(handler));
     }
 
     /**
@@ -115,9 +164,14 @@
         return openChannels.size();
     }
 
-    /** Returns the bytes of all request bodies that are buffered now. */
+    /** Returns the bytes that the requests of this server, and of others with the same account, hold now. */
     public long bufferedBytes() {
-        return budget.bufferedBytes();
+        return memory.heldBytes();
+    }
+
+    /** Returns the number of connections that were closed because others needed their places. */
+    public long evictedConnections() {
+        return connections.evictions();
     }
 
     /**
@@ -162,7 +216,7 @@
         @Override
         protected void initChannel(SocketChannel connection) {
             ServerLimits currentLimits = limits.get();
-            if (openChannels.size() >= currentLimits.maxConnections()) {
+            if (!connections.add(connection, currentLimits.maxConnections())) {
                 connection.close();
                 return;
             }
@@ -173,13 +227,16 @@
                     .setMaxChunkSize(MAX_CHUNK_BYTES)
                     .setUseRfc9112TransferEncoding(true);
             ReceiveTimeoutHandler receiveTimeout = new ReceiveTimeoutHandler(currentLimits);
+            ConnectionHandler connectionHandler =
+                    new ConnectionHandler(currentLimits, handler, connections, memory, receiveTimeout, () -> draining);
             connection
                     .pipeline()
                     .addLast(new IdleStateHandler(currentLimits.idleTimeout().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
                     .addLast(new WriteStallTimeoutHandler(currentLimits))
                     .addLast(receiveTimeout)
+                    .addLast(connectionHandler.gate())
                     .addLast(new HttpServerCodec(config))
-                    .addLast(new ConnectionHandler(currentLimits, handler, budget, receiveTimeout, () -> draining));
+                    .addLast(connectionHandler);
             shutdownEvent.ifPresent(event -> connection.pipeline().fireUserEventTriggered(event));
         }
     }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ServerLimits.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ServerLimits.java
@@ -7,10 +7,11 @@
 /**
  * Limits of one listening port.
  *
- * @param maxConnections maximum number of open connections; further ones are closed at once
+ * @param maxConnections maximum number of open connections; a further one takes the place of one that never completed a
+ *     request, or is closed at once
  * @param maxHeaderBytes maximum bytes of the request line and, separately, of all headers
  * @param maxBodyBytes maximum bytes of one body
- * @param maxBufferedBytes maximum bytes of all bodies that are buffered at the same time
+ * @param maxBufferedBytes maximum bytes that all requests hold at the same time; a quarter is kept for short requests
  * @param idleTimeout how long a connection may send nothing of an expected request, or read nothing of its response
  * @param receiveTimeout how long a request may take from its first to its last byte; each
  *     {@link #MIN_BODY_BYTES_PER_SECOND} received bytes of its body extend it by a second
@@ -33,8 +34,8 @@
         checkArgument(maxHeaderBytes > 0, "header bytes must be positive: %s", maxHeaderBytes);
         checkArgument(maxBodyBytes > 0, "body bytes must be positive: %s", maxBodyBytes);
         checkArgument(
-                maxBufferedBytes >= maxBodyBytes,
-                "buffered bytes %s must not be less than body bytes %s",
+                MemoryAccount.limitOfLongRequests(maxBufferedBytes) >= maxBodyBytes,
+                "three quarters of the buffered bytes %s must not be less than body bytes %s",
                 maxBufferedBytes,
                 maxBodyBytes);
         checkArgument(idleTimeout.toMillis() > 0, "idle timeout must be positive: %s", idleTimeout);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/Host.java
@@ -30,6 +30,7 @@
 import org.boragebarrow.http.platform.HttpTableService;
 import org.boragebarrow.http.platform.HttpWeightStore;
 import org.boragebarrow.http.server.HttpServer;
+import org.boragebarrow.http.server.ServerLimits;
 import org.boragebarrow.http.service.HttpServiceClient;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.model.HostIncarnation;
@@ -67,6 +68,9 @@
 /** One host with all its duties and servers. Thread-safe. */
 public final class Host implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(Host.class);
+    private static final int MAX_ADMIN_CONNECTIONS = 256;
+    private static final int MAX_ADMIN_BODY_BYTES = 1 << 20;
+    private static final long ADMIN_MEMORY_BYTES = 4 << 20;
     private static final long DISPATCH_TICK_INTERVAL_MILLIS = 20;
     private static final long TICK_INTERVAL_MILLIS = 250;
     private static final long RENEW_INTERVAL_MILLIS = 1_000;
@@ -182,16 +186,28 @@
                 members, changes, claims, dispatchRouter, observeDuty, front, new ChangeMessages(codec)));
         peerRouter.connect(new PeerRouter.Duties(
                 members, changes, claims, dispatchRouter, observeDuty, new ChangeMessages(codec)));
-        this.adminServer = HttpServer.start(
+        ServerLimits adminLimits = adminLimits(settings.callerLimits());
+        this.adminServer = HttpServer.startReplacingIdle(
                 loops,
                 settings.admin(),
-                settings.callerLimits(),
+                adminLimits,
                 new AdminApi(settings.adminToken(), changes, new HostPages(members, changes, front, metrics)));
         this.callerServer = HttpServer.start(loops, settings.callers(), settings.callerLimits(), front);
         registerGauges();
         schedule();
     }
 
+    /** Returns the limits of the operators' door: entries are short, and few operators work at the same time. */
+    private static ServerLimits adminLimits(ServerLimits callers) {
+        return new ServerLimits(
+                MAX_ADMIN_CONNECTIONS,
+                callers.maxHeaderBytes(),
+                MAX_ADMIN_BODY_BYTES,
+                ADMIN_MEMORY_BYTES,
+                callers.idleTimeout(),
+                callers.receiveTimeout());
+    }
+
     /**
      * Starts a host.
      *
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -77,6 +77,7 @@
             TimeUnit.MILLISECONDS.toNanos(3 * AssignerChoice.PROBE_INTERVAL_MILLIS);
 
     private final HostRecord self;
+    private final int maxStrangers;
     private final EventLoop loop;
     private final Ticker ticker;
     private final Fleet fleet;
@@ -111,6 +112,7 @@
             Identity identity, EventLoop loop, Ticker ticker, Fleet fleet, WatchedTable table, DecisionLog log) {
         this.self = new HostRecord(
                 identity.peer().incarnation(), identity.peer().zone(), identity.endpoint(), identity.centicores());
+        this.maxStrangers = identity.maxStrangers();
         this.loop = checkNotNull(loop);
         this.ticker = checkNotNull(ticker);
         this.fleet = checkNotNull(fleet);
@@ -128,8 +130,9 @@
      * The identity of this host and the endpoint at which other hosts reach it.
      *
      * @param centicores the host's processor in hundredths of a core
+     * @param maxStrangers the maximum number of connections of hosts that have not proved their identity yet
      */
-    public record Identity(PeerIdentity peer, Endpoint endpoint, int centicores) {}
+    public record Identity(PeerIdentity peer, Endpoint endpoint, int centicores, int maxStrangers) {}
 
     /** Returns the listener for the table of hosts. */
     public TableFollower.Listener directory() {
@@ -491,7 +494,12 @@
             PeerIdentity identity = new PeerIdentity(self.incarnation(), self.zone());
             // Binding blocks until the event loop has run it, so it must not be called on the event loop.
             CompletableFuture.supplyAsync(() -> PeerLinks.start(
-                            identity, key, new AssignMessageHandler(new MessageSink(), log), loop, self.endpoint()))
+                            identity,
+                            key,
+                            new AssignMessageHandler(new MessageSink(), log),
+                            loop,
+                            self.endpoint(),
+                            maxStrangers))
                     .whenComplete((started, failure) -> loop.execute(() -> onStarted(started, failure)));
         }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -33,6 +33,7 @@
 import org.boragebarrow.node.assign.RegionAssignments;
 import org.boragebarrow.node.metrics.HostMetrics;
 import org.boragebarrow.node.quarantine.QuarantineDuty;
+import org.boragebarrow.node.settings.ProcessLimits;
 import org.boragebarrow.node.settings.RelaySettings;
 import org.boragebarrow.node.watch.RowRouter;
 import org.boragebarrow.node.watch.SharedTable;
@@ -105,11 +106,13 @@
 
     private static final long DRAIN_POLL_MILLIS = 50;
 
-    /** Limits until a configuration sets them: those of a typical site. */
-    private static final ServerLimits DEFAULT_LIMITS =
-            new ServerLimits(3_000, 16 << 10, 4 << 20, 64L << 20, Duration.ofSeconds(15), Duration.ofSeconds(3));
+    private static final int DEFAULT_MAX_HEADER_BYTES = 16 << 10;
+    private static final int DEFAULT_MAX_BODY_BYTES = 4 << 20;
+    private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofSeconds(15);
+    private static final Duration DEFAULT_RECEIVE_TIMEOUT = Duration.ofSeconds(3);
 
     private volatile RelaySettings settings;
+    private final ServerLimits defaultLimits;
     private final EventLoop loop;
     private final DecisionLog log;
     private final HostMetrics metrics = new HostMetrics(MAX_ORGANISATION_SERIES);
@@ -149,6 +152,7 @@
             Tables tables,
             DecisionLog log) {
         this.settings = checkNotNull(settings);
+        this.defaultLimits = defaultLimits(settings.limits());
         this.loop = checkNotNull(loop);
         this.random = checkNotNull(random);
         Decoders decoders = tables.decoders();
@@ -156,7 +160,10 @@
         HostIncarnation self = HostIncarnation.of(settings.id(), incarnation);
         this.assignments = new RegionAssignments(
                 new RegionAssignments.Identity(
-                        new PeerIdentity(self, settings.zone()), settings.peers(), settings.centicores()),
+                        new PeerIdentity(self, settings.zone()),
+                        settings.peers(),
+                        settings.centicores(),
+                        settings.limits().strangers()),
                 loop,
                 ticker,
                 fleet,
@@ -323,21 +330,31 @@
         onReadinessChecked();
     }
 
+    /** Returns the limits until a configuration sets them: those of a typical site. */
+    private static ServerLimits defaultLimits(ProcessLimits limits) {
+        return new ServerLimits(
+                limits.callerConnections(),
+                DEFAULT_MAX_HEADER_BYTES,
+                DEFAULT_MAX_BODY_BYTES,
+                Math.max(limits.requestMemory(), 2L * DEFAULT_MAX_BODY_BYTES),
+                DEFAULT_IDLE_TIMEOUT,
+                DEFAULT_RECEIVE_TIMEOUT);
+    }
+
     /** Returns the limits of callers' requests in the routing version in effect. */
     public ServerLimits limits() {
         return routing.current()
                 .flatMap(RoutingTable::limits)
-                .map(RelayHost::toServerLimits)
-                .orElse(DEFAULT_LIMITS);
+                .map(this::toServerLimits)
+                .orElse(defaultLimits);
     }
 
-    private static ServerLimits toServerLimits(CallerLimits limits) {
-        long buffered = Math.max(DEFAULT_LIMITS.maxBufferedBytes(), limits.maxBodyBytes());
+    private ServerLimits toServerLimits(CallerLimits limits) {
         return new ServerLimits(
-                DEFAULT_LIMITS.maxConnections(),
+                defaultLimits.maxConnections(),
                 limits.maxHeaderBytes(),
                 limits.maxBodyBytes(),
-                buffered,
+                Math.max(defaultLimits.maxBufferedBytes(), 2L * limits.maxBodyBytes()),
                 limits.idleTimeout(),
                 limits.headerTimeout());
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettingsReader.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/HostSettingsReader.java
@@ -64,7 +64,8 @@
                     file.get(SettingKeys.MAX_CONNECTIONS, defaults.maxConnections()),
                     file.get(SettingKeys.MAX_HEADER_BYTES, defaults.maxHeaderBytes()),
                     file.get(SettingKeys.MAX_BODY_BYTES, defaults.maxBodyBytes()),
-                    file.get(SettingKeys.MAX_BUFFERED_BYTES, (int) defaults.maxBufferedBytes()),
+                    ProcessLimits.of(0, file.get(SettingKeys.MAX_BUFFERED_BYTES, 0))
+                            .requestMemory(),
                     file.get(SettingKeys.IDLE_TIMEOUT, defaults.idleTimeout()),
                     file.get(SettingKeys.RECEIVE_TIMEOUT, defaults.receiveTimeout()));
         } catch (IllegalArgumentException e) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -29,6 +29,7 @@
  * @param retryWindow the sliding window in which retries are counted
  * @param quarantineDuration how long the first quarantine of a part of prompts lasts
  * @param regions the regions of zones
+ * @param limits what the process may use
  * @param admin where operators list and edit the quarantine; empty if they cannot
  */
 public record RelaySettings(
@@ -47,6 +48,7 @@
         Duration retryWindow,
         Duration quarantineDuration,
         ZoneRegions regions,
+        ProcessLimits limits,
         Optional<Admin> admin) {
     /** The endpoint where operators connect, and the token that they present. */
     public record Admin(Endpoint endpoint, Secret token) {}
@@ -61,8 +63,11 @@
     private static final double MAX_RETRY_SLACK = 1_000_000_000;
     private static final int WEEK_MINUTES = 7 * 24 * 60;
 
+    private static final int MEBIBYTE_BITS = 20;
     private static final int CENTICORES_PER_CORE = 100;
     private static final double MAX_CORES = 1_024;
+    private static final int MAX_MAX_DESCRIPTORS = 10_000_000;
+    private static final int MAX_MEMORY_MEBIBYTES = 1 << 20;
 
     private static final Setting<Double> CPU_SHARE = Setting.number(
             "host",
@@ -80,6 +85,22 @@
             0,
             MAX_CORES,
             "The host's processor in cores. The largest hosts assign targets and poll tables for the others.");
+    private static final Setting<Integer> MAX_DESCRIPTORS = Setting.integer(
+            "host",
+            "max-descriptors",
+            "files and sockets",
+            0,
+            0,
+            MAX_MAX_DESCRIPTORS,
+            "The files and sockets that the process may have open; 0 for its limit in the operating system.");
+    private static final Setting<Integer> REQUEST_MEMORY = Setting.integer(
+            "callers",
+            "memory-mb",
+            "MiB",
+            0,
+            0,
+            MAX_MEMORY_MEBIBYTES,
+            "The memory that all requests may hold, at most half of the heap; 0 for a third of the heap.");
     private static final Setting<Endpoint> READINESS = Setting.required(
             "readiness",
             "endpoint",
@@ -181,6 +202,7 @@
                 file.get(RETRY_WINDOW, Duration.ZERO),
                 Duration.ofMinutes(file.get(QUARANTINE_MINUTES, 1)),
                 regions(file),
+                limits(file),
                 admin(file));
         file.throwIfInvalid();
         return settings;
@@ -200,6 +222,16 @@
         return new ZoneRegions(regions.buildOrThrow());
     }
 
+    private static ProcessLimits limits(SettingsFile file) {
+        long memory = (long) file.get(REQUEST_MEMORY, 0) << MEBIBYTE_BITS;
+        try {
+            return ProcessLimits.of(file.get(MAX_DESCRIPTORS, 0), memory);
+        } catch (IllegalArgumentException e) {
+            file.addProblem("callers", REQUEST_MEMORY.key(), e.getMessage());
+            return ProcessLimits.of(0, 0);
+        }
+    }
+
     private static Optional<Admin> admin(SettingsFile file) {
         Optional<Endpoint> endpoint = file.get(ADMIN_ENDPOINT, Optional.empty());
         Optional<Secret> token = file.get(ADMIN_TOKEN, Optional.empty());
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/SettingKeys.java
@@ -36,7 +36,7 @@
             10_000,
             1,
             1_000_000,
-            "The maximum number of open connections; further ones are closed.");
+            "The maximum number of open connections; a further one replaces one that never completed a request, or is closed.");
     static final Setting<Integer> MAX_HEADER_BYTES = Setting.integer(
             "callers",
             "max-header-bytes",
@@ -51,10 +51,10 @@
             "callers",
             "max-buffered-bytes",
             "bytes",
-            268_435_456,
-            1_024,
+            0,
+            0,
             GIBIBYTE,
-            "The maximum size of all request bodies that are buffered at the same time.");
+            "The memory that all requests may hold, at most half of the heap; 0 for a third of the heap.");
     static final Setting<Duration> IDLE_TIMEOUT = Setting.millis(
             "callers", "idle-ms", MINUTE_MILLIS, 100, 60 * MINUTE_MILLIS, "How long a connection may stay idle.");
     static final Setting<Duration> RECEIVE_TIMEOUT = Setting.millis(
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/AcceptHandler.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/AcceptHandler.java
@@ -1,6 +1,9 @@
 package org.boragebarrow.peer.link;
 
+import java.util.function.Consumer;
+
 import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.boragebarrow.model.AvailabilityZoneId;
@@ -20,14 +23,21 @@
     private final PeerIdentity self;
     private final PeerKey key;
     private final PeerListener listener;
+    private final Consumer<Channel> authenticated;
     private final byte[] challenge = PeerKey.newNonce();
 
     private HostIncarnation peer;
 
-    AcceptHandler(PeerIdentity self, PeerKey key, PeerListener listener) {
+    /**
+     * Creates a handler of one connection.
+     *
+     * @param authenticated is told when the connecting host has proved its identity
+     */
+    AcceptHandler(PeerIdentity self, PeerKey key, PeerListener listener, Consumer<Channel> authenticated) {
         this.self = self;
         this.key = key;
         this.listener = listener;
+        this.authenticated = authenticated;
     }
 
     @Override
@@ -65,7 +75,8 @@
             reject(context, "wrong peer key from " + context.channel().remoteAddress());
             return;
         }
-        context.pipeline().remove(PeerPipelines.HANDSHAKE_TIMEOUT);
+        PeerPipelines.completeHandshake(context.pipeline());
+        authenticated.accept(context.channel());
         peer = identity.incarnation();
         String host = self.incarnation().host().value();
         Welcome welcome = Welcome.newBuilder()
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/ConnectHandler.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/ConnectHandler.java
@@ -64,7 +64,7 @@
                     "welcome without a valid MAC from " + context.channel().remoteAddress());
             return;
         }
-        context.pipeline().remove(PeerPipelines.HANDSHAKE_TIMEOUT);
+        PeerPipelines.completeHandshake(context.pipeline());
         link.onOpened(context.channel());
     }
 
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
@@ -25,18 +25,27 @@
 /** The links of one host: outgoing links that it opens to send and incoming links that it accepts. Thread-safe. */
 public final class PeerLinks implements PeerSender, AutoCloseable {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int DEFAULT_MAX_STRANGERS = 512;
     private static final WriteBufferWaterMark WRITE_BUFFER_LIMITS = new WriteBufferWaterMark(1 << 20, 4 << 20);
 
     private final PeerIdentity self;
     private final PeerKey key;
     private final PeerListener listener;
+    private final Strangers strangers;
     private final PeerTraffic traffic = new PeerTraffic();
     private final Bootstrap bootstrap;
     private final ChannelGroup acceptedChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final Channel serverChannel;
     private final Map<Endpoint, Link> links = new ConcurrentHashMap<>();
 
-    private PeerLinks(PeerIdentity self, PeerKey key, PeerListener listener, EventLoopGroup group, Endpoint endpoint) {
+    private PeerLinks(
+            PeerIdentity self,
+            PeerKey key,
+            PeerListener listener,
+            EventLoopGroup group,
+            Endpoint endpoint,
+            int maxStrangers) {
+        this.strangers = new Strangers(maxStrangers);
         this.self = self;
         this.key = key;
         this.listener = listener;
@@ -56,17 +65,39 @@
      */
     public static PeerLinks start(
             PeerIdentity self, PeerKey key, PeerListener listener, EventLoopGroup group, Endpoint endpoint) {
+        return start(self, key, listener, group, endpoint, DEFAULT_MAX_STRANGERS);
+    }
+
+    /**
+     * Starts listening for peers.
+     *
+     * @param maxStrangers the maximum number of connections of hosts that have not proved their identity yet
+     * @throws RuntimeException if the endpoint cannot be bound
+     */
+    public static PeerLinks start(
+            PeerIdentity self,
+            PeerKey key,
+            PeerListener listener,
+            EventLoopGroup group,
+            Endpoint endpoint,
+            int maxStrangers) {
         return new PeerLinks(
-                checkNotNull(self), checkNotNull(key), checkNotNull(listener), group, checkNotNull(endpoint));
+                checkNotNull(self),
+                checkNotNull(key),
+                checkNotNull(listener),
+                group,
+                checkNotNull(endpoint),
+                maxStrangers);
     }
 
     private Channel listen(EventLoopGroup group, Endpoint endpoint) {
         ChannelInitializer<SocketChannel> initializer = new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel connection) {
+                strangers.add(connection);
                 acceptedChannels.add(connection);
                 PeerPipelines.install(connection.pipeline(), traffic);
-                connection.pipeline().addLast(new AcceptHandler(self, key, listener));
+                connection.pipeline().addLast(new AcceptHandler(self, key, listener, strangers::remove));
             }
         };
         return new ServerBootstrap()
