Keep room for the more urgent only where they need it, and mend the forecast after idle times

The rate of room now falls only while work waits, and the first place for a returning caller is no earlier than the next one that comes free. Reviews and forgetting also work with a clock whose readings are negative.

It now covers the arrivals until the next place comes free by itself, and is decided before a placement is weighed. Queued work is reviewed for what newcomers displace at most each 10 ms.

Long prompts leave engines to more urgent work if too few of the others are ready.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AdmissionPolicy.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AdmissionPolicy.java
@@ -145,7 +145,8 @@
         }
         places = Math.max(1, places);
         RoomRate rate = rooms.of(work.service()).rate();
-        return new Capacity(places, rate.perMilli(places, used >= places, expectedHold(work), now));
+        boolean scarce = used >= places && waiting.count(work.service()) > 0;
+        return new Capacity(places, rate.perMilli(places, scarce, expectedHold(work), now));
     }
 
     private WaitForecast forecast(Work work, Capacity capacity, long now) {
@@ -229,7 +230,7 @@
         }
         ServiceRoom room = rooms.of(work.service());
         Capacity capacity = capacity(work, usable, now);
-        double backlogMillis = waiting.count(work.service()) / capacity.freePerMilli();
+        double backlogMillis = (waiting.count(work.service()) + 1) / capacity.freePerMilli();
         for (TargetLoad load : usable) {
             backlogMillis += load.prefillBacklogMillis() / usable.size();
         }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -37,6 +38,9 @@
     /** Fraction of the published time of a prefill that it takes at least. */
     private static final double READING_MARGIN_FACTOR = 0.8;
 
+    /** Minimum interval between reviews of the queue for work that newcomers displace; a review reads all of it. */
+    private static final Duration REVIEW_INTERVAL = Duration.ofMillis(10);
+
     private final TargetPool pool = new TargetPool();
     private final ActiveAttempts activeAttempts = new ActiveAttempts();
     private final ServiceRooms rooms = new ServiceRooms();
@@ -47,6 +51,7 @@
     private final UrgentRoom urgentRoom = new UrgentRoom(rooms);
     private final List<AssignEffect> expectedPauses = new ArrayList<>();
     private ImmutableMap<ServiceName, EngineProfile> profiles = ImmutableMap.of();
+    private Optional<Long> reviewedAt = Optional.empty();
 
     @Override
     public ImmutableList<AssignEffect> apply(AssignEvent event, long now) {
@@ -127,10 +132,15 @@
             return ImmutableList.of(decided.get());
         }
         waiting.add(newcomer, now);
-        return ImmutableList.<AssignEffect>builder()
-                .add(new AssignEffect.Queued(work.id()))
-                .addAll(removeHopeless(work.service(), RefusalReason.DISPLACED, now))
-                .build();
+        ImmutableList.Builder<AssignEffect> effects = ImmutableList.builder();
+        effects.add(new AssignEffect.Queued(work.id()));
+        boolean reviews =
+                reviewedAt.map(last -> now - last >= REVIEW_INTERVAL.toNanos()).orElse(true);
+        if (reviews) {
+            reviewedAt = Optional.of(now);
+            effects.addAll(removeHopeless(work.service(), RefusalReason.DISPLACED, now));
+        }
+        return effects.build();
     }
 
     private List<AssignEffect.Refused> removeHopeless(ServiceName service, RefusalReason reason, long now) {
@@ -181,16 +191,16 @@
             return Optional.of(admission.refuseTooLarge(work, now));
         }
         Placement placement = new Placement(work, size, profile, candidates, now);
-        Optional<Placement.Choice> choice = placement.choose();
         boolean waitsForSeveral = placement.isLong() && placement.canWait();
-        boolean lacksRoom = choice.isEmpty()
-                || ((waitsForSeveral || !placement.isLong())
-                        && urgentRoom.isNeeded(work, Optional.of(profile), candidates, now));
-        if (lacksRoom && (isNew || !waitsForSeveral)) {
-            return admission.queueOrRefuse(queued, candidates, isNew, now);
+        boolean leavesSlot = !placement.isLong() && urgentRoom.isNeeded(work, Optional.of(profile), candidates, now);
+        Optional<Placement.Choice> choice = leavesSlot ? Optional.empty() : placement.choose();
+        if (choice.isPresent() && placement.isLong()) {
+            choice = leaveEngines(choice.get(), work, size, profile, candidates, now);
         }
-        if (lacksRoom) {
-            return Optional.empty();
+        if (choice.isEmpty()) {
+            return waitsForSeveral && !isNew
+                    ? Optional.empty()
+                    : admission.queueOrRefuse(queued, candidates, isNew, now);
         }
         if (choice.get().tooLate()) {
             return Optional.of(admission.refuseTooLate(work, now));
@@ -199,6 +209,21 @@
         return Optional.of(assign(work, assignment, now));
     }
 
+    /** Returns another choice if the given one takes engines that more urgent work needs; empty if there is none yet. */
+    private Optional<Placement.Choice> leaveEngines(
+            Placement.Choice choice,
+            Work work,
+            PromptSize size,
+            EngineProfile profile,
+            List<TargetLoad> candidates,
+            long now) {
+        Set<TargetLoad> left = urgentRoom.engines(work, profile, candidates, choice.assignment(), now);
+        List<TargetLoad> others =
+                candidates.stream().filter(load -> !left.contains(load)).toList();
+        boolean fits = size.totalTokens() <= Placement.plannedCapacityTokens(profile) * others.size();
+        return left.isEmpty() || !fits ? Optional.of(choice) : new Placement(work, size, profile, others, now).choose();
+    }
+
     private Optional<AssignEffect> decideLeastLoaded(
             QueuedWork queued, List<TargetLoad> candidates, boolean isNew, long now) {
         Work work = queued.workAt(now);
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Placement.java
@@ -160,7 +160,8 @@
         return isReady(load) && !load.hasUnfinishedHelperPart();
     }
 
-    private static boolean isReady(TargetLoad load) {
+    /** Returns whether the target has little enough prefill to be ready for more. */
+    static boolean isReady(TargetLoad load) {
         return load.prefillBacklogMillis() <= MAX_READY_BACKLOG_MILLIS;
     }
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/ServiceRoom.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/ServiceRoom.java
@@ -105,13 +105,22 @@
         if (turns.isDue(rank)) {
             return 0;
         }
-        double expected = 0;
+        double millisPerPlace = rate.holdMillis(Duration.ZERO) / Math.max(1, total);
+        double arrivals = demand.moreUrgentPerSecond(rank, now) / MILLIS_PER_SECOND * millisPerPlace;
         int used = 0;
         for (int other = 0; other < rank.value(); other++) {
-            expected += demand.perSecond(UrgencyRank.of(other), now) * holdMillis[other] / MILLIS_PER_SECOND;
             used += inUse[other];
         }
-        return UrgentReserve.places(expected, used, total);
+        return UrgentReserve.places(moreUrgentPlaces(rank, now), used, arrivals, total);
+    }
+
+    /** Returns the places that work more urgent than the rank needs at the demand of the last second. */
+    double moreUrgentPlaces(UrgencyRank rank, long now) {
+        double places = 0;
+        for (int other = 0; other < rank.value(); other++) {
+            places += demand.perSecond(UrgencyRank.of(other), now) * holdMillis[other] / MILLIS_PER_SECOND;
+        }
+        return places;
     }
 
     /**
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/ServiceRooms.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/ServiceRooms.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -17,7 +18,7 @@
     private static final long FORGET_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final Map<ServiceName, ServiceRoom> rooms = new HashMap<>();
-    private long forgottenAt;
+    private Optional<Long> forgottenAt = Optional.empty();
 
     /** Returns the room of a service; one that nothing is known of if the service is new. */
     ServiceRoom of(ServiceName service) {
@@ -31,10 +32,10 @@
 
     /** Forgets what has not mattered for some time. */
     void advance(long now) {
-        if (now - forgottenAt < FORGET_INTERVAL_NANOS) {
+        if (forgottenAt.map(last -> now - last < FORGET_INTERVAL_NANOS).orElse(false)) {
             return;
         }
-        forgottenAt = now;
+        forgottenAt = Optional.of(now);
         rooms.values().forEach(room -> room.forgetIdle(now));
     }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/urgency/UrgentReserve.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/urgency/UrgentReserve.java
@@ -5,8 +5,9 @@
 /**
  * The room of a service that is kept for work which is more urgent than some other work, and arrives now.
  *
- * <p>A place is room for one piece of the more urgent work. What is kept follows the demand of the last second in both
- * directions, so that room is kept only for work that is about to arrive.
+ * <p>A place is room for one piece of the more urgent work. As that goes first, it needs a free place only until the next
+ * one comes free by itself. What is kept therefore covers the arrivals of that time, and follows the demand of the last
+ * second in both directions.
  */
 public final class UrgentReserve {
     /** Maximum fraction of a service's places that is kept free. */
@@ -19,11 +20,18 @@
      *
      * @param expected the number of places that the more urgent work needs at its present demand
      * @param inUse the number of places that it has
+     * @param arrivals the number of its arrivals until the next place comes free, while all are in use
      * @param total the number of places of the service
      */
-    public static int places(double expected, int inUse, int total) {
-        checkArgument(expected >= 0 && inUse >= 0 && total >= 0, "negative number: %s, %s, %s", expected, inUse, total);
-        long missing = Math.round(expected) - inUse;
+    public static int places(double expected, int inUse, double arrivals, int total) {
+        checkArgument(
+                expected >= 0 && inUse >= 0 && arrivals >= 0 && total >= 0,
+                "negative number: %s, %s, %s, %s",
+                expected,
+                inUse,
+                arrivals,
+                total);
+        double missing = Math.min(Math.round(expected) - inUse, Math.ceil(arrivals));
         return (int) Math.max(0, Math.min(missing, Math.floor(total * MAX_FRACTION)));
     }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/waiting/RoomRate.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/waiting/RoomRate.java
@@ -54,14 +54,14 @@
      * Returns the places that come free per millisecond.
      *
      * @param places the places of the service
-     * @param allInUse whether work waits because all places are in use, so that places should come free
+     * @param scarce whether work waits because all places are in use, so that places should come free
      * @param expected the time for which a place is held if nothing has ended yet
      */
-    public double perMilli(int places, boolean allInUse, Duration expected, long now) {
+    public double perMilli(int places, boolean scarce, Duration expected, long now) {
         checkArgument(places > 0, "places must be positive: %s", places);
         double learned = places / holdMillis(expected);
         double quietMillis = (now - quietSince) / NANOS_PER_MILLI;
-        boolean slower = allInUse && quietMillis * learned > MAX_QUIET_GAPS;
+        boolean slower = scarce && quietMillis * learned > MAX_QUIET_GAPS;
         return slower ? MAX_QUIET_GAPS / quietMillis : learned;
     }
 }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/LoadReplayTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/LoadReplayTest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import net.jqwik.api.Example;
+import org.boragebarrow.model.UrgencyRank;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -88,4 +89,25 @@
         assertThat(load.tally("huge").refused).isEqualTo(0);
         assertThat(load.tally("huge").abandoned).isEqualTo(0);
     }
+
+    /** Load pattern: the longest prompts at 2.5 times their mean beside short ones, with engines for two thirds of it. */
+    @Example
+    void theUrgentAreServedNoWorseThanOthersWhileTheLongestJump() {
+        for (long seed = 1; seed <= 3; seed++) {
+            SimulatedLoad load = new SimulatedLoad(seed, 10);
+            load.setRanks(Map.of("short", UrgencyRank.of(0), "digest", UrgencyRank.of(1), "ledger", UrgencyRank.of(2)));
+            load.run(ALL, List.of(phase(2, 1, 1, 2.5), phase(12, 0, 0, 0)), 30);
+
+            SimulatedLoad.Tally shorts = load.tally("short");
+            for (String other : List.of("digest", "ledger")) {
+                assertThat(shorts.valueFraction()).isAtLeast(load.tally(other).valueFraction() - 0.15);
+                assertThat(unservedFraction(shorts)).isAtMost(unservedFraction(load.tally(other)) + 0.05);
+                assertThat(load.tally(other).valueFraction()).isAtLeast(0.2);
+            }
+        }
+    }
+
+    private static double unservedFraction(SimulatedLoad.Tally tally) {
+        return (double) (tally.refused + tally.abandoned) / tally.submitted;
+    }
 }
