Show the attempts that wait for a target as a gauge

The queue of the region's assigner was visible only in the refusals that came of it; boragebarrow_attempts_queued shows it on the host that assigns targets.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/AssignDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/AssignDuty.java
@@ -39,6 +39,7 @@
     private final Consumer<ImmutableList<AssignEffect>> sink;
     private final Consumer<ImmutableMap<TargetId, Double>> slowTargets;
     private final DutyRing<AssignEvent> ring;
+    private volatile int queuedCount;
     private ImmutableMap<TargetId, Double> reportedSlow = ImmutableMap.of();
     private long slowReportedAt;
 
@@ -63,6 +64,11 @@
         this.ring = DutyRing.start("assign", RING_CAPACITY, this::apply, failures);
     }
 
+    /** Returns the number of attempts that wait for a target. Thread-safe. */
+    public int queuedCount() {
+        return queuedCount;
+    }
+
     /** Queues an event; returns false if the ring is full. */
     public boolean offer(AssignEvent event) {
         return ring.offer(event);
@@ -76,6 +82,7 @@
     private void apply(AssignEvent event) {
         long now = ticker.read();
         ImmutableList<AssignEffect> effects = assigner.apply(event, now);
+        queuedCount = assigner.queuedCount();
         if (!effects.isEmpty()) {
             loop.execute(() -> sink.accept(effects));
         }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -430,6 +430,11 @@
         duty.offerWithRetry(new AssignEvent.ProfilesChanged(profiles));
     }
 
+    /** Returns the attempts that wait for a target at this host's assigner. */
+    public int queuedCount() {
+        return duty.queuedCount();
+    }
+
     /** Returns the targets that this host's assigner takes for slow. */
     public int slowTargetCount() {
         return slowTargets.size();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -220,6 +220,7 @@
                 new RowRouter(QuarantineDuty.ROW_PREFIX, quarantineDuty, assignments.directory()));
         metrics.gauge("boragebarrow.requests.open", relay::inProgress);
         metrics.gauge("boragebarrow.targets.slow", assignments::slowTargetCount);
+        metrics.gauge("boragebarrow.attempts.queued", assignments::queuedCount);
         metrics.gauge("boragebarrow.log.dropped", log::dropped);
         metrics.gauge("boragebarrow.quarantine.parts", () -> quarantinedParts);
         metrics.gauge("boragebarrow.zones.emptied", () -> emptiedZones);
