Empty zones by a change where a deployment has no operators' table

Cause: operators outside the users' platform had no way to empty a zone but to stop each of its targets. Change: entries of the kind zone in the change log, at /admin/v1/zones and by boragebarrowctl zone empty, take-back and list, with the wait for a change to be in effect; a target of an emptied zone is as a stopped one, also if it appears later. Measured: DispatcherTest, DispatcherFuzzTest, JsonChangeCodecTest, ChangeFuzzTest and BoragebarrowctlTest pass.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeEntry.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeEntry.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.boragebarrow.model.Allowance;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.Plan;
 import org.boragebarrow.model.PlanId;
@@ -115,4 +116,25 @@
             return value.isEmpty();
         }
     }
+
+    /**
+     * A zone that operators empty, or take back.
+     *
+     * @param emptied whether its targets get no new requests; false deletes the entry
+     */
+    record ZoneEntry(AvailabilityZoneId zone, boolean emptied) implements ChangeEntry {
+        public ZoneEntry {
+            checkNotNull(zone);
+        }
+
+        @Override
+        public EntryKey key() {
+            return new EntryKey(EntryKey.Kind.ZONE, zone.value());
+        }
+
+        @Override
+        public boolean isDeletion() {
+            return !emptied;
+        }
+    }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeState.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/ChangeState.java
@@ -3,7 +3,10 @@
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.collect.Sets;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Configuration;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.PlanId;
@@ -60,6 +63,10 @@
                 yield new ChangeEntry.SwitchEntry(
                         target, Optional.ofNullable(current.switches().get(target)));
             }
+            case ZONE -> {
+                AvailabilityZoneId zone = AvailabilityZoneId.of(id);
+                yield new ChangeEntry.ZoneEntry(zone, current.emptiedZones().contains(zone));
+            }
         };
     }
 
@@ -84,22 +91,38 @@
                                 entry.organisation(),
                                 entry.value().orElse(null)),
                         current.allowances(),
-                        current.switches());
+                        current.switches(),
+                        current.emptiedZones());
             case ChangeEntry.AllowanceEntry entry ->
                 new Configuration(
                         change.number(),
                         current.plans(),
                         with(current.allowances(), entry.plan(), entry.value().orElse(null)),
-                        current.switches());
+                        current.switches(),
+                        current.emptiedZones());
             case ChangeEntry.SwitchEntry entry ->
                 new Configuration(
                         change.number(),
                         current.plans(),
                         current.allowances(),
-                        with(current.switches(), entry.target(), entry.value().orElse(null)));
+                        with(current.switches(), entry.target(), entry.value().orElse(null)),
+                        current.emptiedZones());
+            case ChangeEntry.ZoneEntry entry ->
+                new Configuration(
+                        change.number(),
+                        current.plans(),
+                        current.allowances(),
+                        current.switches(),
+                        withZone(current.emptiedZones(), entry));
         };
     }
 
+    private static ImmutableSet<AvailabilityZoneId> withZone(
+            ImmutableSet<AvailabilityZoneId> zones, ChangeEntry.ZoneEntry entry) {
+        ImmutableSet<AvailabilityZoneId> zone = ImmutableSet.of(entry.zone());
+        return (entry.emptied() ? Sets.union(zones, zone) : Sets.difference(zones, zone)).immutableCopy();
+    }
+
     private ImmutableSortedMap<EntryKey, Long> version(Change change) {
         EntryKey key = change.entry().key();
         Long number = change.entry().isDeletion() ? null : change.number();
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/EntryKey.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/EntryKey.java
@@ -19,7 +19,9 @@
         /** The allowance of a plan. */
         ALLOWANCE,
         /** The start or stop switch of a target. */
-        SWITCH
+        SWITCH,
+        /** A zone that operators have emptied. */
+        ZONE
     }
 
     @Override
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/JsonChangeCodec.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/JsonChangeCodec.java
@@ -11,6 +11,7 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedMap;
 import org.boragebarrow.model.Allowance;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Configuration;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.Plan;
@@ -84,6 +85,7 @@
         ImmutableMap.Builder<OrganisationId, Plan> plans = ImmutableMap.builder();
         ImmutableMap.Builder<PlanId, Allowance> allowances = ImmutableMap.builder();
         ImmutableMap.Builder<TargetId, TargetSwitch> switches = ImmutableMap.builder();
+        ImmutableSet.Builder<AvailabilityZoneId> emptiedZones = ImmutableSet.builder();
         ImmutableSortedMap.Builder<EntryKey, Long> versions = ImmutableSortedMap.naturalOrder();
         for (JsonNode each : JsonFields.array(node, "entries")) {
             JsonFields.checkFields(each, ENTRY_FIELDS);
@@ -95,11 +97,12 @@
                 case ChangeEntry.PlanEntry plan -> put(plans, plan.organisation(), plan.value());
                 case ChangeEntry.AllowanceEntry allowance -> put(allowances, allowance.plan(), allowance.value());
                 case ChangeEntry.SwitchEntry targetSwitch -> put(switches, targetSwitch.target(), targetSwitch.value());
+                case ChangeEntry.ZoneEntry zone -> emptiedZones.add(zone.zone());
             }
             versions.put(entry.key(), version);
         }
-        Configuration configuration =
-                new Configuration(number, plans.buildOrThrow(), allowances.buildOrThrow(), switches.buildOrThrow());
+        Configuration configuration = new Configuration(
+                number, plans.buildOrThrow(), allowances.buildOrThrow(), switches.buildOrThrow(), emptiedZones.build());
         return new ChangeState(configuration, versions.buildOrThrow());
     }
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/JsonEntries.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/change/JsonEntries.java
@@ -13,6 +13,7 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hashing;
 import org.boragebarrow.model.Allowance;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.ModelId;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.Plan;
@@ -30,6 +31,7 @@
     private static final int HASH_DIGITS = Hashing.sha256().bits() / 4;
     private static final ImmutableSet<String> PLAN_FIELDS = ImmutableSet.of("plan", "keyHashes");
     private static final ImmutableSet<String> SWITCH_FIELDS = ImmutableSet.of("started");
+    private static final ImmutableSet<String> ZONE_FIELDS = ImmutableSet.of("emptied");
     private static final ImmutableSet<String> ALLOWANCE_FIELDS = ImmutableSet.of(
             "tokensPerMinute",
             "maxConcurrent",
@@ -69,6 +71,8 @@
                 allowance.value().map(JsonEntries::allowance).orElse(NullNode.instance);
             case ChangeEntry.SwitchEntry targetSwitch ->
                 targetSwitch.value().map(JsonEntries::targetSwitch).orElse(NullNode.instance);
+            case ChangeEntry.ZoneEntry zone ->
+                zone.emptied() ? NODES.objectNode().put("emptied", true) : NullNode.instance;
         };
     }
 
@@ -79,6 +83,7 @@
             case PLAN -> readPlan(OrganisationId.of(key.id()), value);
             case ALLOWANCE -> readAllowance(PlanId.of(key.id()), value);
             case SWITCH -> readSwitch(TargetId.of(key.id()), value);
+            case ZONE -> readZone(AvailabilityZoneId.of(key.id()), value);
         };
     }
 
@@ -146,6 +151,15 @@
         return ChangeEntry.SwitchEntry.set(new TargetSwitch(target, JsonFields.bool(value, "started")));
     }
 
+    private static ChangeEntry readZone(AvailabilityZoneId zone, JsonNode value) {
+        if (value.isNull()) {
+            return new ChangeEntry.ZoneEntry(zone, false);
+        }
+        JsonFields.checkFields(value, ZONE_FIELDS);
+        checkArgument(JsonFields.bool(value, "emptied"), "emptied: not true; delete the entry to take the zone back");
+        return new ChangeEntry.ZoneEntry(zone, true);
+    }
+
     private static boolean isHash(String text) {
         return text.length() == HASH_DIGITS && text.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'a' && c <= 'f');
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/TargetTable.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/TargetTable.java
@@ -62,14 +62,14 @@
             views.put(target.id(), view);
         }
         view.setTarget(target);
-        view.setStarted(configuration.isStarted(target.id()));
+        view.configure(configuration);
         target.service().ifPresent(s -> serviceByTarget.put(target.id(), s));
         return added;
     }
 
     void configure(Configuration configuration) {
         for (TargetView v : views.values()) {
-            v.setStarted(configuration.isStarted(v.id));
+            v.configure(configuration);
         }
     }
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/TargetView.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/dispatch/TargetView.java
@@ -1,6 +1,8 @@
 package org.boragebarrow.decision.dispatch;
 
 import org.boragebarrow.decision.retry.CircuitBreaker;
+import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.model.Configuration;
 import org.boragebarrow.model.Target;
 import org.boragebarrow.model.TargetId;
 
@@ -10,6 +12,7 @@
 abstract sealed class TargetView permits EngineView, ServiceView {
     final TargetId id;
     final CircuitBreaker breaker = new CircuitBreaker();
+    private AvailabilityZoneId zone;
     private boolean leaving;
     private boolean started = true;
     private boolean reachable = true;
@@ -19,11 +22,13 @@
     }
 
     void setTarget(Target target) {
+        zone = target.zone();
         leaving = target.leaving();
     }
 
-    void setStarted(boolean started) {
-        this.started = started;
+    /** Applies the target's switch and its zone; called after {@link #setTarget}. */
+    void configure(Configuration configuration) {
+        started = configuration.accepts(id, zone);
     }
 
     void setReachable(boolean reachable) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/model/Configuration.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/model/Configuration.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -13,12 +14,14 @@
  * <p>Immutable. Number 0 is the empty configuration before the first change.
  *
  * @param number the number of the last change that is included
+ * @param emptiedZones the zones whose targets get no new requests
  */
 public record Configuration(
         long number,
         ImmutableMap<OrganisationId, Plan> plans,
         ImmutableMap<PlanId, Allowance> allowances,
-        ImmutableMap<TargetId, TargetSwitch> switches) {
+        ImmutableMap<TargetId, TargetSwitch> switches,
+        ImmutableSet<AvailabilityZoneId> emptiedZones) {
     private static final Configuration EMPTY =
             new Configuration(0, ImmutableMap.of(), ImmutableMap.of(), ImmutableMap.of());
 
@@ -27,6 +30,16 @@
         checkNotNull(plans);
         checkNotNull(allowances);
         checkNotNull(switches);
+        checkNotNull(emptiedZones);
+    }
+
+    /** Creates a configuration without emptied zones. */
+    public Configuration(
+            long number,
+            ImmutableMap<OrganisationId, Plan> plans,
+            ImmutableMap<PlanId, Allowance> allowances,
+            ImmutableMap<TargetId, TargetSwitch> switches) {
+        this(number, plans, allowances, switches, ImmutableSet.of());
     }
 
     /** Returns the empty configuration, which is in effect before the first change. */
@@ -40,7 +53,12 @@
         return plan == null ? Optional.empty() : Optional.ofNullable(allowances.get(plan.planId()));
     }
 
-    /** Returns whether the target is enabled for new requests. A target without a switch is enabled. */
+    /** Returns whether the target of the zone is enabled for new requests: it is started, and its zone is not emptied. */
+    public boolean accepts(TargetId target, AvailabilityZoneId zone) {
+        return isStarted(target) && !emptiedZones.contains(zone);
+    }
+
+    /** Returns whether the target is started. A target without a switch is. */
     public boolean isStarted(TargetId target) {
         TargetSwitch targetSwitch = switches.get(checkNotNull(target));
         return targetSwitch == null || targetSwitch.started();
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/change/JsonChangeCodecTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/change/JsonChangeCodecTest.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import net.jqwik.api.Example;
+import org.boragebarrow.model.AvailabilityZoneId;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -10,7 +11,10 @@
             Changes.plan("kalibrasi", "gold"),
             Changes.deletedPlan("kalibrasi"),
             Changes.allowance("gold", 3),
-            Changes.targetSwitch("engine-1", false));
+            Changes.targetSwitch("engine-1", false),
+            new ChangeEntry.ZoneEntry(AvailabilityZoneId.of("zone-1"), true),
+            new ChangeEntry.ZoneEntry(AvailabilityZoneId.of("zone-1"), false),
+            new ChangeEntry.ZoneEntry(AvailabilityZoneId.of("zone-2"), true));
 
     private final ChangeCodec codec = new JsonChangeCodec();
 
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/dispatch/DispatcherFixture.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/dispatch/DispatcherFixture.java
@@ -39,6 +39,7 @@
 
     final Dispatcher dispatcher;
     private final List<Target> listed = new ArrayList<>();
+    private ImmutableSet<AvailabilityZoneId> emptied = ImmutableSet.of();
     private final List<TargetId> stopped = new ArrayList<>();
     private ImmutableList<Allowance> allowances = ImmutableList.of(allowance("org", 100_000_000, 10_000, 1));
     private long now = 1_000_000_000L;
@@ -94,7 +95,13 @@
         ImmutableMap.Builder<TargetId, TargetSwitch> switches = ImmutableMap.builder();
         stopped.forEach(t -> switches.put(t, new TargetSwitch(t, false)));
         return apply(new DispatchEvent.Configured(
-                new Configuration(++configurationNumber, plans, byPlan, switches.buildOrThrow())));
+                new Configuration(++configurationNumber, plans, byPlan, switches.buildOrThrow(), emptied)));
+    }
+
+    /** Empties the zone of all targets, or takes it back. */
+    ImmutableList<DispatchEffect> setEmptied(boolean isEmptied) {
+        emptied = isEmptied ? ImmutableSet.of(ZONE) : ImmutableSet.of();
+        return configure();
     }
 
     ImmutableList<DispatchEffect> stop(String target) {
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/dispatch/DispatcherTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/dispatch/DispatcherTest.java
@@ -148,6 +148,15 @@
         assertThat(s.start("e00")).hasSize(1);
     }
 
+    @Example
+    void anEmptiedZoneGetsNoNewWorkUntilItIsTakenBackAlsoThroughTargetsThatAppearMeanwhile() {
+        DispatcherFixture s = new DispatcherFixture().withEngines(1, CAPACITY, 8);
+        s.setEmptied(true);
+        s.withEngines(2, CAPACITY, 8);
+        assertThat(s.submit(s.prompt(1_000))).isEmpty();
+        assertThat(s.setEmptied(false)).hasSize(1);
+    }
+
     @Example
     void aLeavingTargetGetsNoNewWork() {
         DispatcherFixture s = new DispatcherFixture().withEngines(2, CAPACITY, 8);
--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/Boragebarrowctl.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/Boragebarrowctl.java
@@ -46,6 +46,12 @@
                 .withCommand(TargetCommands.Start.class)
                 .withCommand(TargetCommands.Stop.class)
                 .withCommand(TargetCommands.List.class);
+        builder.withGroup("zone")
+                .withDescription("Empties zones and takes them back")
+                .withDefaultCommand(HelpCommand.class)
+                .withCommand(ZoneCommands.Empty.class)
+                .withCommand(ZoneCommands.TakeBack.class)
+                .withCommand(ZoneCommands.List.class);
         builder.withGroup("quarantine")
                 .withDescription("Edits the parts of prompts that are refused because they crash targets")
                 .withDefaultCommand(HelpCommand.class)
--- a/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/admin/Edit.java
+++ b/boragebarrow-ctl/src/main/java/org/boragebarrow/ctl/admin/Edit.java
@@ -31,6 +31,7 @@
             case PLAN -> "plans";
             case ALLOWANCE -> "allowances";
             case SWITCH -> "targets";
+            case ZONE -> "zones";
         };
         String collectionPath = "/admin/v1/" + collection;
         return id.isEmpty()
--- a/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/BoragebarrowctlTest.java
+++ b/boragebarrow-ctl/src/test/java/org/boragebarrow/ctl/BoragebarrowctlTest.java
@@ -89,6 +89,16 @@
         assertThat(runner.out()).contains("engine-a1 version 1: {\"started\":false}");
     }
 
+    @Example
+    void aZoneIsEmptiedListedAndTakenBack() {
+        assertThat(run("zone", "empty", "zone-1")).isEqualTo(ExitCode.OK);
+        run("zone", "list");
+        assertThat(runner.out()).contains("zone-1 version 1: {\"emptied\":true}");
+        assertThat(run("zone", "take-back", "zone-1")).isEqualTo(ExitCode.OK);
+        assertThat(run("zone", "list", "--json")).isEqualTo(ExitCode.OK);
+        assertThat(runner.out()).contains("\"id\":\"zone-1\",\"version\":2,\"value\":null");
+    }
+
     @Example
     void aPartIsQuarantinedListedAndLifted() {
         assertThat(run("quarantine", "put", "--operator", "ana", "--reason", "crashes engines", "model", "7f94"))
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/admin/AdminApi.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/admin/AdminApi.java
@@ -19,6 +19,7 @@
 import org.boragebarrow.http.server.ServerHandler;
 import org.boragebarrow.http.server.ServerRequest;
 import org.boragebarrow.http.server.ServerResponse;
+import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.ErrorKind;
 import org.boragebarrow.model.Ids;
 import org.boragebarrow.model.OrganisationId;
@@ -137,6 +138,7 @@
             case "plans" -> EntryKey.Kind.PLAN;
             case "allowances" -> EntryKey.Kind.ALLOWANCE;
             case "targets" -> EntryKey.Kind.SWITCH;
+            case "zones" -> EntryKey.Kind.ZONE;
             default -> throw notFound(request);
         };
         if (path.size() == 3) {
@@ -162,6 +164,7 @@
             case PLAN -> ChangeEntry.PlanEntry.deleted(OrganisationId.of(key.id()));
             case ALLOWANCE -> ChangeEntry.AllowanceEntry.deleted(PlanId.of(key.id()));
             case SWITCH -> ChangeEntry.SwitchEntry.deleted(TargetId.of(key.id()));
+            case ZONE -> new ChangeEntry.ZoneEntry(AvailabilityZoneId.of(key.id()), false);
         };
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/LocalChooser.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/dispatch/LocalChooser.java
@@ -65,7 +65,7 @@
                 && !target.leaving()
                 && directory.isUsable(target.id())
                 && !request.excluded().contains(target.id())
-                && configuration.get().isStarted(target.id());
+                && configuration.get().accepts(target.id(), target.zone());
     }
 
     private int load(Target target) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/plan/EngineListing.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/plan/EngineListing.java
@@ -32,6 +32,6 @@
     private static boolean acceptsRequests(PlanDuty.Collaborators context, Target engine) {
         return !engine.leaving()
                 && context.directory().isUsable(engine.id())
-                && context.configuration().get().isStarted(engine.id());
+                && context.configuration().get().accepts(engine.id(), engine.zone());
     }
 }
