--- a/boragebarrow-trials/src/test/java/org/boragebarrow/trials/DrainTest.java
+++ b/boragebarrow-trials/src/test/java/org/boragebarrow/trials/DrainTest.java
@@ -77,13 +77,35 @@
         TargetId desk = TargetId.of("desk-a");
         long stopped = sendCommand(host, desk, "stop");
         AdminCalls.awaitApplied(deployment, stopped);
+        assertNotRun(host);
+        AdminCalls.awaitApplied(deployment, sendCommand(host, desk, "start"));
+        assertAnswered(host);
+    }
+
+    @Example
+    void anEmptiedZoneReceivesNoRequestsUntilItIsTakenBack() {
+        Host host = host("host-a1");
+        AdminCalls.awaitApplied(deployment, editZone(host, "PUT", "{\"emptied\":true}"));
+        assertNotRun(host);
+        AdminCalls.awaitApplied(deployment, editZone(host, "DELETE", ""));
+        assertAnswered(host);
+    }
+
+    private static long editZone(Host host, String method, String body) {
+        HttpResponse<String> response = Caller.sendAdminRequest(host, method, "/admin/v1/zones/a", body);
+        return response.headers().firstValueAsLong("change-number").orElseThrow();
+    }
+
+    private void assertNotRun(Host host) {
         HttpResponse<String> refused = Caller.send(caller.request(host, "/services/desk/stock?item=x")
                 .header("Request-Timeout-Ms", "1000")
                 .GET()
                 .build());
         assertWithMessage(refused.body()).that(refused.statusCode()).isAtLeast(500);
         assertThat(refused.body()).contains("\"ran\":\"no\"");
-        AdminCalls.awaitApplied(deployment, sendCommand(host, desk, "start"));
+    }
+
+    private void assertAnswered(Host host) {
         HttpResponse<String> answered = Caller.send(
                 caller.request(host, "/services/desk/stock?item=x").GET().build());
         assertWithMessage(answered.body()).that(answered.statusCode()).isEqualTo(200);
