Send second copies of slow requests within a limit that the operator sets

Cause: a target that hangs one call in fifty, or has just become slow, kept its caller waiting until the stall timeout or the time limit, although other targets were free. Change: with [duplicates] share above 0, the assigner states with an assignment after which time its answer is later than nearly all of its class lately; the host then asks for a copy at another target, and delivers whichever answer comes first (node.relay.SecondCopy). The assigner grants copies within the share, in equal parts for organisations, and none while room is scarce, most targets are late, or targets crash (SecondCopies, DuplicateLimit); hosts take them from their retry quota while more than half of it is left. Off by default; requests and assignments are then unchanged.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AnswerTimes.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AnswerTimes.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import org.boragebarrow.decision.pace.UsualTimes;
 import org.boragebarrow.decision.pace.UsualTimes.RequestClass;
 import org.boragebarrow.decision.routing.EngineProfile;
 import org.boragebarrow.model.AttemptId;
+import org.boragebarrow.model.LengthClass;
 import org.boragebarrow.model.ServiceName;
 
 /**
@@ -31,7 +33,17 @@
     /** The smallest usual ratio: targets that are that much faster than predicted are not slow at twice of it. */
     private static final double MIN_USUAL_RATIO = 0.3;
 
+    /** Answers that take longer than this fraction of them are late. */
+    private static final double LATE_QUANTILE = 0.95;
+
+    /** An answer that is late by less than this factor is likely to come at once. */
+    private static final double LATE_MARGIN = 1.2;
+
+    /** An answer is not late before this multiple of the median: among answers of like times, none is slow. */
+    private static final double MIN_LATE_RATIO = 1.5;
+
     private final UsualTimes paces = new UsualTimes(HALF_LIFE);
+    private final UsualTimes delays = new UsualTimes(HALF_LIFE);
 
     /** Records the first event of the prompt's answer; must be called before the prefill is recorded as ended. */
     void onFirstEvent(TargetLoad owner, AttemptId id, Map<ServiceName, EngineProfile> profiles, long now) {
@@ -39,6 +51,12 @@
         if (profile == null) {
             return;
         }
+        owner.find(id)
+                .filter(part -> part.isAssignedHere() && !part.isDecoding())
+                .ifPresent(part -> {
+                    double expected = part.expectedMillis() + NETWORK_MILLIS;
+                    delays.record(sizeClassOf(part.work(), true), part.elapsedMillis(now) / expected, now);
+                });
         owner.find(id).filter(part -> part.showsPace() && !part.isDecoding()).ifPresent(part -> {
             RequestClass requests = classOf(part.work(), true);
             double ratio = predictionRatio(part, profile, now);
@@ -68,6 +86,7 @@
         double millis = Math.max(1, part.elapsedMillis(now));
         if (outcome == Outcome.SUCCEEDED) {
             paces.record(requests, millis, now);
+            delays.record(sizeClassOf(part.work(), false), millis, now);
         }
         OptionalDouble usual = paces.quantile(requests, MEDIAN, now);
         if (usual.isPresent() && outcome == Outcome.SUCCEEDED) {
@@ -77,6 +96,30 @@
         }
     }
 
+    /**
+     * Returns the time from the assignment after which the first event of a prompt, or the answer to a call, is later than
+     * nearly all of its class lately; empty if too little is known.
+     *
+     * @param predicted the predicted time to the first event of a prompt
+     */
+    Optional<Duration> lateAfter(Work work, boolean prompt, Duration predicted, long now) {
+        RequestClass requests = sizeClassOf(work, prompt);
+        OptionalDouble median = delays.quantile(requests, MEDIAN, now);
+        OptionalDouble late = delays.quantile(requests, LATE_QUANTILE, now);
+        if (median.isEmpty() || late.isEmpty()) {
+            return Optional.empty();
+        }
+        double time = Math.max(LATE_MARGIN * late.getAsDouble(), MIN_LATE_RATIO * median.getAsDouble());
+        double millis = prompt ? time * (predicted.toMillis() + NETWORK_MILLIS) : time;
+        return Optional.of(Duration.ofMillis((long) Math.ceil(millis)));
+    }
+
+    private static RequestClass sizeClassOf(Work work, boolean prompt) {
+        long tokens = prompt ? work.size().map(PromptSize::promptTokens).orElse(0L) : 0;
+        LengthClass size = LengthClass.of((int) Math.min(tokens, Integer.MAX_VALUE));
+        return new RequestClass(work.service(), size.ordinal(), work.objective().toMillis());
+    }
+
     private static RequestClass classOf(Work work, boolean prompt) {
         return new RequestClass(work.service(), 0, prompt ? 0 : work.objective().toMillis());
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignEvent.java
@@ -75,6 +75,9 @@
     /** All hosts, and those whose work is assigned here, which share the pace of cold targets, changed. */
     record HostsChanged(ImmutableSet<HostId> registered, ImmutableSet<HostId> served) implements PermissionsChanged {}
 
+    /** The copies of slow requests that may be sent for each request changed; {@code share} is between 0 and 1. */
+    record DuplicateShareChanged(double share) implements AssignEvent {}
+
     /** Time has passed while work is queued. */
     record Ticked() implements AssignEvent {}
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -47,6 +47,7 @@
     private final WaitingWork waiting = new WaitingWork(rooms);
     private final CrashAttribution attribution = new CrashAttribution();
     private final AnswerTimes answerTimes = new AnswerTimes();
+    private final SecondCopies copies = new SecondCopies(pool, waiting);
     private final AdmissionPolicy admission = new AdmissionPolicy(pool, waiting, rooms);
     private final UrgentRoom urgentRoom = new UrgentRoom(rooms);
     private final List<AssignEffect> expectedPauses = new ArrayList<>();
@@ -93,6 +94,10 @@
                 pool.apply(changed, now);
                 yield assignQueued(now);
             }
+            case AssignEvent.DuplicateShareChanged changed -> {
+                copies.setShare(changed.share());
+                yield ImmutableList.of();
+            }
             case AssignEvent.Ticked ignored -> onTick(now);
         };
     }
@@ -124,6 +129,10 @@
             // The host sent the work to another assigner in the meantime and now submits it here again.
             release(work.id(), now);
         }
+        if (work.terms().purpose() == WorkTerms.Purpose.DUPLICATE) {
+            return ImmutableList.of(decideCopy(work, now));
+        }
+        copies.onSubmitted(work, now);
         rooms.advance(now);
         boolean returning = rooms.of(work.service()).onArrived(work, now);
         QueuedWork newcomer = new QueuedWork(work, now, isLong(work), returning);
@@ -182,6 +191,39 @@
                 : decidePrompt(queued, profile.get(), candidates, isNew, now);
     }
 
+    /** Decides on a second copy, which is refused rather than queued. */
+    private AssignEffect decideCopy(Work work, long now) {
+        if (attribution.findQuarantined(work.service(), work.parts()).isPresent()) {
+            return new AssignEffect.Refused(work.id(), RefusalReason.QUARANTINED, Duration.ZERO);
+        }
+        if (attribution.isSuspected(work.service(), work.parts(), now)) {
+            return new AssignEffect.Refused(work.id(), RefusalReason.SUSPECTED, Duration.ZERO);
+        }
+        if (urgentRoom.isNeeded(work, profileOf(work), pool.candidates(work, now), now)) {
+            return new AssignEffect.Refused(work.id(), RefusalReason.COPIES_PAUSED, Duration.ZERO);
+        }
+        return switch (copies.decide(work, profileOf(work), now)) {
+            case SecondCopies.Decision.Refused refused ->
+                new AssignEffect.Refused(work.id(), refused.reason(), Duration.ZERO);
+            case SecondCopies.Decision.Placed placed -> assign(work, placed.assignment(), now);
+        };
+    }
+
+    /** Records the assignment and returns it with the time after which its answer is late, if a copy may be sent then. */
+    private AssignEffect assign(Work work, Assignment assignment, long now) {
+        pool.recordDealt(assignment, now);
+        rooms.of(work.service()).onServed(work, waiting.ranks(work.service()));
+        recordAssignment(work, assignment.target().id(), assignment.helperRefs(), Optional.of(now), now);
+        Optional<Duration> lateAfter = copies.isEnabled()
+                ? answerTimes.lateAfter(work, profileOf(work).isPresent(), assignment.predictedTimeToFirstEvent(), now)
+                : Optional.empty();
+        pool.find(assignment.target().id())
+                .flatMap(load -> load.find(work.id()))
+                .ifPresent(part -> part.expectAnswer(assignment.predictedTimeToFirstEvent(), lateAfter));
+        boolean duplicable = work.terms().duplicable() && work.terms().purpose() == WorkTerms.Purpose.FIRST;
+        return new AssignEffect.Assigned(work.id(), duplicable ? assignment.withLateAfter(lateAfter) : assignment);
+    }
+
     private Optional<AssignEffect> decidePrompt(
             QueuedWork queued, EngineProfile profile, List<TargetLoad> candidates, boolean isNew, long now) {
         Work work = queued.workAt(now);
@@ -205,8 +247,7 @@
         if (choice.get().tooLate()) {
             return Optional.of(admission.refuseTooLate(work, now));
         }
-        Assignment assignment = choice.get().assignment();
-        return Optional.of(assign(work, assignment, now));
+        return Optional.of(assign(work, choice.get().assignment(), now));
     }
 
     /** Returns another choice if the given one takes engines that more urgent work needs; empty if there is none yet. */
@@ -234,13 +275,6 @@
         return Optional.of(assign(work, Assignment.of(target.get().target(), work.objective()), now));
     }
 
-    private AssignEffect assign(Work work, Assignment assignment, long now) {
-        pool.recordDealt(assignment, now);
-        rooms.of(work.service()).onServed(work, waiting.ranks(work.service()));
-        recordAssignment(work, assignment.target().id(), assignment.helperRefs(), Optional.of(now), now);
-        return new AssignEffect.Assigned(work.id(), assignment);
-    }
-
     private static PromptSize defaultSize(EngineProfile profile) {
         return new PromptSize(0, profile.meanAnswerTokens());
     }
@@ -342,6 +376,7 @@
         for (TargetLoad load : pool.find(attempt.get().targets())) {
             load.remove(ended.id()).filter(part -> !part.isHelper()).ifPresent(part -> {
                 pool.recordOutcome(part.work(), load, ended.outcome(), now);
+                copies.onOutcome(part.work().service(), ended.outcome(), now);
                 answerTimes.onEnd(load, part, ended.outcome(), profiles, now);
             });
         }
@@ -410,6 +445,7 @@
     /** Handles the report that a target refused a connection after others to it had ended. */
     private ImmutableList<AssignEffect> onConnectionRefused(TargetIncarnation target, long now) {
         pool.recordRefusedConnection(target, now);
+        pool.find(target.id()).ifPresent(load -> copies.onCrash(load.target().service(), now));
         return toEffects(attribution.recordRefusedConnection(target, now));
     }
 
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assignment.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assignment.java
@@ -1,6 +1,7 @@
 package org.boragebarrow.decision.assign;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
 import org.boragebarrow.decision.fleet.FleetTarget;
@@ -12,12 +13,29 @@
  *
  * @param helpers targets that each prefill a part of the prompt, in addition to the target itself
  * @param predictedTimeToFirstEvent predicted time from the assignment to the first event
+ * @param lateAfter time from the assignment after which the first event, or a call's answer, is later than nearly all
+ *     such answers lately; empty if that is unknown, or if no second copy may be sent
  */
-public record Assignment(FleetTarget target, ImmutableList<HelperTarget> helpers, Duration predictedTimeToFirstEvent) {
+public record Assignment(
+        FleetTarget target,
+        ImmutableList<HelperTarget> helpers,
+        Duration predictedTimeToFirstEvent,
+        Optional<Duration> lateAfter) {
     public Assignment {
         checkNotNull(target);
         checkNotNull(helpers);
         checkNotNull(predictedTimeToFirstEvent);
+        checkNotNull(lateAfter);
+    }
+
+    /** Creates an assignment of which no second copy is sent. */
+    public Assignment(FleetTarget target, ImmutableList<HelperTarget> helpers, Duration predictedTimeToFirstEvent) {
+        this(target, helpers, predictedTimeToFirstEvent, Optional.empty());
+    }
+
+    /** Returns the assignment with the time after which its answer is late. */
+    public Assignment withLateAfter(Optional<Duration> time) {
+        return new Assignment(target, helpers, predictedTimeToFirstEvent, time);
     }
 
     /** Returns an assignment without helpers. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AttemptPart.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AttemptPart.java
@@ -1,5 +1,6 @@
 package org.boragebarrow.decision.assign;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import com.google.common.collect.ImmutableList;
@@ -24,6 +25,8 @@
     private boolean timed = true;
     private long prefilledAt;
     private double longestPassMillis;
+    private double expectedMillis;
+    private double lateAfterMillis = Double.MAX_VALUE;
     private double remainingPrefillMillis;
     private double announcedPauseMillis;
     private boolean decoding;
@@ -129,6 +132,21 @@
                 : (prefilledAt - assignedAt) / NANOS_PER_MILLI;
     }
 
+    /** Records the predicted time to the answer, or to its first event, and the time after which that is late. */
+    void expectAnswer(Duration expected, Optional<Duration> lateAfter) {
+        expectedMillis = expected.toMillis();
+        lateAfter.ifPresent(time -> lateAfterMillis = time.toMillis());
+    }
+
+    double expectedMillis() {
+        return expectedMillis;
+    }
+
+    /** Returns whether the answer has not come although it is later than nearly all such answers. */
+    boolean isLate(long now) {
+        return !helper && !decoding && elapsedMillis(now) > lateAfterMillis;
+    }
+
     /** Returns the longest pass that was predicted for the target until the first event, in milliseconds. */
     double longestPassMillis() {
         return longestPassMillis;
@@ -144,6 +162,11 @@
         return timed && !helper && !split;
     }
 
+    /** Returns whether the time since the assignment is known. */
+    boolean isAssignedHere() {
+        return timed && !helper;
+    }
+
     /** Records that the part was assigned earlier, by another assigner. */
     void setAssignedEarlier() {
         timed = false;
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/RefusalReason.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/RefusalReason.java
@@ -23,5 +23,9 @@
     /** The prompt has a part that crashes targets. */
     QUARANTINED,
     /** The work has crashed a target, and its prompt has a part that is in other crashes too. */
-    SUSPECTED
+    SUSPECTED,
+    /** The work is a second copy, and the limit of these is used up. */
+    COPIES_SPENT,
+    /** The work is a second copy, and none are sent while the service's targets are busy, late or crashing. */
+    COPIES_PAUSED
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetLoad.java
@@ -44,6 +44,11 @@
         return pace.slowness(advancedAt);
     }
 
+    /** Returns whether an answer of the target has not begun although it is later than nearly all such answers. */
+    boolean hasLateAnswer(long now) {
+        return parts.values().stream().anyMatch(part -> part.isLate(now));
+    }
+
     /** Replaces the target's fleet entry with a newer one of the same incarnation. */
     void update(FleetTarget entry) {
         target = entry;
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/WorkTerms.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/WorkTerms.java
@@ -19,6 +19,7 @@
  * @param purpose why a target is requested
  * @param callerKey identifies repeated requests of one caller for the same thing; 0 if unknown
  * @param closedZones zones whose targets the host sends nothing, as operators have emptied them as far as it knows
+ * @param duplicable whether a second copy may be sent while the first is in progress
  */
 public record WorkTerms(
         Optional<OrganisationId> organisation,
@@ -27,7 +28,8 @@
         Optional<ImmutableSet<RegionId>> homes,
         Purpose purpose,
         long callerKey,
-        ImmutableSet<AvailabilityZoneId> closedZones) {
+        ImmutableSet<AvailabilityZoneId> closedZones,
+        boolean duplicable) {
     /** The terms of work for which nothing is configured. */
     public static final WorkTerms DEFAULT =
             new WorkTerms(Optional.empty(), 1, UrgencyRank.DEFAULT, Optional.empty(), Purpose.FIRST, 0);
@@ -50,7 +52,7 @@
         checkNotNull(closedZones);
     }
 
-    /** Creates terms of work for which no zone is closed. */
+    /** Creates terms of work for which no zone is closed, and of which no second copy is sent. */
     public WorkTerms(
             Optional<OrganisationId> organisation,
             double weight,
@@ -58,26 +60,31 @@
             Optional<ImmutableSet<RegionId>> homes,
             Purpose purpose,
             long callerKey) {
-        this(organisation, weight, rank, homes, purpose, callerKey, ImmutableSet.of());
+        this(organisation, weight, rank, homes, purpose, callerKey, ImmutableSet.of(), false);
+    }
+
+    /** Returns the terms with a statement whether a second copy may be sent. */
+    public WorkTerms withDuplicable(boolean value) {
+        return new WorkTerms(organisation, weight, rank, homes, purpose, callerKey, closedZones, value);
     }
 
     /** Returns the terms with another key of the caller. */
     public WorkTerms withCallerKey(long key) {
-        return new WorkTerms(organisation, weight, rank, homes, purpose, key, closedZones);
+        return new WorkTerms(organisation, weight, rank, homes, purpose, key, closedZones, duplicable);
     }
 
     /** Returns the terms with another purpose. */
     public WorkTerms withPurpose(Purpose other) {
-        return new WorkTerms(organisation, weight, rank, homes, other, callerKey, closedZones);
+        return new WorkTerms(organisation, weight, rank, homes, other, callerKey, closedZones, duplicable);
     }
 
     /** Returns the terms with other homes. */
     public WorkTerms withHomes(Optional<ImmutableSet<RegionId>> others) {
-        return new WorkTerms(organisation, weight, rank, others, purpose, callerKey, closedZones);
+        return new WorkTerms(organisation, weight, rank, others, purpose, callerKey, closedZones, duplicable);
     }
 
     /** Returns the terms with other closed zones. */
     public WorkTerms withClosedZones(ImmutableSet<AvailabilityZoneId> zones) {
-        return new WorkTerms(organisation, weight, rank, homes, purpose, callerKey, zones);
+        return new WorkTerms(organisation, weight, rank, homes, purpose, callerKey, zones, duplicable);
     }
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/retry/RetryQuota.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/retry/RetryQuota.java
@@ -27,12 +27,17 @@
     /** The fraction of the slack that is divided among the hosts; the rest covers hosts that join and leave. */
     private static final double SLACK_FRACTION = 0.6;
 
+    /** The fraction of the quota beyond which it is kept for requests that fail. */
+    private static final double DUPLICATES_FRACTION = 0.5;
+
     private double ratio;
     private double slack;
     private long windowNanos;
     private final Map<ServiceName, Deque<Long>> requestTimes = new HashMap<>();
     private final Map<ServiceName, Deque<Long>> retryTimes = new HashMap<>();
     private int hostCount;
+    private boolean hostCountKnown;
+    private boolean duplicatesAllowed;
 
     /**
      * Creates a quota.
@@ -62,6 +67,21 @@
         hostCount = newHostCount;
     }
 
+    /** Sets whether the number of hosts has been read; no second copies are sent before. */
+    public void setHostCountKnown(boolean known) {
+        hostCountKnown = known;
+    }
+
+    /** Sets whether second copies of slow requests may be sent at all. */
+    public void setDuplicatesAllowed(boolean allowed) {
+        duplicatesAllowed = allowed;
+    }
+
+    /** Returns whether second copies of slow requests may be sent at all. */
+    public boolean allowsDuplicates() {
+        return duplicatesAllowed;
+    }
+
     /** Records a caller's request. */
     public void onRequest(ServiceName service, long now) {
         recentTimes(requestTimes, service, now).addLast(now);
@@ -70,15 +90,37 @@
     /** Records a retry if the quota allows one; returns false, and records nothing, if it is exhausted. */
     public boolean tryRetry(ServiceName service, long now) {
         Deque<Long> sent = recentTimes(retryTimes, service, now);
-        double earned =
-                RATIO_FRACTION * ratio * recentTimes(requestTimes, service, now).size();
-        if (sent.size() + 1 > earned + SLACK_FRACTION * slack / hostCount) {
+        if (sent.size() + 1 > limit(service, now)) {
             return false;
         }
         sent.addLast(now);
         return true;
     }
 
+    /**
+     * Records a second copy of a request that has not failed, as a retry, if more than half of the quota is left; returns
+     * false, and records nothing, if it is not.
+     */
+    public boolean tryDuplicate(ServiceName service, long now) {
+        if (!canDuplicate(service, now)) {
+            return false;
+        }
+        recentTimes(retryTimes, service, now).addLast(now);
+        return true;
+    }
+
+    /** Returns whether {@link #tryDuplicate} would record a copy. */
+    public boolean canDuplicate(ServiceName service, long now) {
+        int sent = recentTimes(retryTimes, service, now).size();
+        return duplicatesAllowed && hostCountKnown && sent + 1 <= DUPLICATES_FRACTION * limit(service, now);
+    }
+
+    private double limit(ServiceName service, long now) {
+        double earned =
+                RATIO_FRACTION * ratio * recentTimes(requestTimes, service, now).size();
+        return earned + SLACK_FRACTION * slack / hostCount;
+    }
+
     private Deque<Long> recentTimes(Map<ServiceName, Deque<Long>> times, ServiceName service, long now) {
         Deque<Long> recent = times.computeIfAbsent(checkNotNull(service), name -> new ArrayDeque<>());
         while (!recent.isEmpty() && now - recent.peekFirst() > windowNanos) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -371,7 +371,8 @@
                         fleet.find(ref.target()).stream().map(found -> new HelperTarget(found, ref.storedTokens())))
                 .collect(ImmutableList.toImmutableList());
         applyDecision(new AssignEffect.Assigned(
-                message.id(), new Assignment(target.get(), helpers, message.predictedTimeToFirstEvent())));
+                message.id(),
+                new Assignment(target.get(), helpers, message.predictedTimeToFirstEvent(), message.lateAfter())));
     }
 
     /** Requests another target for a request that has no decision yet; each target is excluded once at most. */
@@ -425,6 +426,16 @@
         duty.offerWithRetry(changed);
     }
 
+    /** Replaces the copies of slow requests that may be sent for each request. */
+    public void setDuplicateShare(double share) {
+        duty.offerWithRetry(new AssignEvent.DuplicateShareChanged(share));
+    }
+
+    /** Returns whether the hosts that share the retry quota have been read. */
+    public boolean areHostsKnown() {
+        return !hosts.isEmpty();
+    }
+
     /** Replaces the speeds of engines that the assigner uses. */
     public void setProfiles(ImmutableMap<ServiceName, EngineProfile> profiles) {
         duty.offerWithRetry(new AssignEvent.ProfilesChanged(profiles));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/metrics/HostMetrics.java
@@ -93,6 +93,17 @@
                 .increment();
     }
 
+    /** Counts a step of a second copy of a slow request: asked, sent, won or withdrawn. */
+    public void copy(String state) {
+        registry.counter("boragebarrow.copies", "state", state).increment();
+    }
+
+    /** Counts a second copy that the assigner refused. */
+    public void copyRefused(RefusalReason reason) {
+        registry.counter("boragebarrow.copies.refused", "reason", reason.name().toLowerCase(Locale.ROOT))
+                .increment();
+    }
+
     /** Counts a target that crashed, on the host that assigns targets. */
     public void targetCrashed() {
         targetCrashes.increment();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -18,7 +18,6 @@
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.http.client.ResponseOrigin;
-import org.boragebarrow.http.server.ServerResponse;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.port.EngineClient;
@@ -89,6 +88,17 @@
         return timeToFirstEventMillis;
     }
 
+    /** Returns the time after which the answer is later than nearly all such answers lately. */
+    Optional<Duration> lateAfter() {
+        return assignment.lateAfter();
+    }
+
+    /** Returns whether the attempt has ended or its answer has begun. */
+    boolean hasAnswered() {
+        boolean begun = exchange.route().kind().streamed() ? timeToFirstEventMillis >= 0 : head.isPresent();
+        return closed || begun;
+    }
+
     Duration longestPause() {
         return longestPause;
     }
@@ -144,7 +154,7 @@
             return;
         }
         // Reserving takes a while, in which a target may have begun to drain.
-        if (!exchange.takeBackIfUnusable(assignment)) {
+        if (!exchange.takeBackIfUnusable(this)) {
             send();
         }
     }
@@ -167,9 +177,12 @@
         if (repeatable) {
             scheduleStallCheck(stallTimeout());
         }
-        ServerResponse response = exchange.response();
-        response.onWritabilityChanged(
-                () -> handle.ifPresent(openCall -> openCall.setReadEnabled(response.isWritable())));
+        exchange.onSent(this);
+    }
+
+    /** Sets whether the target's answer is read. */
+    void setReadEnabled(boolean enabled) {
+        handle.ifPresent(openCall -> openCall.setReadEnabled(enabled));
     }
 
     /** A helper that stores tokens is always needed; one that only does prefill is omitted if it is not usable. */
@@ -285,7 +298,7 @@
             fail(outcome, true, "failed with status " + received.status());
             return;
         }
-        if (received.status() >= MIN_SERVER_ERROR && exchange.tryAcquireRetry(true)) {
+        if (received.status() >= MIN_SERVER_ERROR && exchange.tryAcquireOther()) {
             exchange.endAttempt(this, Outcome.FAILED, true, true, "failed with status " + received.status());
             return;
         }
@@ -339,12 +352,13 @@
             return false;
         }
         if (action == EventSequence.Action.DELIVER) {
+            exchange.settleOn(this);
             exchange.startResponse(head.orElseThrow());
             exchange.onEventDelivered(lastProgressAt);
             relayedBytes += event.bytes().length;
             exchange.response().write(ByteBuffer.wrap(event.bytes()));
             if (!exchange.response().isWritable()) {
-                handle.ifPresent(openCall -> openCall.setReadEnabled(false));
+                setReadEnabled(false);
             }
         }
         return !closed;
@@ -371,6 +385,7 @@
             return;
         }
         recordProgress();
+        exchange.settleOn(this);
         int status = head.get().status();
         exchange.onAnswered(this, status, buffered.size());
         close(status < MIN_SERVER_ERROR ? Outcome.SUCCEEDED : Outcome.FAILED);
@@ -388,6 +403,7 @@
             fail(Outcome.ABORTED, true, "the connection ended before the first event");
             return;
         }
+        exchange.settleOn(this);
         exchange.startResponse(head.orElseThrow());
         exchange.onAnswered(this, head.get().status(), relayedBytes);
         close(Outcome.SUCCEEDED);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -50,6 +50,8 @@
     TARGET_CRASHED(7036),
     /** A part of prompts was quarantined, or its quarantine was lifted. */
     QUARANTINE(7037),
+    /** A second copy of a slow request was sent, won, withdrawn or refused. */
+    SECOND_COPY(7039),
     /** A target's response was sent to the caller. */
     ANSWERED(7040),
     /** The host itself sent an error response. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import com.google.common.collect.ImmutableSet;
 import io.netty.util.concurrent.Future;
@@ -59,6 +60,7 @@
     private long waitingSince;
     private final EventSequence sequence;
     private final long callerKey;
+    private final SecondCopy copy;
 
     private ImmutableSet<TargetId> excluded = ImmutableSet.of();
     private Optional<RelayAttempt> current = Optional.empty();
@@ -66,6 +68,7 @@
     private Optional<Future<?>> deadlineTimer = Optional.empty();
     private Optional<Future<?>> shutdownTimer = Optional.empty();
     private boolean responseStarted;
+    private boolean settled;
     private boolean finished;
     private boolean mayHaveRun;
     private int targetsTried;
@@ -94,12 +97,15 @@
         this.deadline = arrival + limit.toNanos();
         this.sequence = new EventSequence(request.resumeAfter());
         this.callerKey = CallerKeys.of(request, destination.organisation());
+        this.copy = new SecondCopy(context, trace, new CopyRequest());
     }
 
     void start() {
         deadlineTimer = Optional.of(
                 context.loop().schedule(this::onDeadline, remaining().toNanos(), TimeUnit.NANOSECONDS));
         response.onClose(this::onCallerDisconnected);
+        response.onWritabilityChanged(
+                () -> current.ifPresent(attempt -> attempt.setReadEnabled(response.isWritable())));
         context.retryQuota().onRequest(destination.service(), arrival);
         requestAssignment();
     }
@@ -137,21 +143,9 @@
         if (finished) {
             return;
         }
-        AttemptId id = AttemptId.of(context.self(), relay.nextAttemptNumber());
+        AttemptId id = nextAttemptId();
         requestedAttempt = Optional.of(id);
-        Work work = new Work(
-                id,
-                destination.service(),
-                context.zone(),
-                request.promptSize(),
-                route().objective(),
-                route().pauseObjective(),
-                Duration.ofNanos(context.ticker().read() - waitingSince),
-                remaining(),
-                excluded,
-                request.promptParts(),
-                crashes,
-                terms());
+        Work work = work(id, excluded, terms());
         context.assignments().submit(work, new Assignments.DecisionListener() {
             @Override
             public void onDecided(AssignEffect.Decided effect) {
@@ -160,12 +154,37 @@
 
             @Override
             public void onPauseExpected(AssignEffect.PauseExpected expected) {
-                current.filter(attempt -> attempt.id().equals(expected.id()))
-                        .ifPresent(attempt -> attempt.expectPause(expected.pause()));
+                expectPause(expected);
             }
         });
     }
 
+    private void expectPause(AssignEffect.PauseExpected expected) {
+        Stream.concat(current.stream(), copy.attempt().stream())
+                .filter(attempt -> attempt.id().equals(expected.id()))
+                .forEach(attempt -> attempt.expectPause(expected.pause()));
+    }
+
+    private AttemptId nextAttemptId() {
+        return AttemptId.of(context.self(), relay.nextAttemptNumber());
+    }
+
+    private Work work(AttemptId id, ImmutableSet<TargetId> unwanted, WorkTerms terms) {
+        return new Work(
+                id,
+                destination.service(),
+                context.zone(),
+                request.promptSize(),
+                route().objective(),
+                route().pauseObjective(),
+                Duration.ofNanos(context.ticker().read() - waitingSince),
+                remaining(),
+                unwanted,
+                request.promptParts(),
+                crashes,
+                terms);
+    }
+
     private WorkTerms terms() {
         WorkTerms.Purpose purpose = targetsTried == 0 && excluded.isEmpty() && current.isEmpty()
                 ? WorkTerms.Purpose.FIRST
@@ -173,10 +192,99 @@
         return destination
                 .terms()
                 .withPurpose(purpose)
+                .withDuplicable(isDuplicable())
                 .withClosedZones(context.emptied().zones())
                 .withCallerKey(callerKey);
     }
 
+    private boolean isDuplicable() {
+        return context.retryQuota().allowsDuplicates() && route().kind().repeatable() && route().maxTargets() > 1;
+    }
+
+    /** Begins to wait for a late answer once the attempt has been sent. */
+    void onSent(RelayAttempt attempt) {
+        if (isDuplicable() && !responseStarted) {
+            copy.watch(attempt);
+        }
+    }
+
+    /** Continues with the attempt that answers; the other copy of the request, if there is one, ends at once. */
+    void settleOn(RelayAttempt answering) {
+        if (!settled) {
+            settled = true;
+            current = current.map(first -> copy.settle(first, answering));
+        }
+    }
+
+    private final class CopyRequest implements SecondCopy.Request {
+        @Override
+        public boolean allowsCopy(RelayAttempt first) {
+            return !finished
+                    && current.equals(Optional.of(first))
+                    && requestedAttempt.isEmpty()
+                    && !responseStarted
+                    && crashes == 0
+                    && relay.shutdown().isEmpty()
+                    && canRetry(true)
+                    && context.retryQuota()
+                            .canDuplicate(
+                                    destination.service(), context.ticker().read());
+        }
+
+        @Override
+        public AttemptId nextAttemptId() {
+            return RelayExchange.this.nextAttemptId();
+        }
+
+        @Override
+        public void requestCopyTarget(AttemptId id, RelayAttempt first) {
+            ImmutableSet<TargetId> unwanted = excludedWith(first.target().id());
+            Work work = work(id, unwanted, terms().withPurpose(WorkTerms.Purpose.DUPLICATE));
+            context.assignments().submit(work, new Assignments.DecisionListener() {
+                @Override
+                public void onDecided(AssignEffect.Decided effect) {
+                    copy.onDecided(work, effect);
+                }
+
+                @Override
+                public void onPauseExpected(AssignEffect.PauseExpected expected) {
+                    expectPause(expected);
+                }
+            });
+        }
+
+        @Override
+        public Optional<String> findObstacle(Assignment assignment) {
+            if (!response.isOpen()) {
+                return Optional.of("the caller has left");
+            }
+            if (findUnusable(assignment).isPresent()) {
+                return Optional.of("its target wants no new work");
+            }
+            boolean fits = canRetry(true) && canEndBeforeShutdown(assignment);
+            return fits ? Optional.empty() : Optional.of("no time or target is left");
+        }
+
+        @Override
+        public boolean tryAcquireCopy() {
+            boolean acquired = context.retryQuota()
+                    .tryDuplicate(destination.service(), context.ticker().read());
+            targetsTried += acquired ? 1 : 0;
+            return acquired;
+        }
+
+        @Override
+        public void returnCopy() {
+            targetsTried--;
+        }
+
+        @Override
+        public RelayAttempt open(Work work, Assignment assignment) {
+            trace.assigned(work, assignment, targetsTried);
+            return new RelayAttempt(context, RelayExchange.this, work.id(), assignment);
+        }
+    }
+
     private void onDecided(Work work, AssignEffect.Decided effect) {
         if (finished || !requestedAttempt.equals(Optional.of(effect.id()))) {
             context.assignments().reportEnd(effect.id(), Outcome.WITHDRAWN);
@@ -203,6 +311,10 @@
         if (requestedAttempt.isPresent()) {
             return;
         }
+        if (copy.isActive()) {
+            stalled.keepWaiting();
+            return;
+        }
         excluded = excludedWith(stalled.target().id());
         requestAssignment();
     }
@@ -257,7 +369,7 @@
     private static ErrorKind kindOf(RefusalReason reason) {
         return switch (reason) {
             case NO_TARGET, ZONES_EMPTIED, OUTSIDE_HOMES, TOO_LARGE -> ErrorKind.NO_TARGET;
-            case OVERLOADED, OVER_SHARE, DISPLACED, QUIET -> ErrorKind.OVERLOADED;
+            case OVERLOADED, OVER_SHARE, DISPLACED, QUIET, COPIES_SPENT, COPIES_PAUSED -> ErrorKind.OVERLOADED;
             case TOO_LATE -> ErrorKind.DEADLINE_UNREACHABLE;
             case QUARANTINED -> ErrorKind.PROMPT_QUARANTINED;
             case SUSPECTED -> ErrorKind.TARGET_FAILED;
@@ -323,19 +435,21 @@
     }
 
     /** Places the request elsewhere if a target that its current attempt needs accepts no new work; returns whether it does. */
-    boolean takeBackIfUnusable(Assignment assignment) {
-        Optional<FleetTarget> unusable = findUnusable(assignment);
+    boolean takeBackIfUnusable(RelayAttempt attempt) {
+        Optional<FleetTarget> unusable = attempt.findUnusable();
         unusable.ifPresent(target -> takeBackFrom(target.incarnation()));
         return unusable.isPresent();
     }
 
     /** Ends the current attempt if it needs the target and nothing of it was sent, and requests another target. */
     void takeBackFrom(TargetIncarnation target) {
+        copy.takeBackFrom(target);
         current.filter(attempt -> attempt.needs(target)).ifPresent(attempt -> takeBack(attempt, target));
     }
 
     /** Places the request elsewhere if its current attempt would reach a target that accepts no new work any more. */
     void takeBackIfUnusable() {
+        copy.attempt().flatMap(RelayAttempt::findUnusable).ifPresent(target -> copy.takeBackFrom(target.incarnation()));
         if (current.isPresent()) {
             RelayAttempt attempt = current.get();
             attempt.findUnusable().ifPresent(target -> takeBack(attempt, target.incarnation()));
@@ -347,13 +461,26 @@
             return;
         }
         waiting.close(Outcome.WITHDRAWN);
-        current = Optional.empty();
         targetsTried--;
         trace.takenBack(waiting, target);
-        reassignWithout(target.id());
+        if (!continueWithOther(waiting)) {
+            reassignWithout(target.id());
+        }
+    }
+
+    /** Continues with the other copy after one ended; returns false if there is none, and withdraws the request for it. */
+    private boolean continueWithOther(RelayAttempt ended) {
+        boolean isCopy = copy.attempt().equals(Optional.of(ended));
+        Optional<RelayAttempt> second = copy.detach();
+        copy.withdraw("the first attempt ended");
+        if (!isCopy) {
+            current = second;
+        }
+        return current.isPresent();
     }
 
     void extendReservations(TargetIncarnation target) {
+        copy.attempt().ifPresent(attempt -> attempt.extendReservations(target, remaining()));
         current.ifPresent(attempt -> attempt.extendReservations(target, remaining()));
     }
 
@@ -470,7 +597,7 @@
 
     /** Ends the request because the process is about to exit. */
     void endForShutdown() {
-        mayHaveRun |= current.map(RelayAttempt::isSent).orElse(false);
+        mayHaveRun |= Stream.concat(current.stream(), copy.attempt().stream()).anyMatch(RelayAttempt::isSent);
         cancelAttempt();
         fail(ErrorKind.SHUTTING_DOWN, "the host exits before the answer's end", spread(Relay.STOPPING_RETRY_DELAY));
     }
@@ -509,6 +636,7 @@
     /** Withdraws the pending request for a target and ends the current attempt. */
     private void cancelAttempt() {
         withdrawAssignmentRequest();
+        copy.cancel("the request ended");
         current.ifPresent(attempt -> attempt.close(Outcome.WITHDRAWN));
         current = Optional.empty();
     }
@@ -520,6 +648,7 @@
 
     private void finish() {
         finished = true;
+        copy.withdraw("the request ended");
         deadlineTimer.ifPresent(timer -> timer.cancel(false));
         shutdownTimer.ifPresent(timer -> timer.cancel(false));
         relay.onExchangeClosed(this);
@@ -537,14 +666,23 @@
         if (unreachable || outcome == Outcome.REPLACED) {
             targetsTried--;
         }
-        endAttempt(attempt, outcome, ran, unreachable || tryAcquireRetry(ran), reason);
+        endAttempt(attempt, outcome, ran, hasOther() || unreachable || tryAcquireRetry(ran), reason);
+    }
+
+    /** Returns whether another copy of the request is in progress. */
+    private boolean hasOther() {
+        return copy.attempt().isPresent() && current.isPresent();
+    }
+
+    /** Returns whether the request can continue without the attempt: with its other copy, or with a retry that is taken. */
+    boolean tryAcquireOther() {
+        return hasOther() || tryAcquireRetry(true);
     }
 
     /** Ends a failed attempt, and retries or fails the request as decided. */
     void endAttempt(RelayAttempt attempt, Outcome outcome, boolean ran, boolean retried, String reason) {
         attempt.close(outcome);
         context.metrics().attemptFailed(outcome);
-        current = Optional.empty();
         mayHaveRun |= ran;
         if (outcome == Outcome.ABORTED) {
             crashes += attempt.timeToFirstEventMillis() < 0 ? 1 : 0;
@@ -552,6 +690,10 @@
         }
         trace.attemptFailed(attempt, outcome, ran, retried, reason);
         withdrawAssignmentRequest();
+        if (continueWithOther(attempt)) {
+            excluded = excludedWith(attempt.target().id());
+            return;
+        }
         if (retried) {
             context.metrics().retried();
             if (outcome == Outcome.REFUSED) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -175,6 +175,7 @@
         assignments.setTableSharing(new TableSharing(ImmutableList.of(sharedRouting, sharedFleet)));
         this.retryQuota =
                 new RetryQuota(settings.retryRatio(), settings.retrySlack(), settings.retryWindow(), MIN_QUOTA_HOSTS);
+        allowDuplicates(settings.duplicateShare());
         this.quarantine = new Quarantine(settings.id().value(), settings.quarantineDuration(), random);
         this.relay = new Relay(new RelayContext(
                 self,
@@ -263,6 +264,7 @@
             relay.takeBackFromUnusable();
             quarantine.setBaseDuration(newSettings.quarantineDuration());
             retryQuota.setLimits(newSettings.retryRatio(), newSettings.retrySlack(), newSettings.retryWindow());
+            allowDuplicates(newSettings.duplicateShare());
             if (storeMoved) {
                 routingFollower.restartCall();
                 fleetFollower.restartCall();
@@ -271,9 +273,15 @@
         });
     }
 
+    private void allowDuplicates(double share) {
+        retryQuota.setDuplicatesAllowed(share > 0);
+        assignments.setDuplicateShare(share);
+    }
+
     /** Handles a complete request. */
     public void accept(RelayRequest request, ServerResponse response) {
         retryQuota.setHostCount(Math.max(MIN_QUOTA_HOSTS, assignments.hostCount()));
+        retryQuota.setHostCountKnown(assignments.areHostsKnown());
         relay.accept(request, response);
     }
 
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayTrace.java
@@ -14,6 +14,7 @@
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.http.client.ResponseOrigin;
+import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.PromptPartId;
 import org.boragebarrow.model.RequestException;
@@ -197,6 +198,24 @@
                         reason);
     }
 
+    void copy(AttemptId attempt, String state, String reason) {
+        context.log()
+                .write(
+                        RelayEvent.SECOND_COPY,
+                        "id",
+                        request.id(),
+                        "attempt",
+                        attempt,
+                        "service",
+                        destination.service(),
+                        "state",
+                        state,
+                        "reason",
+                        reason,
+                        "age_ms",
+                        ageMillis());
+    }
+
     void refused(RequestException failure, int attempts, String reason) {
         context.log()
                 .write(
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -27,6 +27,7 @@
  * @param retryRatio retries that all hosts together may send for each request
  * @param retrySlack retries that all hosts together may send beyond the ratio in a window
  * @param retryWindow the sliding window in which retries are counted
+ * @param duplicateShare second copies of slow requests that may be sent for each request; none if 0
  * @param quarantineDuration how long the first quarantine of a part of prompts lasts
  * @param regions the regions of zones
  * @param limits what the process may use
@@ -46,6 +47,7 @@
         double retryRatio,
         int retrySlack,
         Duration retryWindow,
+        double duplicateShare,
         Duration quarantineDuration,
         ZoneRegions regions,
         ProcessLimits limits,
@@ -143,6 +145,14 @@
             HOUR_SECONDS,
             RoundingMode.CEILING,
             "The sliding window in which retries are counted.");
+    private static final Setting<Double> DUPLICATE_SHARE = Setting.number(
+            "duplicates",
+            "share",
+            "",
+            "0",
+            0,
+            1,
+            "Second copies of slow requests, as a fraction of the requests that may be repeated; 0 sends none.");
     private static final Setting<Integer> QUARANTINE_MINUTES = Setting.integer(
             "quarantine",
             "minutes",
@@ -200,6 +210,7 @@
                 file.get(RETRY_RATIO, 0.0),
                 file.get(RETRY_SLACK, 0.0).intValue(),
                 file.get(RETRY_WINDOW, Duration.ZERO),
+                file.get(DUPLICATE_SHARE, 0.0),
                 Duration.ofMinutes(file.get(QUARANTINE_MINUTES, 1)),
                 regions(file),
                 limits(file),
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -7,10 +7,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -81,6 +83,7 @@
     final FakeCalls calls = new FakeCalls();
     ImmutableList<PromptPartId> promptParts = ImmutableList.of();
     final List<String> announced = new ArrayList<>();
+    final RetryQuota retryQuota;
     final Relay relay;
     final SignalHandler signals;
 
@@ -94,6 +97,7 @@
                 return nanos;
             }
         };
+        retryQuota = new RetryQuota(0, retrySlack, Duration.ofSeconds(10), 1);
         relay = new Relay(new RelayContext(
                 HostIncarnation.of(HostId.of("host"), IncarnationNumber.of(1)),
                 AvailabilityZoneId.of("zone"),
@@ -105,7 +109,7 @@
                 emptied,
                 () -> regions,
                 quiet,
-                new RetryQuota(0, retrySlack, Duration.ofSeconds(10), 1),
+                retryQuota,
                 quarantine,
                 assignments,
                 calls,
@@ -216,17 +220,25 @@
         channel.close();
     }
 
+    /** Lets second copies of slow requests be sent. */
+    void allowCopies() {
+        retryQuota.setDuplicatesAllowed(true);
+        retryQuota.setHostCountKnown(true);
+    }
+
     /** Records requests for targets; the test supplies the decisions. */
     static final class FakeAssignments implements Assignments {
         final List<Work> submitted = new ArrayList<>();
         final List<Outcome> outcomes = new ArrayList<>();
         final List<AttemptId> firstEvents = new ArrayList<>();
         final List<TargetId> refusing = new ArrayList<>();
+        final Set<AttemptId> open = new LinkedHashSet<>();
         private final List<DecisionListener> listeners = new ArrayList<>();
 
         @Override
         public void submit(Work work, DecisionListener listener) {
             submitted.add(work);
+            open.add(work.id());
             listeners.add(listener);
         }
 
@@ -242,6 +254,7 @@
 
         @Override
         public void reportEnd(AttemptId id, Outcome outcome) {
+            open.remove(id);
             outcomes.add(outcome);
         }
 
@@ -262,7 +275,15 @@
                     lastSubmitted().id(), new Assignment(target, withTokens, Duration.ofMillis(PREDICTED_MILLIS))));
         }
 
+        /** Assigns a target whose answer is late after the given time. */
+        void assignWithLateAnswer(FleetTarget target, Duration lateAfter) {
+            decide(new AssignEffect.Assigned(
+                    lastSubmitted().id(),
+                    Assignment.of(target, Duration.ofMillis(PREDICTED_MILLIS)).withLateAfter(Optional.of(lateAfter))));
+        }
+
         void refuse(RefusalReason reason) {
+            open.remove(lastSubmitted().id());
             decide(new AssignEffect.Refused(lastSubmitted().id(), reason, Duration.ofMillis(400)));
         }
 
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/AssignMessages.java
@@ -54,7 +54,8 @@
             AttemptId id,
             TargetId target,
             ImmutableList<HelperTarget.Ref> helpers,
-            Duration predictedTimeToFirstEvent) {}
+            Duration predictedTimeToFirstEvent,
+            Optional<Duration> lateAfter) {}
 
     /** Returns the message that requests an assignment. */
     public static Envelope assignmentRequest(Work work) {
@@ -144,7 +145,11 @@
                 .setAttempt(GrantMessages.toAttempt(assigned.id()))
                 .setTarget(assigned.assignment().target().id().value())
                 .setPredictedMillis(
-                        assigned.assignment().predictedTimeToFirstEvent().toMillis());
+                        assigned.assignment().predictedTimeToFirstEvent().toMillis())
+                .setLateAfterMillis(assigned.assignment()
+                        .lateAfter()
+                        .map(Duration::toMillis)
+                        .orElse(0L));
         assigned.assignment().helperRefs().forEach(helper -> message.addHelpers(toHelper(helper)));
         return message.build();
     }
@@ -155,7 +160,8 @@
                 GrantMessages.fromAttempt(message.getAttempt()),
                 TargetId.of(message.getTarget()),
                 helpers(message.getHelpersList()),
-                Duration.ofMillis(message.getPredictedMillis()));
+                Duration.ofMillis(message.getPredictedMillis()),
+                Optional.of(Duration.ofMillis(message.getLateAfterMillis())).filter(time -> !time.isZero()));
     }
 
     /** Decodes the announcement of a pause. */
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/WorkTermsMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/WorkTermsMessages.java
@@ -20,7 +20,8 @@
                 .setRank(terms.rank().value())
                 .setHasHomes(terms.homes().isPresent())
                 .setPurpose(AskedTerms.Purpose.valueOf(terms.purpose().name()))
-                .setCallerKey(terms.callerKey());
+                .setCallerKey(terms.callerKey())
+                .setDuplicable(terms.duplicable());
         terms.organisation().ifPresent(organisation -> message.setOrganisation(organisation.value()));
         terms.homes().ifPresent(homes -> homes.forEach(home -> message.addHomes(home.value())));
         terms.closedZones().forEach(zone -> message.addClosedZones(zone.value()));
@@ -43,6 +44,7 @@
                 message.getHasHomes() ? Optional.of(homes) : Optional.empty(),
                 WorkTerms.Purpose.valueOf(message.getPurpose().name()),
                 message.getCallerKey(),
-                closedZones);
+                closedZones,
+                message.getDuplicable());
     }
 }
--- a/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/wire/AssignMessagesTest.java
@@ -105,7 +105,8 @@
                         Optional.of(ImmutableSet.of(RegionId.of("region"))),
                         WorkTerms.Purpose.REPEAT,
                         -17)
-                .withClosedZones(ImmutableSet.of(AvailabilityZoneId.of("closed"))));
+                .withClosedZones(ImmutableSet.of(AvailabilityZoneId.of("closed")))
+                .withDuplicable(true));
         Work withoutAnyHome = work(new WorkTerms(
                 organisation, 1, UrgencyRank.DEFAULT, Optional.of(ImmutableSet.of()), WorkTerms.Purpose.FIRST, 0));
 
@@ -124,7 +125,8 @@
         Assignment assignment = new Assignment(
                 target("a"),
                 ImmutableList.of(new HelperTarget(target("b"), 0), new HelperTarget(target("c"), 5_000)),
-                Duration.ofMillis(77));
+                Duration.ofMillis(77),
+                Optional.of(Duration.ofMillis(199)));
         AssignMessages.Assigned decoded = AssignMessages.fromAssigned(
                 AssignMessages.effect(new AssignEffect.Assigned(ID, assignment)).getTargetAssigned());
 
@@ -132,6 +134,7 @@
         assertThat(decoded.target()).isEqualTo(TargetId.of("a"));
         assertThat(decoded.helpers()).isEqualTo(assignment.helperRefs());
         assertThat(decoded.predictedTimeToFirstEvent()).isEqualTo(Duration.ofMillis(77));
+        assertThat(decoded.lateAfter()).hasValue(Duration.ofMillis(199));
     }
 
     @Example
