Parse settings with BigDecimal again

Cause: its initialization, 34 ms at the start of a host, was to be saved; a profile of the start shows it in Jackson's parser instead, which needs it for the first read of the store. Change: the settings are as before.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -1,6 +1,7 @@
 package org.boragebarrow.node.settings;
 
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.math.RoundingMode;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -71,7 +72,7 @@
     private static final int MAX_MAX_DESCRIPTORS = 10_000_000;
     private static final int MAX_MEMORY_MEBIBYTES = 1 << 20;
 
-    private static final Setting<Double> CPU_SHARE = Setting.number(
+    private static final Setting<BigDecimal> CPU_SHARE = Setting.number(
             "host",
             "cpu-share",
             "",
@@ -79,7 +80,7 @@
             0,
             MAX_CORES,
             "The fraction of each of the host's cores that the host may use.");
-    private static final Setting<Double> CORES = Setting.number(
+    private static final Setting<BigDecimal> CORES = Setting.number(
             "host",
             "cores",
             "",
@@ -121,7 +122,7 @@
             HOUR_SECONDS,
             RoundingMode.FLOOR,
             "The time from the request to stop until the process is killed.");
-    private static final Setting<Double> RETRY_RATIO = Setting.number(
+    private static final Setting<BigDecimal> RETRY_RATIO = Setting.number(
             "repeats",
             "ratio",
             "",
@@ -129,7 +130,7 @@
             0,
             MAX_RETRY_RATIO,
             "Retries that all hosts together may send for each request.");
-    private static final Setting<Double> RETRY_SLACK = Setting.number(
+    private static final Setting<BigDecimal> RETRY_SLACK = Setting.number(
             "repeats",
             "allowance",
             "repeats",
@@ -199,16 +200,16 @@
         RelaySettings settings = new RelaySettings(
                 file.get(SettingKeys.HOST_ID, HostId.of("unknown")),
                 file.get(SettingKeys.HOST_ZONE, AvailabilityZoneId.of("unknown")),
-                file.get(CPU_SHARE, 0.0),
-                file.get(CORES, 0.0),
+                file.get(CPU_SHARE, BigDecimal.ZERO).doubleValue(),
+                file.get(CORES, BigDecimal.ZERO).doubleValue(),
                 file.get(SettingKeys.CALLERS_ENDPOINT, NO_ENDPOINT),
                 file.get(READINESS, NO_ENDPOINT),
                 file.get(METRICS, NO_ENDPOINT),
                 file.get(SettingKeys.PEERS_ENDPOINT, NO_ENDPOINT),
                 file.get(STORE, NO_ENDPOINT),
                 file.get(SHUTDOWN_GRACE, Duration.ZERO),
-                file.get(RETRY_RATIO, 0.0),
-                file.get(RETRY_SLACK, 0.0).intValue(),
+                file.get(RETRY_RATIO, BigDecimal.ZERO).doubleValue(),
+                file.get(RETRY_SLACK, BigDecimal.ZERO).intValue(),
                 file.get(RETRY_WINDOW, Duration.ZERO),
                 file.get(DUPLICATE_SHARE, 0.0),
                 Duration.ofMinutes(file.get(QUARANTINE_MINUTES, 1)),
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/Setting.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/Setting.java
@@ -1,14 +1,13 @@
 package org.boragebarrow.node.settings;
 
+import java.math.BigDecimal;
 import java.math.RoundingMode;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Function;
 
-import com.google.common.base.CharMatcher;
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
-import com.google.common.math.LongMath;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
@@ -26,10 +25,8 @@
         Optional<String> defaultText,
         String summary,
         Function<String, T> parser) {
-    private static final long MICROS_PER_MILLI = 1_000;
-
-    /** The characters of a decimal number; {@link Double#parseDouble} also accepts other notations. */
-    private static final CharMatcher DECIMAL = CharMatcher.anyOf("0123456789+-.eE");
+    /** Decimal digits between seconds and milliseconds. */
+    private static final int MILLIS_DIGITS = 3;
 
     private static final Splitter LIST = Splitter.on(',').trimResults().omitEmptyStrings();
 
@@ -78,7 +75,7 @@
     /**
      * Returns a setting of a duration in seconds, which may have a fraction.
      *
-     * @param rounding how a fraction of a millisecond is rounded; fractions of a microsecond are ignored
+     * @param rounding how a fraction of a millisecond is rounded
      */
     static Setting<Duration> seconds(
             String section,
@@ -95,32 +92,34 @@
                 type,
                 defaultText,
                 summary,
-                text -> Duration.ofMillis(
-                        LongMath.divide(Math.round(parseNumber(text, min, max) * 1e6), MICROS_PER_MILLI, rounding)));
+                text -> Duration.ofMillis(parseDecimal(text, min, max)
+                        .movePointRight(MILLIS_DIGITS)
+                        .setScale(0, rounding)
+                        .longValueExact()));
     }
 
     /** Returns a setting of a number that may have a fraction. */
-    static Setting<Double> number(
+    static Setting<BigDecimal> number(
             String section, String key, String unit, String defaultText, double min, double max, String summary) {
         String type = "number, " + (unit.isEmpty() ? "" : unit + ", ") + plain(min) + " to " + plain(max);
-        return of(section, key, type, defaultText, summary, text -> parseNumber(text, min, max));
+        return of(section, key, type, defaultText, summary, text -> parseDecimal(text, min, max));
     }
 
-    /** Parses a decimal number without {@link java.math.BigDecimal}, whose initialization delays the start of a host. */
-    private static double parseNumber(String text, double min, double max) {
-        checkArgument(DECIMAL.matchesAllOf(text), "not a number: \"%s\"", text);
-        double value;
+    private static BigDecimal parseDecimal(String text, double min, double max) {
+        BigDecimal value;
         try {
-            value = Double.parseDouble(text);
+            value = new BigDecimal(text);
         } catch (NumberFormatException e) {
             throw new IllegalArgumentException("not a number: \"" + text + "\"", e);
         }
-        checkArgument(value >= min && value <= max, "%s is not within %s to %s", text, plain(min), plain(max));
+        boolean isInRange =
+                value.compareTo(BigDecimal.valueOf(min)) >= 0 && value.compareTo(BigDecimal.valueOf(max)) <= 0;
+        checkArgument(isInRange, "%s is not within %s to %s", text, plain(min), plain(max));
         return value;
     }
 
     private static String plain(double bound) {
-        return bound == Math.rint(bound) ? Long.toString((long) bound) : Double.toString(bound);
+        return BigDecimal.valueOf(bound).stripTrailingZeros().toPlainString();
     }
 
     private static int parseInteger(String text, int min, int max) {
