Read the share of second copies as the other numbers of the settings

Cause: two merges met: the settings parse BigDecimal again, and the new setting expected a double; main did not compile. Change: the setting is a BigDecimal like the others.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -146,7 +146,7 @@
             HOUR_SECONDS,
             RoundingMode.CEILING,
             "The sliding window in which retries are counted.");
-    private static final Setting<Double> DUPLICATE_SHARE = Setting.number(
+    private static final Setting<BigDecimal> DUPLICATE_SHARE = Setting.number(
             "duplicates",
             "share",
             "",
@@ -211,7 +211,7 @@
                 file.get(RETRY_RATIO, BigDecimal.ZERO).doubleValue(),
                 file.get(RETRY_SLACK, BigDecimal.ZERO).intValue(),
                 file.get(RETRY_WINDOW, Duration.ZERO),
-                file.get(DUPLICATE_SHARE, 0.0),
+                file.get(DUPLICATE_SHARE, BigDecimal.ZERO).doubleValue(),
                 Duration.ofMinutes(file.get(QUARANTINE_MINUTES, 1)),
                 regions(file),
                 limits(file),
