Let early requests wait for a starting host's first reads, and warm up after them

Cause: a host that had just started refused requests until it had read the store; where all hosts restart, a caller with one repeat met the next host that was not ready. The warm-up took processor time from the first reads. Refused callers all came back after 500 ms. Change: up to 16 requests wait for the first reads, each for a third of its limit and 1 s at most, and go on with the shortest prompts first; none waits once a read failed. The others return within 0.5 to 1 s. The warm-up begins after the first reads. Test: HostStartTest and EarlyRequestsTest; aRequestWaitsForTheFirstReadsOfAllTables was seen to fail without the wait.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/Relay.java
@@ -27,9 +27,12 @@
  * <p>Confined to the event loop of its context.
  */
 public final class Relay {
-    /** Retry delay of a host that has read no configuration yet: one read of the store takes less. */
+    /** Least retry delay of a host that has read no configuration yet: one read of the store takes less. */
     private static final Duration NOT_READY_RETRY_DELAY = Duration.ofMillis(500);
 
+    /** The time over which the retries of such a host's callers are spread, as all hosts may have started at once. */
+    private static final Duration NOT_READY_RETRY_SPREAD = Duration.ofMillis(500);
+
     /** Retry delay of a host that is stopping: another host can handle the request at once. */
     static final Duration STOPPING_RETRY_DELAY = Duration.ofMillis(50);
 
@@ -46,9 +49,17 @@
         this.crashChecks = new CrashChecks(context);
     }
 
-    /** Handles a complete request. */
+    /** Handles a complete request that arrives now. */
     public void accept(RelayRequest request, ServerResponse response) {
-        long arrival = context.ticker().read();
+        accept(request, response, context.ticker().read());
+    }
+
+    /**
+     * Handles a complete request.
+     *
+     * @param arrival when the request arrived, in monotonic nanoseconds
+     */
+    public void accept(RelayRequest request, ServerResponse response, long arrival) {
         try {
             RelayExchange exchange = open(request, response, arrival);
             open.add(exchange);
@@ -62,10 +73,8 @@
         if (refusingNew) {
             throw RequestException.of(ErrorKind.SHUTTING_DOWN, "the host is stopping", STOPPING_RETRY_DELAY);
         }
-        RoutingTable table = context.routing()
-                .current()
-                .orElseThrow(() -> RequestException.of(
-                        ErrorKind.NOT_READY, "the host has read no configuration yet", NOT_READY_RETRY_DELAY));
+        RoutingTable table =
+                context.routing().current().orElseThrow(() -> notReady("the host has read no configuration yet"));
         Route route = table.match(request.host(), request.path())
                 .orElseThrow(() -> RequestException.of(
                         ErrorKind.NOT_FOUND, "no route for host \"" + request.host() + "\" and this path"));
@@ -76,10 +85,14 @@
                 context, this, request, response, Destination.of(table, route, service, organisation), arrival);
     }
 
+    private RequestException notReady(String reason) {
+        Duration delay = NOT_READY_RETRY_DELAY.plusNanos(context.random().nextLong(NOT_READY_RETRY_SPREAD.toNanos()));
+        return RequestException.of(ErrorKind.NOT_READY, reason, delay);
+    }
+
     private void checkPromptParts(ServiceName service, RelayRequest request) {
         if (!context.quarantine().isLoaded() && !request.promptParts().shared().isEmpty()) {
-            throw RequestException.of(
-                    ErrorKind.NOT_READY, "the host has not read the quarantine yet", NOT_READY_RETRY_DELAY);
+            throw notReady("the host has not read the quarantine yet");
         }
         Optional<QuarantineEntry> entry = context.quarantine().find(service, request.promptParts());
         if (entry.isPresent()) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -14,6 +14,8 @@
     READY(7005),
     /** Generated requests were relayed, or the warm-up failed, before the host reported that it is ready. */
     WARMED_UP(7006),
+    /** Requests that arrived before the first reads of the store were answered are handled from now on. */
+    EARLY_REQUESTS(7007),
     /** A dependency became unavailable. */
     LOST(7010),
     /** A dependency is available again. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -131,6 +131,8 @@
     private final TableFollower routingFollower;
     private final TableFollower fleetFollower;
     private final TableFollower hostFollower;
+    private final EarlyRequests early = new EarlyRequests(this::onFirstReads);
+    private final CompletableFuture<Void> firstReads = new CompletableFuture<>();
     private volatile boolean stopping;
     private volatile boolean readinessHeld;
     private volatile int quarantinedParts;
@@ -196,10 +198,14 @@
                 metrics));
         RoutingFeed routingFeed = new RoutingFeed(decoders, routing, emptied, log, ticker::read, new OperatorChanges());
         this.fleetFeed = new FleetFeed(decoders, fleet, log, this::monotonicMillis, new FleetChanges());
-        this.routingFollower =
-                new TableFollower(loop, sharedRouting, backoff(MAX_RETRY_DELAY), CONFIGURATION_TIMING, routingFeed);
-        this.fleetFollower =
-                new TableFollower(loop, sharedFleet, backoff(MAX_RETRY_DELAY), CONFIGURATION_TIMING, fleetFeed);
+        this.routingFollower = new TableFollower(
+                loop,
+                sharedRouting,
+                backoff(MAX_RETRY_DELAY),
+                CONFIGURATION_TIMING,
+                early.awaitingFirstRead(routingFeed));
+        this.fleetFollower = new TableFollower(
+                loop, sharedFleet, backoff(MAX_RETRY_DELAY), CONFIGURATION_TIMING, early.awaitingFirstRead(fleetFeed));
         fleetFollower.setDelayAfterChanges(FLEET_DELAY_WHILE_STARTING);
         this.quarantineDuty = new QuarantineDuty(
                 quarantine,
@@ -218,7 +224,8 @@
                 tables.hosts(),
                 backoff(MAX_HOSTS_RETRY_DELAY),
                 HOSTS_TIMING,
-                new RowRouter(QuarantineDuty.ROW_PREFIX, quarantineDuty, assignments.directory()));
+                early.awaitingFirstRead(
+                        new RowRouter(QuarantineDuty.ROW_PREFIX, quarantineDuty, assignments.directory())));
         metrics.gauge("boragebarrow.requests.open", relay::inProgress);
         metrics.gauge("boragebarrow.targets.slow", assignments::slowTargetCount);
         metrics.gauge("boragebarrow.attempts.queued", assignments::queuedCount);
@@ -278,20 +285,57 @@
         assignments.setDuplicateShare(share);
     }
 
-    /** Handles a complete request. */
+    /** Handles a complete request, once the first reads of the store were answered or one failed. */
     public void accept(RelayRequest request, ServerResponse response) {
+        EarlyRequests.Early arrived = new EarlyRequests.Early(request, response, ticker.read());
+        if (!early.offer(arrived)) {
+            relay(arrived);
+            return;
+        }
+        response.onClose(() -> early.remove(arrived));
+        loop.schedule(() -> relayIfWaiting(arrived), arrived.maxWait().toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void relayIfWaiting(EarlyRequests.Early request) {
+        if (early.remove(request)) {
+            relay(request);
+        }
+    }
+
+    private void relay(EarlyRequests.Early request) {
         retryQuota.setHostCount(Math.max(MIN_QUOTA_HOSTS, assignments.hostCount()));
         retryQuota.setHostCountKnown(assignments.areHostsKnown());
-        relay.accept(request, response);
+        relay.accept(request.request(), request.response(), request.arrival());
+    }
+
+    private void onFirstReads() {
+        ImmutableList<EarlyRequests.Early> waited = early.removeAll();
+        if (!waited.isEmpty()) {
+            log.write(RelayEvent.EARLY_REQUESTS, "requests", waited.size(), "ready", isLoaded());
+        }
+        // One in each turn of the event loop, so that what the first of them cause is not delayed by the others.
+        waited.forEach(request -> loop.execute(() -> relayUnlessClosed(request)));
+        firstReads.complete(null);
+    }
+
+    private void relayUnlessClosed(EarlyRequests.Early request) {
+        if (request.response().isOpen()) {
+            relay(request);
+        }
+    }
+
+    /** Returns a future that completes once the first reads of the store were answered or one failed. */
+    public CompletableFuture<Void> firstReads() {
+        return firstReads;
     }
 
     /** Returns whether the balancer should send connections to this host. */
     public boolean isReady() {
-        return routing.current().isPresent()
-                && fleetFeed.isLoaded()
-                && quarantineDuty.isLoaded()
-                && !readinessHeld
-                && !stopping;
+        return isLoaded() && !readinessHeld && !stopping;
+    }
+
+    private boolean isLoaded() {
+        return routing.current().isPresent() && fleetFeed.isLoaded() && quarantineDuty.isLoaded();
     }
 
     /** Reports the host as not ready until {@link #releaseReadiness}; it serves the requests that arrive meanwhile. */
@@ -398,6 +442,7 @@
         listener.onDraining();
         log.write(RelayEvent.STOPPING, "requests", inProgress(), "grace_ms", grace.toMillis());
         loop.execute(() -> {
+            early.end();
             assignments.stopAssigning();
             relay.beginShutdown(ShutdownDeadline.at(lastAnswersAt));
         });
