Let an organisation's share count only among work that is as far on its way

Change: the phase of waiting work goes before the share; the share decides among work of one phase, and who is refused.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/urgency/Standing.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/urgency/Standing.java
@@ -7,6 +7,9 @@
 /**
  * The right of waiting work to the next room of its service; the least one goes first.
  *
+ * <p>The share of an organisation counts among work that is as far on its way only: work of a large organisation that can
+ * still be on time does not wait until it is late for others' work that is late already.
+ *
  * <p>Age counts within a rank only. Otherwise, an overload of less urgent work would age, and then go before all work that
  * is more urgent.
  *
@@ -38,10 +41,13 @@
         if (byRank != 0) {
             return byRank;
         }
+        int byPhase = phase.compareTo(other.phase);
+        if (byPhase != 0) {
+            return byPhase;
+        }
         if (overShare != other.overShare) {
             return overShare ? 1 : -1;
         }
-        int byPhase = phase.compareTo(other.phase);
-        return byPhase != 0 ? byPhase : Double.compare(slackMillis, other.slackMillis);
+        return Double.compare(slackMillis, other.slackMillis);
     }
 }
