Send no second copies to cold targets, and test them with a new assigner

Cause: a copy could go to a target that is cold or was a short time ago, within its pace, which belongs to requests that have no other target. SecondCopyReplayTest sent calls only from hosts of a zone without the slow target, so that its test of a slow target held without any copy. Change: SecondCopies passes over cold targets. The replay draws the zones of its hosts; its test of a slow target expects copies; the test of lost cancels runs for 20 s in place of 5, as 200 calls may have no late one. An assigner that takes over refuses the copy of a request that it has not seen.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/SecondCopies.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/SecondCopies.java
@@ -122,6 +122,7 @@
 
     private List<TargetLoad> freeCandidates(Work work, long now) {
         return pool.candidates(work, now).stream()
+                .filter(load -> !pool.isCold(load, now))
                 .filter(load -> !load.health().isEjected() && load.slowness() == 1 && !load.hasLateAnswer(now))
                 .filter(load ->
                         load.ownedCount() + 1 <= MAX_LOAD * load.target().slots())
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/TargetPool.java
@@ -203,6 +203,11 @@
         return healthy.isEmpty() ? unhealthy : healthy;
     }
 
+    /** Returns whether the target is cold or was a short time ago. */
+    boolean isCold(TargetLoad load, long now) {
+        return cold.isLimited(load.target(), now);
+    }
+
     /** Records that work was sent to the target. */
     void onSent(Work work, TargetLoad owner, long now) {
         reachability.onSent(work.zone(), owner.target().zone(), now);
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/warmth/ColdTargets.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/warmth/ColdTargets.java
@@ -137,6 +137,11 @@
         return paces.isEmpty();
     }
 
+    /** Returns whether the target is cold or was a short time ago, so that its requests are limited. */
+    public boolean isLimited(FleetTarget target, long now) {
+        return find(target, now).isPresent();
+    }
+
     /** Returns the time until the target may get one more request; zero if it may now. */
     public Duration wait(FleetTarget target, long now) {
         Optional<Pace> found = find(target, now);
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SecondCopyReplayTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/SecondCopyReplayTest.java
@@ -17,6 +17,7 @@
 import com.google.common.collect.ImmutableSet;
 import net.jqwik.api.Example;
 import org.boragebarrow.decision.fleet.FleetTarget;
+import org.boragebarrow.decision.routing.ColdStart;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Endpoint;
@@ -38,10 +39,11 @@
     private static final long LIMIT_MILLIS = 2_000;
     private static final double SHARE = 0.05;
 
-    private final Assigner assigner = new Assigner();
+    private Assigner assigner = new Assigner();
     private final Random random = new Random(4);
     private final PriorityQueue<Step> steps =
             new PriorityQueue<>(Comparator.comparingLong(Step::at).thenComparingLong(Step::number));
+    private final List<FleetTarget> targets = new ArrayList<>();
     private final Map<AttemptId, Call> calls = new HashMap<>();
     private final List<Long> times = new ArrayList<>();
     private ToLongFunction<TargetId> callMillis = target -> CALL_MILLIS + random.nextInt(10);
@@ -66,7 +68,6 @@
     }
 
     SecondCopyReplayTest() {
-        List<FleetTarget> targets = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             targets.add(new FleetTarget(
                     TargetId.of("target-" + i),
@@ -77,6 +78,10 @@
                     false,
                     1));
         }
+        configure();
+    }
+
+    private void configure() {
         apply(new AssignEvent.ProfilesChanged(ImmutableMap.of()));
         apply(new AssignEvent.FleetChanged(ImmutableList.copyOf(targets)));
         apply(new AssignEvent.DuplicateShareChanged(SHARE));
@@ -133,7 +138,7 @@
         return new Work(
                 AttemptId.of(HOST, ++counter),
                 PLAIN,
-                AvailabilityZoneId.of("zone-" + counter % 3),
+                AvailabilityZoneId.of("zone-" + random.nextInt(3)),
                 Optional.empty(),
                 Duration.ofMillis(250),
                 Optional.empty(),
@@ -211,6 +216,7 @@
         run(30_000);
 
         assertThat(percentile(99)).isLessThan(150);
+        assertThat(copies).isAtLeast(2);
         assertThat((double) copies).isAtMost(SHARE * times.size());
         assertThat(assigner.assignedCount()).isEqualTo(0);
     }
@@ -231,7 +237,7 @@
         cancelsArrive = false;
         warmUp();
         hangOneCallInFifty();
-        run(5_000);
+        run(20_000);
         assertThat(copies).isAtLeast(1);
         nowMillis += LIMIT_MILLIS + 1_500;
         Work later = work(WorkTerms.Purpose.FIRST, ImmutableSet.of());
@@ -256,4 +262,42 @@
         assertThat(copiesRefused).isAtLeast(1);
         assertThat(copies).isEqualTo(0);
     }
+
+    /** Guards against copies that use up what cold targets bear. */
+    @Example
+    void noCopyIsSentToAColdTarget() {
+        warmUp();
+        callMillis = target ->
+                target.equals(TargetId.of("target-0")) && random.nextInt(5) == 0 ? LIMIT_MILLIS - 1 : CALL_MILLIS;
+        ImmutableSet<HostId> hosts = ImmutableSet.of(HOST.host());
+        apply(new AssignEvent.HostsChanged(hosts, hosts));
+        apply(new AssignEvent.ColdStartsChanged(ImmutableMap.of(PLAIN, new ColdStart(Duration.ofSeconds(30), 100))));
+        for (FleetTarget target : targets.subList(1, 6)) {
+            apply(new AssignEvent.ColdReported(target.incarnation(), Optional.of(Duration.ofSeconds(30))));
+        }
+        run(7_000);
+
+        assertThat(copies).isEqualTo(0);
+        assertThat(copiesRefused).isAtLeast(1);
+    }
+
+    @Example
+    void anAssignerThatTakesOverSendsNoCopiesOfRequestsThatItHasNotSeen() {
+        warmUp();
+        callMillis = target -> LIMIT_MILLIS - 1;
+        Work work = work(WorkTerms.Purpose.FIRST, ImmutableSet.of());
+        Call call = new Call(nowMillis);
+        calls.put(work.id(), call);
+        apply(new AssignEvent.Submitted(work));
+        assigner = new Assigner();
+        configure();
+        TargetId first = TargetId.of("target-0");
+        apply(new AssignEvent.AssignmentReported(work, first, ImmutableList.of(), false));
+        requestCopy(call, first);
+
+        assertThat(copiesRefused).isEqualTo(1);
+        assertThat(copies).isEqualTo(0);
+        apply(new AssignEvent.Ended(work.id(), Outcome.WITHDRAWN));
+        assertThat(assigner.assignedCount()).isEqualTo(0);
+    }
 }
