Probe eight unknown hosts at once after a start, not the whole fleet

Cause: a starting host knows no live host, and probed all others to find the first two: each of 60 hosts opened 59 links, with a handshake each, at the moment when all return. Change: eight hosts that were never probed are probed at once; further ones follow in the next rounds. Test: aHostThatStartsInALargeFleetProbesFewHostsAtOnceAndFindsTheFirstLiveOne, seen to fail with 59 probes.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignerChoice.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AssignerChoice.java
@@ -19,8 +19,8 @@
  * first.
  *
  * <p>Not thread-safe. Times are monotonic nanoseconds. Hosts with different views use different assigners for a while,
- * which costs efficiency only. Only the hosts up to the second live one are probed, so in a large fleet each host sends
- * two probes per round.
+ * which costs efficiency only. Only the hosts up to the second live one are probed, and few unknown ones at once, so in a large
+ * fleet each host sends two probes per round, and opens few links when all hosts start together.
  *
  * <p>Load pattern: the assigner's host crashes, hangs, is partitioned or is stopped while requests keep arriving.
  */
@@ -36,6 +36,12 @@
     /** Number of live hosts that are probed: the one in use and its successor. */
     private static final int PROBED_LIVE_HOSTS = 2;
 
+    /**
+     * Maximum number of hosts that are probed for the first time at once: after a start all are unknown, and each such
+     * probe opens a link.
+     */
+    private static final int MAX_FIRST_PROBES = 8;
+
     /** Maximum interval between probes of an unresponsive host. */
     private static final long MAX_PROBE_INTERVAL_MILLIS = 4_000;
 
@@ -115,14 +121,20 @@
     public ImmutableList<HostId> hostsToProbe(long now) {
         ImmutableList.Builder<HostId> due = ImmutableList.builder();
         int live = 0;
+        int firstProbes = 0;
         for (HostId host : ranked) {
             if (live == PROBED_LIVE_HOSTS) {
                 break;
             }
             boolean alive = isAlive(host, now);
             live += alive && !stopping.contains(host) ? 1 : 0;
-            if (!host.equals(self) && isDue(host, alive, now)) {
+            boolean first = !alive && !backoffs.containsKey(host);
+            if (host.equals(self) || (first && firstProbes == MAX_FIRST_PROBES)) {
+                continue;
+            }
+            if (isDue(host, alive, now)) {
                 due.add(host);
+                firstProbes += first ? 1 : 0;
             }
         }
         return due.build();
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerChoiceTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/assign/AssignerChoiceTest.java
@@ -1,6 +1,9 @@
 package org.boragebarrow.decision.assign;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
@@ -137,4 +140,24 @@
 
         assertThat(choice.select(0)).isEqualTo(LAST);
     }
+
+    @Example
+    void aHostThatStartsInALargeFleetProbesFewHostsAtOnceAndFindsTheFirstLiveOne() {
+        ImmutableSet<HostId> fleet =
+                IntStream.range(0, 60).mapToObj(i -> HostId.of("host-" + i)).collect(ImmutableSet.toImmutableSet());
+        AssignerChoice starting = new AssignerChoice(HostId.of("host-0"));
+        starting.setHosts(sized(fleet));
+        ImmutableList<HostId> probed = starting.hostsToProbe(0);
+        assertThat(probed.size()).isAtMost(8);
+
+        Set<HostId> all = new HashSet<>(probed);
+        for (int round = 1; round < 8; round++) {
+            all.addAll(starting.hostsToProbe(millis(round * AssignerChoice.PROBE_INTERVAL_MILLIS)));
+        }
+        assertThat(all).hasSize(fleet.size() - 1);
+
+        starting.recordResponse(probed.get(0), millis(6_000));
+        starting.recordResponse(probed.get(1), millis(6_000));
+        assertThat(starting.hostsToProbe(millis(6_001))).containsExactly(probed.get(0), probed.get(1));
+    }
 }
