Weigh no queued work that more urgent work shows to find no room

With three ranks, each pass over a full queue weighed all engines once for each rank, and each newcomer ordered itself into the whole queue. Work of any rank is now passed over if a more or equally urgent piece that is no larger found no room, and a newcomer that is admitted behind the whole queue is not compared with it.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AdmissionPolicy.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/AdmissionPolicy.java
@@ -58,17 +58,25 @@
             return prefillWaitMillis(newcomer, candidates, now) <= newcomer.longestWaitMillis(0, now);
         }
         Work work = newcomer.work();
+        WaitForecast forecast = forecast(work, capacity(work, candidates, now), now);
+        WaitForecast.Patience patience = patience(newcomer, now);
+        int most = waiting.count(work.service());
+        return forecast.admits(new WaitForecast.Ahead(most, most, most), patience)
+                || forecast.admits(ahead(newcomer, now), patience);
+    }
+
+    private WaitForecast.Ahead ahead(QueuedWork newcomer, long now) {
         int total = 0;
         int ofRank = 0;
         int late = 0;
         for (QueuedWork other : waiting.ahead(newcomer, now)) {
-            boolean sameRank = other.work().terms().rank().equals(work.terms().rank());
+            boolean sameRank =
+                    other.work().terms().rank().equals(newcomer.work().terms().rank());
             total++;
             ofRank += sameRank ? 1 : 0;
             late += sameRank && other.onTimeWaitMillis(now) < 0 ? 1 : 0;
         }
-        return forecast(work, capacity(work, candidates, now), now)
-                .admits(new WaitForecast.Ahead(total, ofRank, late), patience(newcomer, now));
+        return new WaitForecast.Ahead(total, ofRank, late);
     }
 
     private WaitForecast.Patience patience(QueuedWork queued, long now) {
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/assign/Assigner.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -21,7 +19,6 @@
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.model.ServiceName;
 import org.boragebarrow.model.TargetId;
-import org.boragebarrow.model.UrgencyRank;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
@@ -455,14 +452,11 @@
         }
         pool.advance(profiles, now);
         ImmutableList.Builder<AssignEffect> effects = ImmutableList.builder();
-        Map<CompetingGroup, Long> smallestUnplaced = new HashMap<>();
+        UnplacedSizes unplaced = new UnplacedSizes();
         for (QueuedWork queued : waiting.due(now)) {
             Work work = queued.workAt(now);
-            CompetingGroup group =
-                    new CompetingGroup(pool.group(work), work.terms().rank());
-            long tokens = work.size().map(PromptSize::totalTokens).orElse(0L);
-            boolean fitsNowhere = tokens >= smallestUnplaced.getOrDefault(group, Long.MAX_VALUE);
-            if (fitsNowhere && !queued.isLong() && !mustDecide(work)) {
+            TargetPool.CandidateGroup group = pool.group(work);
+            if (!queued.isLong() && unplaced.excludes(group, work) && !mustDecide(work)) {
                 continue;
             }
             Optional<AssignEffect> decided = decide(queued, now, false);
@@ -470,15 +464,12 @@
                 waiting.remove(work.id());
                 effects.add(decided.get());
             } else if (!queued.isLong() && work.excluded().isEmpty()) {
-                smallestUnplaced.merge(group, tokens, Math::min);
+                unplaced.add(group, work);
             }
         }
         return effects.build();
     }
 
-    /** Work with the same candidates and the same rank: if one piece does not fit, no larger one does. */
-    private record CompetingGroup(TargetPool.CandidateGroup candidates, UrgencyRank rank) {}
-
     /** Returns whether queued work is decided although no candidate has capacity: it is refused. */
     private boolean mustDecide(Work work) {
         return AdmissionPolicy.isTooOld(work)
