--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/DecisionLog.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/DecisionLog.java
@@ -19,6 +19,9 @@
     /** Maximum number of queued lines; at 200 bytes each, they occupy about 200 kB. */
     private static final int CAPACITY = 1_024;
 
+    /** Callers choose some values; the longest that hosts make themselves, lists of parts, are shorter. */
+    private static final int MAX_VALUE_CHARACTERS = 2_048;
+
     private static final CharMatcher NEEDS_QUOTES =
             CharMatcher.inRange('!', '~').negate().or(CharMatcher.anyOf("\"\\")).precomputed();
 
@@ -44,7 +47,7 @@
         line.append(event.name().toLowerCase(Locale.ROOT));
         for (int i = 0; i < pairs.length; i += 2) {
             line.append(' ').append(pairs[i]).append('=');
-            appendValue(line, String.valueOf(pairs[i + 1]));
+            appendValue(line, shorten(String.valueOf(pairs[i + 1])));
         }
         offer(line.toString());
     }
@@ -60,6 +63,10 @@
         }
     }
 
+    private static String shorten(String value) {
+        return value.length() <= MAX_VALUE_CHARACTERS ? value : value.substring(0, MAX_VALUE_CHARACTERS) + "...";
+    }
+
     private static void appendValue(StringBuilder line, String value) {
         if (!value.isEmpty() && NEEDS_QUOTES.matchesNoneOf(value)) {
             line.append(value);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/ProcessLimits.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/ProcessLimits.java
@@ -36,7 +36,9 @@
     /** A connection occupies up to 8 KiB besides its requests; all together have a quarter of the heap. */
     private static final int HEAP_BYTES_PER_CONNECTION = 32 << 10;
 
-    private static final int UNKNOWN_DESCRIPTORS = 4_096;
+    /** A platform may allow fewer descriptors than the operating system; the smallest machines have these. */
+    private static final int DEFAULT_DESCRIPTORS = 4_096;
+
     private static final Path OWN_LIMITS = Path.of("/proc/self/limits");
     private static final String DESCRIPTOR_LIMIT = "Max open files";
     private static final int SOFT_LIMIT_COLUMN = 3;
@@ -53,13 +55,13 @@
     /**
      * Returns the limits of this process.
      *
-     * @param configuredDescriptors the descriptors that the settings allow; 0 for as many as the process may have
+     * @param configuredDescriptors the descriptors that the settings allow; 0 for the default
      * @param configuredMemory the bytes that the settings allow requests to hold; 0 for what the heap has room for
      * @throws IllegalArgumentException if the memory does not fit into the heap
      */
     static ProcessLimits of(int configuredDescriptors, long configuredMemory) {
-        int own = ownDescriptors().orElse(UNKNOWN_DESCRIPTORS);
-        int descriptors = configuredDescriptors == 0 ? own : Math.min(own, configuredDescriptors);
+        int allowed = configuredDescriptors == 0 ? DEFAULT_DESCRIPTORS : configuredDescriptors;
+        int descriptors = Math.min(allowed, ownDescriptors().orElse(allowed));
         long heapBytes = Runtime.getRuntime().maxMemory();
         long memory = configuredMemory == 0 ? MemoryAccount.limitOfHeap(heapBytes) : configuredMemory;
         return new ProcessLimits(descriptors, heapBytes, memory);
