--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -69,6 +69,10 @@
         return id;
     }
 
+    Assignment assignment() {
+        return assignment;
+    }
+
     FleetTarget target() {
         return assignment.target();
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayExchange.java
@@ -434,9 +434,9 @@
         return assignment.needed().stream().filter(needed -> !mayReach(needed)).findFirst();
     }
 
-    /** Places the request elsewhere if a target that its current attempt needs accepts no new work; returns whether it does. */
+    /** Places the request elsewhere if a target that the attempt needs accepts no new work; returns whether it does. */
     boolean takeBackIfUnusable(RelayAttempt attempt) {
-        Optional<FleetTarget> unusable = attempt.findUnusable();
+        Optional<FleetTarget> unusable = findUnusable(attempt.assignment());
         unusable.ifPresent(target -> takeBackFrom(target.incarnation()));
         return unusable.isPresent();
     }
@@ -449,7 +449,7 @@
 
     /** Places the request elsewhere if its current attempt would reach a target that accepts no new work any more. */
     void takeBackIfUnusable() {
-        copy.attempt().flatMap(RelayAttempt::findUnusable).ifPresent(target -> copy.takeBackFrom(target.incarnation()));
+        copy.takeBackIfUnusable();
         if (current.isPresent()) {
             RelayAttempt attempt = current.get();
             attempt.findUnusable().ifPresent(target -> takeBack(attempt, target.incarnation()));
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/SecondCopy.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/SecondCopy.java
@@ -148,11 +148,23 @@
     /** Ends the copy if it needs the target and nothing of it was sent. */
     void takeBackFrom(TargetIncarnation target) {
         if (attempt.map(copy -> !copy.isSent() && copy.needs(target)).orElse(false)) {
-            request.returnCopy();
-            cancel("its target wants no new work");
+            takeBack();
         }
     }
 
+    /** Ends the copy if it would reach a target that accepts no new work any more, and nothing of it was sent. */
+    void takeBackIfUnusable() {
+        if (attempt.map(copy -> !copy.isSent() && copy.findUnusable().isPresent())
+                .orElse(false)) {
+            takeBack();
+        }
+    }
+
+    private void takeBack() {
+        request.returnCopy();
+        cancel("its target wants no new work");
+    }
+
     /**
      * Settles on the attempt that answers first and ends the other one; returns the attempt that the request continues
      * with from now on.
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -266,6 +266,13 @@
             assign(target, 0, helpers);
         }
 
+        /** Assigns helpers that store different numbers of tokens. */
+        void assignHelpers(FleetTarget target, HelperTarget... helpers) {
+            decide(new AssignEffect.Assigned(
+                    lastSubmitted().id(),
+                    new Assignment(target, ImmutableList.copyOf(helpers), Duration.ofMillis(PREDICTED_MILLIS))));
+        }
+
         /** Assigns helpers that each store the given number of tokens. */
         void assign(FleetTarget target, long storedTokens, FleetTarget... helpers) {
             ImmutableList<HelperTarget> withTokens = Arrays.stream(helpers)
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayPermissionsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayPermissionsTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import net.jqwik.api.lifecycle.AfterTry;
+import org.boragebarrow.decision.assign.HelperTarget;
 import org.boragebarrow.decision.assign.RefusalReason;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.home.ZoneRegions;
@@ -99,6 +100,22 @@
         assertThat(fixture.calls.released).containsExactly(first.id());
     }
 
+    @Example
+    void aRequestIsSentWithoutAHelperThatItDoesNotNeedAndThatBecameUnusableWhileMemoryWasReserved() {
+        FleetTarget storing = fixture.addTarget("storing");
+        FleetTarget reading = fixture.addTarget("reading");
+        fixture.setRoute(RequestKind.RESUMABLE_STREAM, 1);
+        fixture.calls.reservationResult = new CompletableFuture<>();
+        fixture.send();
+        fixture.assignments.assignHelpers(other, new HelperTarget(storing, 100), new HelperTarget(reading, 0));
+        fixture.fleet.recordLeaving(reading.incarnation());
+        fixture.calls.reservationResult.complete(null);
+        fixture.advance(1);
+
+        assertThat(fixture.calls.started).hasSize(1);
+        assertThat(fixture.calls.last().call.helpers()).containsExactly(new HelperTarget(storing, 100));
+    }
+
     @Example
     void aRequestThatWasSentEndsInPlaceAndKeepsItsReservations() {
         fixture.setRoute(RequestKind.RESUMABLE_STREAM, 2);
