Do not take a connection for idle, or late, while its response is being read

Cause: a connection whose last response was sent, but not yet read, counted as idle: after the idle timeout without input it was closed, and the response cut. The time limit of a request behind it ran as well.

Change: both wait while the response is unread; a caller that reads nothing is still disconnected by the write timeout.

Measured: the new test failed before (closed after 2 s while 64 MiB were being read) and passes now, with all of HttpServer*Test.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -393,7 +393,7 @@
         if (event instanceof ReceiveTimeoutHandler.Expired) {
             onReceiveTimeout();
         }
-        if (event instanceof IdleStateEvent && !hasRequestInProgress() && !closing) {
+        if (event instanceof IdleStateEvent && !isBusy() && !closing) {
             onIdle();
         }
         if (event instanceof ShutdownEvent shutdown) {
@@ -422,8 +422,8 @@
         if (closing) {
             return;
         }
-        if (hasRequestInProgress()) {
-            // The next request stays in the queue while the response before it is in progress.
+        if (isBusy()) {
+            // The next request waits while the response before it is in progress or unread.
             receiveTimeout.restart();
             return;
         }
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
@@ -351,6 +351,24 @@
         }
     }
 
+    /** Guards against a connection that is taken for idle while its last response is still being read. */
+    @Example
+    void aSlowReaderReceivesALongResponseThatIsAlreadySent() throws Exception {
+        try (RawConnection caller = startAndConnect(MEDIUM, LONG).send("GET /large HTTP/1.1\r\n\r\n")) {
+            caller.readUntil("\r\n\r\n");
+            long received = 0;
+            for (int number = 0; number < SLOW_READS; number++) {
+                received += caller.skip();
+                TimeUnit.MILLISECONDS.sleep(MEDIUM.toMillis() / READS_PER_IDLE_TIMEOUT);
+            }
+            while (received < ScriptedHandler.LARGE_BYTES) {
+                int part = caller.skip();
+                assertThat(part).isAtLeast(0);
+                received += part;
+            }
+        }
+    }
+
     @Example
     void anExceptionInTheHandlerIsAnsweredWithStatus500() throws Exception {
         try (RawConnection caller = startAndConnect().send("GET /fault HTTP/1.1\r\nConnection: close\r\n\r\n")) {
