--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/ProcessLimits.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/ProcessLimits.java
@@ -55,13 +55,15 @@
     /**
      * Returns the limits of this process.
      *
-     * @param configuredDescriptors the descriptors that the settings allow; 0 for the default
+     * @param configuredDescriptors the descriptors that the settings allow, which go before the limit of the operating
+     *     system, as a platform may count only some of them there; 0 for the default
      * @param configuredMemory the bytes that the settings allow requests to hold; 0 for what the heap has room for
      * @throws IllegalArgumentException if the memory does not fit into the heap
      */
     static ProcessLimits of(int configuredDescriptors, long configuredMemory) {
-        int allowed = configuredDescriptors == 0 ? DEFAULT_DESCRIPTORS : configuredDescriptors;
-        int descriptors = Math.min(allowed, ownDescriptors().orElse(allowed));
+        int descriptors = configuredDescriptors > 0
+                ? configuredDescriptors
+                : Math.min(DEFAULT_DESCRIPTORS, ownDescriptors().orElse(DEFAULT_DESCRIPTORS));
         long heapBytes = Runtime.getRuntime().maxMemory();
         long memory = configuredMemory == 0 ? MemoryAccount.limitOfHeap(heapBytes) : configuredMemory;
         return new ProcessLimits(descriptors, heapBytes, memory);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -95,7 +95,7 @@
             0,
             0,
             MAX_MAX_DESCRIPTORS,
-            "The files and sockets that the process may have open, at most its limit in the operating system; 0 for 4096.");
+            "The files and sockets that the process may have open; 0 for 4096, or fewer if the system allows fewer.");
     private static final Setting<Integer> REQUEST_MEMORY = Setting.integer(
             "callers",
             "memory-mb",
