Let a setting keep the ranks of requests from targets

Cause: an engine that reads by rank changes what the assigner predicts; an operator may want to keep it out. Change: [targets] send-ranks, yes unless set to no.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/RelaySettings.java
@@ -29,6 +29,7 @@
  * @param retrySlack retries that all hosts together may send beyond the ratio in a window
  * @param retryWindow the sliding window in which retries are counted
  * @param duplicateShare second copies of slow requests that may be sent for each request; none if 0
+ * @param sendsRanks whether targets are told the ranks of requests
  * @param quarantineDuration how long the first quarantine of a part of prompts lasts
  * @param regions the regions of zones
  * @param limits what the process may use
@@ -49,6 +50,7 @@
         int retrySlack,
         Duration retryWindow,
         double duplicateShare,
+        boolean sendsRanks,
         Duration quarantineDuration,
         ZoneRegions regions,
         ProcessLimits limits,
@@ -154,6 +156,13 @@
             0,
             1,
             "Second copies of slow requests, as a fraction of the requests that may be repeated; 0 sends none.");
+    private static final Setting<Boolean> SEND_RANKS = Setting.of(
+            "targets",
+            "send-ranks",
+            "yes or no",
+            "yes",
+            "Whether targets are told the ranks of requests for which one is configured.",
+            RelaySettings::parseYesOrNo);
     private static final Setting<Integer> QUARANTINE_MINUTES = Setting.integer(
             "quarantine",
             "minutes",
@@ -212,6 +221,7 @@
                 file.get(RETRY_SLACK, BigDecimal.ZERO).intValue(),
                 file.get(RETRY_WINDOW, Duration.ZERO),
                 file.get(DUPLICATE_SHARE, BigDecimal.ZERO).doubleValue(),
+                file.get(SEND_RANKS, true),
                 Duration.ofMinutes(file.get(QUARANTINE_MINUTES, 1)),
                 regions(file),
                 limits(file),
@@ -220,6 +230,14 @@
         return settings;
     }
 
+    private static boolean parseYesOrNo(String text) {
+        return switch (text) {
+            case "yes" -> true;
+            case "no" -> false;
+            default -> throw new IllegalArgumentException("neither yes nor no: \"" + text + "\"");
+        };
+    }
+
     private static ZoneRegions regions(SettingsFile file) {
         ImmutableMap.Builder<AvailabilityZoneId, RegionId> regions = ImmutableMap.builder();
         for (String zone : file.keys(REGIONS_SECTION)) {
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/settings/RelaySettingsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/settings/RelaySettingsTest.java
@@ -48,6 +48,18 @@
         }
     }
 
+    @Example
+    void ranksAreSentToTargetsUnlessTheSettingsSayOtherwise() {
+        assertThat(settings("").sendsRanks()).isTrue();
+        assertThat(settings("[targets]\nsend-ranks = no\n").sendsRanks()).isFalse();
+        try {
+            settings("[targets]\nsend-ranks = perhaps\n");
+            throw new AssertionError("an unknown word was accepted");
+        } catch (SettingsException e) {
+            assertThat(e).hasMessageThat().contains("perhaps");
+        }
+    }
+
     @Example
     void operatorsHaveNoEndpointUnlessItIsSetWithAToken() throws Exception {
         assertThat(settings("").admin()).isEmpty();
