--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -13,6 +13,7 @@
 final class Site implements AutoCloseable {
     static final String HOST_NAME = "shop.example";
     static final String KEY = "n2ctnfzs989anu6wsjnb";
+    static final String SECOND_KEY = "anfqasnmgkcuyj8pjbvk";
     static final String ENGINE = "{\"slots\":11,\"kv_capacity\":405000,\"kv_token_bytes\":163840,"
             + "\"link_mbps\":400000.0,\"stride\":34,\"models\":[{\"name\":\"m\"}],\"step_ms\":1.31,"
             + "\"per_seq_ms\":0.00133,\"context_per_k\":0.00213,\"read_per_s\":154000.0,\"pairs_per_m\":0.162,"
@@ -83,6 +84,12 @@
     }
 
     void configure(long version, List<String> routes, Map<String, Boolean> engines, int maxBodyBytes) {
+        configure(version, routes, engines, maxBodyBytes, List.of(KEY, SECOND_KEY));
+    }
+
+    /** Writes a version of the configuration, in which one tenant has the keys. */
+    void configure(
+            long version, List<String> routes, Map<String, Boolean> engines, int maxBodyBytes, List<String> keys) {
         String services = engines.entrySet().stream()
                 .map(entry -> "{\"name\":\"" + entry.getKey() + "\",\"health_path\":\"/health\",\"max_conns\":"
                         + (entry.getValue() ? 334 : 48) + ",\"protocol\":\"h1\",\"tls\":false"
@@ -94,7 +101,8 @@
                 "{\"version\":" + version + ",\"routes\":[" + String.join(",", routes) + "],\"services\":[" + services
                         + "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":" + maxBodyBytes + ","
                         + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"hule930\","
-                        + "\"api_keys\":[\"" + KEY + "\"],\"priority\":1}]}");
+                        + "\"api_keys\":[" + String.join(",", keys.stream().map(Json::quote).toList())
+                        + "],\"priority\":1}]}");
     }
 
     static Map<String, String> headers(String id, long deadline) {
