--- a/review/standins-2/Host.java
+++ b/review/standins-2/Host.java
@@ -83,6 +83,10 @@
         return ip + ":" + FRONT_PORT;
     }
 
+    String ready() {
+        return ip + ":" + READY_PORT;
+    }
+
     String name() {
         return name;
     }
