Exit with 2 where a case of the second review cannot run, and use free ports

An unexpected exception of a stand-in ended a case with 1, as if the rule were broken; processes of a case that is ended from outside are ended too.

--- a/review/standins-2/EndlessAnswers.java
+++ b/review/standins-2/EndlessAnswers.java
@@ -1,5 +1,4 @@
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -26,17 +25,8 @@
     /** The work of a lookup; the sheet's longest is 450 ms. */
     private static final long LOOKUP_MILLIS = 400;
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int exit;
-        try (Site site = new Site(Path.of(arguments[0]), Path.of(arguments[1]))) {
-            exit = run(site, trouble);
-            site.record.write("exit " + exit);
-        } catch (IOException e) {
-            System.err.println("error: the case cannot run: " + e);
-            exit = 2;
-        }
-        System.exit(exit);
+    public static void main(String[] arguments) {
+        Trial.play(arguments, EndlessAnswers::run);
     }
 
     private static int run(Site site, boolean trouble) throws Exception {
--- a/review/standins-2/Host.java
+++ b/review/standins-2/Host.java
@@ -1,4 +1,6 @@
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -10,13 +12,11 @@
 /** A process of the system, started with the command and the settings template of the deploy file. */
 final class Host implements AutoCloseable {
     private static final Pattern RUN = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE);
-    private static final int FRONT_PORT = 8227;
-    private static final int READY_PORT = 8220;
-    private static final int PEER_PORT = 7340;
 
     private final Path root;
     private final String name;
-    private final String ip;
+    private final String front;
+    private final String ready;
     private final Path settings;
     private final Path log;
     private Process process;
@@ -30,7 +30,8 @@
             throws IOException {
         this.root = root;
         this.name = name;
-        this.ip = ip;
+        this.front = ip + ":" + freePort(ip);
+        this.ready = ip + ":" + freePort(ip);
         this.settings = folder.resolve(name + ".settings");
         this.log = folder.resolve(name + ".log");
         String text = Files.readString(root.resolve("deploy/settings.ini"));
@@ -46,9 +47,9 @@
                 "limits.cpu_share", "0.75",
                 "limits.cores", "1",
                 "limits.max_fds", "4200",
-                "listen.front", ip + ":" + FRONT_PORT,
-                "listen.ready_address", ip + ":" + READY_PORT,
-                "port_range.0", "" + PEER_PORT,
+                "listen.front", front,
+                "listen.ready_address", ready,
+                "port_range.0", Integer.toString(freePort(ip)),
                 "provider.address", store));
         defaults.putAll(Map.of(
                 "bounds.grace_s", "8",
@@ -65,6 +66,13 @@
         Files.writeString(settings, text);
     }
 
+    private static int freePort(String ip) throws IOException {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress(ip, 0));
+            return socket.getLocalPort();
+        }
+    }
+
     void start() throws IOException {
         Matcher run = RUN.matcher(Files.readString(root.resolve("deploy/system.toml")));
         if (!run.find()) {
@@ -76,15 +84,18 @@
         builder.environment().put("BORAGEBARROW_SETTINGS", settings.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-        process = builder.start();
+        Process started = builder.start();
+        process = started;
+        // Also where the case is ended from outside.
+        Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
     }
 
     String endpoint() {
-        return ip + ":" + FRONT_PORT;
+        return front;
     }
 
     String ready() {
-        return ip + ":" + READY_PORT;
+        return ready;
     }
 
     String name() {
@@ -99,8 +110,8 @@
     void awaitReady(long millis) throws IOException, InterruptedException {
         long end = System.nanoTime() + millis * 1_000_000;
         while (System.nanoTime() < end && process.isAlive()) {
-            try (Client client = new Client(ip + ":" + READY_PORT)) {
-                if (client.send("GET", "/ready", Map.of("Host", ip), "", 1_000).status() == 200) {
+            try (Client client = new Client(ready)) {
+                if (client.send("GET", "/ready", Map.of("Host", "a"), "", 1_000).status() == 200) {
                     return;
                 }
             }
--- a/review/standins-2/ManyTrailers.java
+++ b/review/standins-2/ManyTrailers.java
@@ -2,7 +2,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -30,17 +29,8 @@
 
     private static final long TRIAL_MILLIS = 15_000;
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int exit;
-        try (Site site = new Site(Path.of(arguments[0]), Path.of(arguments[1]))) {
-            exit = run(site, trouble);
-            site.record.write("exit " + exit);
-        } catch (IOException e) {
-            System.err.println("error: the case cannot run: " + e);
-            exit = 2;
-        }
-        System.exit(exit);
+    public static void main(String[] arguments) {
+        Trial.play(arguments, ManyTrailers::run);
     }
 
     private static int run(Site site, boolean trouble) throws Exception {
--- a/review/standins-2/QuietHelper.java
+++ b/review/standins-2/QuietHelper.java
@@ -1,6 +1,5 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -28,17 +27,8 @@
         final AtomicLong quietSince = new AtomicLong(-1);
     }
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int exit;
-        try (Site site = new Site(Path.of(arguments[0]), Path.of(arguments[1]))) {
-            exit = run(site, trouble);
-            site.record.write("exit " + exit);
-        } catch (IOException e) {
-            System.err.println("error: the case cannot run: " + e);
-            exit = 2;
-        }
-        System.exit(exit);
+    public static void main(String[] arguments) {
+        Trial.play(arguments, QuietHelper::run);
     }
 
     private static int run(Site site, boolean trouble) throws Exception {
--- a/review/standins-2/RevokedKeys.java
+++ b/review/standins-2/RevokedKeys.java
@@ -1,5 +1,3 @@
-import java.io.IOException;
-import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,17 +16,8 @@
     /** The keys are taken away for longer than config_ms (2,000), max_skew_ms and revoke_ms (5,000 each) together. */
     private static final long WAIT_MILLIS = 13_000;
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int exit;
-        try (Site site = new Site(Path.of(arguments[0]), Path.of(arguments[1]))) {
-            exit = run(site, trouble);
-            site.record.write("exit " + exit);
-        } catch (IOException e) {
-            System.err.println("error: the case cannot run: " + e);
-            exit = 2;
-        }
-        System.exit(exit);
+    public static void main(String[] arguments) {
+        Trial.play(arguments, RevokedKeys::run);
     }
 
     private static int run(Site site, boolean trouble) throws Exception {
