Keep the hosts of the cases in touch, and cut off a prompt whose memory has expired

Read as an opponent would: requests were passed on before the host had run for contact_ms, so that LOST did not bind it yet; all cases wait for that now. The worker of case 9 let a request go on after its memory had expired, and more than one worker turned orders away; it is cut off now, and one sheds.

--- a/review/standins-2/EndlessAnswers.java
+++ b/review/standins-2/EndlessAnswers.java
@@ -42,8 +42,7 @@
                 Map.of("huvo11a", true, Ledgers.SERVICE, true));
         Host host = site.host("front-z1-1", "z1", Map.of());
         host.start();
-        host.awaitReady(30_000);
-        Thread.sleep(500);
+        host.awaitInTouch();
         ledgers.start(host);
         for (int i = 0; i < STREAMS; i++) {
             String id = "stream-" + i;
--- a/review/standins-2/Host.java
+++ b/review/standins-2/Host.java
@@ -13,6 +13,9 @@
 final class Host implements AutoCloseable {
     private static final Pattern RUN = Pattern.compile("^run = \"(.*)\"$", Pattern.MULTILINE);
 
+    private static final long CONTACT_MILLIS = 3_000;
+    private static final long READY_MILLIS = 30_000;
+
     private final Path root;
     private final String name;
     private final String front;
@@ -20,6 +23,7 @@
     private final Path settings;
     private final Path log;
     private Process process;
+    private long startedAt;
 
     /**
      * Creates a host that is not started yet.
@@ -85,6 +89,7 @@
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         Process started = builder.start();
+        startedAt = System.nanoTime();
         process = started;
         // Also where the case is ended from outside.
         Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
@@ -120,6 +125,12 @@
         throw new IOException(name + " is not ready after " + millis + " ms; see " + log);
     }
 
+    /** Waits until the host is ready and has run for {@code contact_ms}, so that it is in touch. */
+    void awaitInTouch() throws IOException, InterruptedException {
+        awaitReady(READY_MILLIS);
+        Thread.sleep(Math.max(0, CONTACT_MILLIS + 500 - (System.nanoTime() - startedAt) / 1_000_000));
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/review/standins-2/ManyTrailers.java
+++ b/review/standins-2/ManyTrailers.java
@@ -27,8 +27,7 @@
         site.configure(7, List.of(Ledgers.route()), Map.of(Ledgers.SERVICE, true));
         Host host = site.host("front-z1-1", "z1", Map.of());
         host.start();
-        host.awaitReady(30_000);
-        Thread.sleep(500);
+        host.awaitInTouch();
         ledgers.start(host);
         AtomicInteger sent = new AtomicInteger();
         if (trouble) {
--- a/review/standins-2/QuietHelper.java
+++ b/review/standins-2/QuietHelper.java
@@ -4,8 +4,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * A worker that holds a part of a long prompt turns further calls away with 503 and Retry-After.
@@ -25,6 +27,7 @@
         final AtomicInteger all = new AtomicInteger();
         final AtomicInteger inQuiet = new AtomicInteger();
         final AtomicLong quietSince = new AtomicLong(-1);
+        final AtomicLong heldUntil = new AtomicLong();
     }
 
     public static void main(String[] arguments) {
@@ -34,25 +37,38 @@
     private static int run(Site site, boolean trouble) throws Exception {
         Record record = site.record;
         List<Orders> orders = new ArrayList<>();
-        AtomicInteger served = new AtomicInteger();
+        Map<String, Orders> ordersByEndpoint = new ConcurrentHashMap<>();
+        AtomicReference<Orders> shedding = new AtomicReference<>();
         for (int i = 0; i < ENGINES; i++) {
             Orders own = new Orders();
             orders.add(own);
             String name = "i-eng" + i;
             HttpServer engine = site.own(new HttpServer(site.address(), (request, connection) -> {
                 if (request.path().equals("/order")) {
-                    return order(name, own, request, connection, record, trouble);
+                    shedding.compareAndSet(null, own);
+                    return order(name, own, request, connection, record, trouble && shedding.get() == own);
                 }
                 String id = request.header("X-Request-Id");
                 record.write("run " + id + " at " + name + " with helpers " + request.header("X-Helpers"));
-                Thread.sleep(READING_MILLIS);
+                long end = millis() + READING_MILLIS;
+                while (millis() < end) {
+                    Thread.sleep(50);
+                    for (String helper : request.header("X-Helpers").split(",")) {
+                        Orders orderedAt = ordersByEndpoint.get(helper.split("/")[0]);
+                        if (helper.contains("/") && orderedAt != null && orderedAt.heldUntil.get() < millis()) {
+                            record.write("cut off " + id + ", as its memory at " + helper + " has expired");
+                            connection.reset();
+                            return false;
+                        }
+                    }
+                }
                 String body = "id: 1\ndata: x\n\n";
                 connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Request-Id: " + id
                         + "\r\nX-Server-Stamp: " + Site.stamp() + "\r\n\r\n" + Integer.toHexString(body.length())
                         + "\r\n" + body + "\r\n0\r\n\r\n");
-                served.incrementAndGet();
                 return true;
             }));
+            ordersByEndpoint.put(engine.endpoint(), own);
             site.register(name, "huvo11a", engine.endpoint(), "z1", 11, "ready", 1_700_000_000_000L);
         }
         site.configure(
@@ -63,8 +79,7 @@
                 Map.of("huvo11a", true));
         Host host = site.host("front-z1-1", "z1", Map.of());
         host.start();
-        host.awaitReady(30_000);
-        Thread.sleep(500);
+        host.awaitInTouch();
         Client client = site.own(new Client(host.endpoint()));
         Map<String, String> headers =
                 Site.prompt(new HashMap<>(Site.headers("ledger-0", 15_000)), PROMPT_TOKENS, 19, "e4402b70");
@@ -79,6 +94,10 @@
         return most > ALLOWED ? 1 : 0;
     }
 
+    private static long millis() {
+        return System.nanoTime() / 1_000_000;
+    }
+
     private static boolean order(
             String name,
             Orders own,
@@ -92,12 +111,13 @@
         if (number <= 10) {
             record.write("order " + number + " at " + name + ": " + body);
         }
-        long now = System.nanoTime() / 1_000_000;
+        long now = millis();
         long since = own.quietSince.get();
         if (since >= 0 && now - since > HALF_SECOND && now - since < QUIET_SECONDS * 1_000) {
             own.inQuiet.incrementAndGet();
         }
         if (!trouble || number == 1) {
+            own.heldUntil.set(body.contains("\"release\"") ? 0 : now + (Long) Json.object(body).get("hold_ms"));
             connection.answer(200, Map.of("Content-Type", "application/json"), "{\"free\":100000}".getBytes());
             return true;
         }
--- a/review/standins-2/RevokedKeys.java
+++ b/review/standins-2/RevokedKeys.java
@@ -38,8 +38,7 @@
         site.configure(7, routes, services, body, List.of(Site.KEY, Site.SECOND_KEY));
         Host host = site.host("front-z1-1", "z1", Map.of());
         host.start();
-        host.awaitReady(30_000);
-        Thread.sleep(500);
+        host.awaitInTouch();
         Client client = site.own(new Client(host.endpoint()));
         if (send(client, "first", Site.KEY, record).status() != 200
                 || send(client, "foreign-before", "no-such-key", record).status() != 401) {
--- a/review/standins-2/SlowReaders.java
+++ b/review/standins-2/SlowReaders.java
@@ -40,8 +40,7 @@
                 7, List.of(Site.route("r-safe", "/cufi504/", "safe", "wuno96b", 4_000, 2)), Map.of("wuno96b", false));
         Host host = site.host("front-z1-1", "z1", Map.of());
         host.start();
-        host.awaitReady(30_000);
-        Thread.sleep(500);
+        host.awaitInTouch();
         AtomicBoolean ending = new AtomicBoolean();
         AtomicInteger holding = new AtomicInteger();
         if (trouble) {
