Move the buffer of bodies to a package of its own

Cause: responses of targets need the same blocks as bodies of requests, and the class was private to the server. No change of behaviour. Measured: BlockBufferTest and HttpServer*Test pass.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -29,6 +29,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import org.boragebarrow.http.buffer.BlockBuffer;
 import org.boragebarrow.model.ErrorKind;
 import org.boragebarrow.model.RequestException;
 
@@ -68,7 +69,7 @@
 
     private ChannelHandlerContext context;
     private HttpRequest head;
-    private BodyBuffer body;
+    private BlockBuffer body;
     private long bodyBytesAtLastTimeout;
     private int bodyBytes;
     private long requestMemory;
@@ -235,7 +236,7 @@
         if (length > 0 && !holdRequest(length)) {
             return;
         }
-        body = length < 0 ? BodyBuffer.ofUnknownSize() : BodyBuffer.ofSize((int) length);
+        body = length < 0 ? BlockBuffer.ofUnknownSize() : BlockBuffer.ofSize((int) length);
         boolean waitsForContinue = HttpUtil.is100ContinueExpected(request);
         if (refusing && waitsForContinue) {
             refuse(shuttingDown());
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/BodyBufferTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/buffer/BlockBufferTest.java
@@ -1,4 +1,4 @@
-package org.boragebarrow.http.server;
+package org.boragebarrow.http.buffer;
 
 import java.nio.ByteBuffer;
 
@@ -8,10 +8,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-class BodyBufferTest {
+class BlockBufferTest {
     @Example
     void manyTinyPartsAreStoredInFewBlocks() {
-        BodyBuffer body = BodyBuffer.ofUnknownSize();
+        BlockBuffer body = BlockBuffer.ofUnknownSize();
         for (int part = 0; part < 1 << 20; part++) {
             body.add(Unpooled.wrappedBuffer(new byte[] {(byte) part}));
         }
@@ -22,7 +22,7 @@
 
     @Example
     void bytesKeepTheirOrderAcrossBlocks() {
-        BodyBuffer body = BodyBuffer.ofUnknownSize();
+        BlockBuffer body = BlockBuffer.ofUnknownSize();
         for (int part = 0; part < 5_000; part++) {
             body.add(Unpooled.wrappedBuffer(new byte[] {(byte) part, (byte) (part >> 8)}));
         }
