Account for the memory that responses of targets hold

Cause: each response and each event was bounded by 16 MiB by itself, nothing bounded them together, and both buffers doubled with a copy, so that one event took up to 48 MiB of a heap of 96 for a moment.

Change: ResponseMemory accounts for what responses hold before they grow, a quarter of the heap. If there is no room, the target gives way whose responses go furthest beyond complete ones of their service, not the response that asks. Events and bodies are kept in blocks that are never copied, and bodies count until their callers have read them, as they are written piece by piece now. Gauges boragebarrow_memory_responses, _limit and _ended.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
@@ -1,9 +1,13 @@
 package org.boragebarrow.http.server;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
 import java.util.Map;
+import java.util.Queue;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntConsumer;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -35,9 +39,19 @@
 
     private Runnable closeAction = NO_OP;
     private Runnable writabilityAction = NO_OP;
+    private final Queue<Part> queue = new ArrayDeque<>();
     private boolean keepAlive;
     private boolean started;
+    private boolean endQueued;
     private boolean finished;
+    private boolean writingQueue;
+
+    /** A part of the body that waits until the caller has read those before it. */
+    private record Part(ByteBuffer bytes, IntConsumer onWritten) {
+        void discard() {
+            onWritten.accept(bytes.remaining());
+        }
+    }
 
     /**
      * Creates a response.
@@ -64,7 +78,7 @@
 
     @Override
     public boolean isWritable() {
-        return channel.isWritable();
+        return queue.isEmpty() && channel.isWritable();
     }
 
     @Override
@@ -84,6 +98,35 @@
         finish();
     }
 
+    @Override
+    public void send(
+            int status,
+            ImmutableListMultimap<String, String> headers,
+            ImmutableList<ByteBuffer> body,
+            IntConsumer onWritten) {
+        if (body.size() <= 1) {
+            ByteBuffer only = body.isEmpty() ? ByteBuffer.allocate(0) : body.get(0);
+            int size = only.remaining();
+            send(status, headers, only);
+            onWritten.accept(size);
+            return;
+        }
+        if (started) {
+            abort();
+        }
+        if (isOpen()) {
+            DefaultHttpResponse head =
+                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+            setHeaders(head.headers(), headers, keepAliveAllowed.getAsBoolean());
+            long length = body.stream().mapToLong(ByteBuffer::remaining).sum();
+            head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+            channel.write(head, channel.voidPromise());
+            started = true;
+        }
+        write(body, onWritten);
+        end();
+    }
+
     @Override
     public void start(int status, ImmutableListMultimap<String, String> headers) {
         if (!isOpen()) {
@@ -109,8 +152,51 @@
 
     @Override
     public void write(ByteBuffer part) {
-        if (isOpen() && part.hasRemaining()) {
-            channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)), channel.voidPromise());
+        if (!isOpen() || !part.hasRemaining()) {
+            return;
+        }
+        if (queue.isEmpty()) {
+            writeNow(part);
+        } else {
+            queue.add(new Part(part, written -> {}));
+        }
+    }
+
+    private void writeNow(ByteBuffer part) {
+        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)), channel.voidPromise());
+    }
+
+    @Override
+    public void write(ImmutableList<ByteBuffer> parts, IntConsumer onWritten) {
+        parts.forEach(part -> queue.add(new Part(part, onWritten)));
+        if (isOpen()) {
+            writeQueue();
+        } else {
+            discardQueue();
+        }
+    }
+
+    /** Writes what is queued, as far as the caller reads it; the end of the body follows if it was queued. */
+    private void writeQueue() {
+        // Writing may change the writability, which leads back here.
+        if (writingQueue) {
+            return;
+        }
+        writingQueue = true;
+        while (!queue.isEmpty() && channel.isWritable()) {
+            Part part = queue.poll();
+            part.onWritten().accept(part.bytes().remaining());
+            writeNow(part.bytes());
+        }
+        writingQueue = false;
+        if (endQueued && queue.isEmpty() && isOpen()) {
+            writeEnd();
+        }
+    }
+
+    private void discardQueue() {
+        while (!queue.isEmpty()) {
+            queue.poll().discard();
         }
     }
 
@@ -119,6 +205,14 @@
         if (!isOpen()) {
             return;
         }
+        if (queue.isEmpty()) {
+            writeEnd();
+        } else {
+            endQueued = true;
+        }
+    }
+
+    private void writeEnd() {
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT, channel.voidPromise());
         finish();
     }
@@ -138,6 +232,7 @@
             }
             channel.close();
         }
+        discardQueue();
     }
 
     @Override
@@ -151,12 +246,14 @@
     }
 
     void writabilityChanged() {
+        writeQueue();
         if (!finished) {
             writabilityAction.run();
         }
     }
 
     void connectionClosed() {
+        discardQueue();
         if (!finished) {
             finished = true;
             closeAction.run();
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -79,6 +79,7 @@
     private boolean continuing;
     private boolean refusedIncomplete;
     private boolean refusing;
+    private boolean closingWhenWritten;
     private boolean receivedSinceLingerCheck;
 
     ConnectionHandler(
@@ -334,6 +335,10 @@
             context.channel().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ignored -> linger());
             return;
         }
+        if (closingWhenWritten) {
+            closeWhenWritten();
+            return;
+        }
         connections.onIdle(context.channel());
         continueLater();
     }
@@ -404,6 +409,7 @@
 
     private void onShutdown(ShutdownEvent event) {
         refusing = true;
+        closingWhenWritten |= event == ShutdownEvent.CLOSE_WHEN_WRITTEN;
         if (head != null) {
             refuse(shuttingDown());
             return;
@@ -415,6 +421,10 @@
             // The caller may still be sending; if the connection were closed now, it might lose the response.
             return;
         }
+        closeWhenWritten();
+    }
+
+    private void closeWhenWritten() {
         closing = true;
         context.channel().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> context.close());
     }
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
@@ -109,6 +109,43 @@
         }
     }
 
+    @Example
+    void aBodyInBlocksIsHeldUntilItsCallerReadsIt() throws Exception {
+        try (RawConnection caller = startAndConnect()) {
+            caller.send("GET /blocks HTTP/1.1\r\n\r\n");
+            caller.readUntil("\r\n\r\n");
+            assertThat(handler.writtenBytes.get()).isLessThan(ScriptedHandler.LARGE_BYTES);
+            caller.read(ScriptedHandler.LARGE_BYTES);
+            assertThat(handler.writtenBytes.get()).isEqualTo(ScriptedHandler.LARGE_BYTES);
+
+            caller.send("GET /a HTTP/1.1\r\n\r\n");
+            assertThat(caller.readUntil("/a 0")).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    @Example
+    void blocksThatACallerLeavesUnreadAreFreed() throws Exception {
+        try (RawConnection caller = startAndConnect()) {
+            caller.send("GET /blocks HTTP/1.1\r\n\r\n");
+            caller.readUntil("\r\n\r\n");
+        }
+        assertThat(handler.awaitDisconnect()).isEqualTo("/blocks");
+        assertThat(handler.writtenBytes.get()).isEqualTo(ScriptedHandler.LARGE_BYTES);
+    }
+
+    @Example
+    void aStoppingServerWritesAllBlocksAndCloses() throws Exception {
+        try (RawConnection caller = startAndConnect()) {
+            caller.send("GET /blocks HTTP/1.1\r\n\r\n");
+            caller.readUntil("\r\n\r\n");
+            CompletableFuture<Void> closed = CompletableFuture.runAsync(() -> server.closeGracefully(LONG));
+            caller.read(ScriptedHandler.LARGE_BYTES);
+
+            assertThat(caller.readUntilClosed()).isEmpty();
+            closed.get(20, TimeUnit.SECONDS);
+        }
+    }
+
     @Example
     void idleConnectionsDoNotDelayTheEndOfAServer() throws Exception {
         try (RawConnection caller = startAndConnect()) {
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/ScriptedHandler.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/ScriptedHandler.java
@@ -6,12 +6,15 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import org.boragebarrow.model.RequestException;
 
 /**
- * Responds with the path and the length of the body, and with {@link #LARGE_BYTES} to {@code /large}. Does not respond to {@code /hold} by itself, writes
+ * Responds with the path and the length of the body, and with {@link #LARGE_BYTES} to {@code /large} and, in blocks, to
+ * {@code /blocks}. Does not respond to {@code /hold} by itself, writes
  * {@link #FLOOD_BYTES} to the caller of {@code /flood}, and throws for {@code /fault} and {@code /late-fault}.
  */
 final class ScriptedHandler implements ServerHandler {
@@ -21,18 +24,23 @@
     static final int LARGE_BYTES = 64 << 20;
 
     private static final int PART_BYTES = 16 << 10;
+    private static final int BLOCK_BYTES = 64 << 10;
     private static final long WAIT_SECONDS = 20;
 
     final BlockingQueue<ServerResponse> heldResponses = new LinkedBlockingQueue<>();
     final BlockingQueue<String> disconnectedPaths = new LinkedBlockingQueue<>();
     final AtomicLong floodedBytes = new AtomicLong();
 
+    /** The bytes of the blocks that are no longer held by the response. */
+    final AtomicLong writtenBytes = new AtomicLong();
+
     @Override
     public void onRequest(ServerRequest request, ServerResponse response) {
         response.onClose(() -> disconnectedPaths.add(request.path()));
         switch (request.path()) {
             case "/hold" -> heldResponses.add(response);
             case "/large" -> response.send(200, ImmutableListMultimap.of(), ByteBuffer.allocate(LARGE_BYTES));
+            case "/blocks" -> response.send(200, ImmutableListMultimap.of(), blocks(), writtenBytes::addAndGet);
             case "/flood" -> {
                 response.start(200, ImmutableListMultimap.of());
                 response.onWritabilityChanged(() -> flood(response));
@@ -47,6 +55,12 @@
         }
     }
 
+    private static ImmutableList<ByteBuffer> blocks() {
+        return Stream.generate(() -> ByteBuffer.allocate(BLOCK_BYTES))
+                .limit(LARGE_BYTES / BLOCK_BYTES)
+                .collect(ImmutableList.toImmutableList());
+    }
+
     private void flood(ServerResponse response) {
         while (response.isOpen() && response.isWritable() && floodedBytes.get() < FLOOD_BYTES) {
             floodedBytes.addAndGet(PART_BYTES);
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/EventSplitter.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/EventSplitter.java
@@ -1,12 +1,15 @@
 package org.boragebarrow.node.relay;
 
-import java.nio.charset.StandardCharsets;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalLong;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import org.boragebarrow.http.buffer.BlockBuffer;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
@@ -19,13 +22,26 @@
 final class EventSplitter {
     private static final String ID_FIELD = "id:";
 
+    /** The maximum length of an id with the white space around it, in characters. */
+    private static final int MAX_ID_LENGTH = 64;
+
     private final int maxEventBytes;
-    private byte[] pending = new byte[1_024];
-    private int length;
-    private int scanned;
+    private BlockBuffer pending = BlockBuffer.ofUnknownSize();
+
+    private int eventLength;
+    private byte last;
+    private byte secondToLast;
+    private OptionalLong id = OptionalLong.empty();
+    private final StringBuilder idText = new StringBuilder();
+    private int lineLength;
+    private boolean mayBeId = true;
 
-    /** One event including its terminating empty line. */
-    record Event(OptionalLong id, byte[] bytes) {}
+    /**
+     * One event including its terminating empty line.
+     *
+     * @param size the size of all blocks in bytes
+     */
+    record Event(OptionalLong id, ImmutableList<ByteBuffer> blocks, int size) {}
 
     EventSplitter(int maxEventBytes) {
         checkArgument(maxEventBytes > 0, "maximum event size must be positive: %s", maxEventBytes);
@@ -38,63 +54,83 @@
      * @throws IllegalArgumentException if an event is longer than the maximum or its id is not a whole number
      */
     List<Event> feed(ByteBuf bytes) {
-        append(bytes);
+        byte[] copy = ByteBufUtil.getBytes(bytes);
         List<Event> events = new ArrayList<>();
         int start = 0;
-        int end = findEventEnd();
-        while (end > 0) {
-            events.add(parseEvent(Arrays.copyOfRange(pending, start, end)));
-            start = end;
-            end = findEventEnd();
-        }
-        if (start > 0) {
-            System.arraycopy(pending, start, pending, 0, length - start);
-            length -= start;
-            scanned -= start;
+        for (int i = 0; i < copy.length; i++) {
+            if (endsEvent(copy[i])) {
+                events.add(completeEvent(copy, start, i + 1));
+                start = i + 1;
+            }
         }
-        checkArgument(length <= maxEventBytes, "an event is longer than %s bytes", maxEventBytes);
+        int rest = copy.length - start;
+        checkArgument(pending.size() + rest <= maxEventBytes, "an event is longer than %s bytes", maxEventBytes);
+        pending.add(Unpooled.wrappedBuffer(copy, start, rest));
         return events;
     }
 
+    /** Returns by how many bytes the memory for an incomplete event grows at most if so many bytes are appended. */
+    int growthFor(int bytes) {
+        return pending.growthFor(bytes);
+    }
+
+    /** Returns the bytes of memory that an incomplete event holds. */
+    int allocatedBytes() {
+        return pending.allocatedBytes();
+    }
+
     /** Returns whether bytes of an incomplete event are buffered. */
     boolean hasIncompleteEvent() {
-        return length > 0;
+        return pending.size() > 0;
     }
 
-    private void append(ByteBuf bytes) {
-        int added = bytes.readableBytes();
-        if (length + added > pending.length) {
-            pending = Arrays.copyOf(pending, Math.max(2 * pending.length, length + added));
+    /** Reads the next byte; returns whether an empty line, and so the event, ends with it. */
+    private boolean endsEvent(byte next) {
+        boolean ends = next == '\n'
+                && eventLength > 0
+                && (last == '\n' || (eventLength > 2 && last == '\r' && secondToLast == '\n'));
+        if (next == '\n' || next == '\r') {
+            endLine();
+        } else {
+            readWithinLine(next);
         }
-        bytes.getBytes(bytes.readerIndex(), pending, length, added);
-        length += added;
+        secondToLast = last;
+        last = next;
+        eventLength++;
+        return ends;
     }
 
-    /** Returns the index after the next empty line, or 0 if there is none yet; resumes where the last call stopped. */
-    private int findEventEnd() {
-        while (scanned < length) {
-            int index = scanned++;
-            if (pending[index] != '\n' || index == 0) {
-                continue;
-            }
-            boolean emptyLine = pending[index - 1] == '\n';
-            boolean emptyCrLfLine = index >= 3 && pending[index - 1] == '\r' && pending[index - 2] == '\n';
-            if (emptyLine || emptyCrLfLine) {
-                return scanned;
-            }
+    private void readWithinLine(byte next) {
+        if (lineLength < ID_FIELD.length()) {
+            mayBeId &= next == ID_FIELD.charAt(lineLength);
+        } else if (mayBeId) {
+            idText.append((char) next);
+            checkArgument(idText.length() <= MAX_ID_LENGTH, "event id is longer than %s characters", MAX_ID_LENGTH);
         }
-        return 0;
+        lineLength++;
     }
 
-    private static Event parseEvent(byte[] bytes) {
-        String text = new String(bytes, StandardCharsets.UTF_8);
-        OptionalLong id = OptionalLong.empty();
-        for (String line : text.lines().toList()) {
-            if (line.startsWith(ID_FIELD)) {
-                id = OptionalLong.of(parseId(line.substring(ID_FIELD.length()).trim()));
-            }
+    private void endLine() {
+        if (mayBeId && lineLength >= ID_FIELD.length()) {
+            id = OptionalLong.of(parseId(idText.toString().trim()));
+        }
+        idText.setLength(0);
+        lineLength = 0;
+        mayBeId = true;
+    }
+
+    private Event completeEvent(byte[] bytes, int start, int end) {
+        Event event;
+        if (pending.size() == 0) {
+            event = new Event(id, ImmutableList.of(ByteBuffer.wrap(bytes, start, end - start)), end - start);
+        } else {
+            pending.add(Unpooled.wrappedBuffer(bytes, start, end - start));
+            event = new Event(id, pending.toBlocks(), pending.size());
+            pending = BlockBuffer.ofUnknownSize();
         }
-        return new Event(id, bytes);
+        id = OptionalLong.empty();
+        eventLength = 0;
+        return event;
     }
 
     private static long parseId(String id) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -1,7 +1,5 @@
 package org.boragebarrow.node.relay;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -17,6 +15,8 @@
 import org.boragebarrow.decision.assign.Outcome;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
+import org.boragebarrow.decision.memory.ResponseMemory;
+import org.boragebarrow.http.buffer.BlockBuffer;
 import org.boragebarrow.http.client.ResponseOrigin;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.TargetId;
@@ -43,7 +43,12 @@
     private final Assignment assignment;
     private final PromptReservations reservations;
     private final EventSplitter splitter = new EventSplitter(MAX_BUFFERED_BYTES);
-    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private final BlockBuffer buffered = BlockBuffer.ofUnknownSize();
+    private final ResponseMemory.Holding memory;
+
+    /** The bytes of memory that are held for what is not complete. */
+    private int incompleteBytes;
+
     private Optional<EngineClient.CallHandle> handle = Optional.empty();
     private Optional<Future<?>> stallTimer = Optional.empty();
     private Optional<ResponseOrigin> origin = Optional.empty();
@@ -63,6 +68,8 @@
         this.id = id;
         this.assignment = assignment;
         this.reservations = new PromptReservations(context, assignment.helpers(), reservationName());
+        this.memory = context.responses()
+                .open(assignment.target().id(), assignment.target().service(), this::giveWay);
     }
 
     AttemptId id() {
@@ -213,6 +220,7 @@
         closed = true;
         stallTimer.ifPresent(timer -> timer.cancel(false));
         handle.ifPresent(EngineClient.CallHandle::close);
+        releaseIncomplete(0);
         reservations.release();
         context.assignments().reportEnd(id, outcome);
     }
@@ -323,6 +331,9 @@
             buffer(chunk);
             return;
         }
+        if (!holdIncomplete(splitter.growthFor(chunk.readableBytes()))) {
+            return;
+        }
         List<EventSplitter.Event> events;
         try {
             events = splitter.feed(chunk);
@@ -335,6 +346,7 @@
                 return;
             }
         }
+        releaseIncomplete(splitter.allocatedBytes());
     }
 
     private void buffer(ByteBuf chunk) {
@@ -342,9 +354,35 @@
             fail(Outcome.FAILED, true, "response is longer than " + MAX_BUFFERED_BYTES + " bytes");
             return;
         }
-        byte[] bytes = new byte[chunk.readableBytes()];
-        chunk.getBytes(chunk.readerIndex(), bytes);
-        buffered.writeBytes(bytes);
+        if (holdIncomplete(buffered.growthFor(chunk.readableBytes()))) {
+            buffered.add(chunk.slice());
+        }
+    }
+
+    /** Accounts for memory before it is used; fails the attempt and returns false if there is none. */
+    private boolean holdIncomplete(int bytes) {
+        if (!memory.tryHold(bytes)) {
+            fail(Outcome.FAILED, true, "no memory for " + bytes + " bytes beyond the " + memory.heldBytes() + " held");
+            return false;
+        }
+        incompleteBytes += bytes;
+        return true;
+    }
+
+    private void releaseIncomplete(int stillHeld) {
+        memory.release(incompleteBytes - stillHeld);
+        incompleteBytes = stillHeld;
+    }
+
+    /** Ends the response, whose memory others need. */
+    private void giveWay() {
+        if (!closed) {
+            fail(Outcome.FAILED, true, "the response held " + memory.heldBytes() + " bytes that others needed");
+        }
+        boolean isUnread = memory.heldBytes() > 0;
+        if (isUnread) {
+            exchange.response().abort();
+        }
     }
 
     /** Delivers an event to the caller; returns false if the attempt has ended as a result. */
@@ -359,8 +397,8 @@
             exchange.settleOn(this);
             exchange.startResponse(head.orElseThrow());
             exchange.onEventDelivered(lastProgressAt);
-            relayedBytes += event.bytes().length;
-            exchange.response().write(ByteBuffer.wrap(event.bytes()));
+            relayedBytes += event.size();
+            write(event);
             if (!exchange.response().isWritable()) {
                 setReadEnabled(false);
             }
@@ -368,6 +406,16 @@
         return !closed;
     }
 
+    private void write(EventSplitter.Event event) {
+        if (event.blocks().size() == 1) {
+            exchange.response().write(event.blocks().get(0));
+            return;
+        }
+        memory.onComplete(event.size());
+        incompleteBytes -= event.size();
+        exchange.response().write(event.blocks(), memory::release);
+    }
+
     private void recordProgress() {
         long now = context.ticker().read();
         if (timeToFirstEventMillis < 0) {
@@ -392,8 +440,10 @@
         exchange.settleOn(this);
         int status = head.get().status();
         exchange.onAnswered(this, status, buffered.size());
+        memory.onComplete(buffered.size());
+        incompleteBytes -= buffered.size();
         close(status < MIN_SERVER_ERROR ? Outcome.SUCCEEDED : Outcome.FAILED);
-        exchange.response().send(status, head.get().headers(), ByteBuffer.wrap(buffered.toByteArray()));
+        exchange.response().send(status, head.get().headers(), buffered.toBlocks(), memory::release);
     }
 
     private void endStream() {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayContext.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayContext.java
@@ -10,6 +10,7 @@
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.QuietPeriods;
 import org.boragebarrow.decision.home.ZoneRegions;
+import org.boragebarrow.decision.memory.ResponseMemory;
 import org.boragebarrow.decision.quarantine.Quarantine;
 import org.boragebarrow.decision.retry.RetryQuota;
 import org.boragebarrow.decision.routing.RoutingTableHolder;
@@ -22,6 +23,7 @@
  *
  * @param loop the event loop on which requests, the fleet and the routing are handled
  * @param regions supplies the regions of zones
+ * @param responses the memory that responses of targets hold
  * @param random seeded by the process; adds jitter to the retry delays of refused callers
  */
 public record RelayContext(
@@ -39,6 +41,7 @@
         Quarantine quarantine,
         Assignments assignments,
         TargetCalls calls,
+        ResponseMemory responses,
         DecisionLog log,
         HostMetrics metrics) {
     /** Returns whether a new request may be sent to the incarnation of the target. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -17,6 +17,7 @@
 import org.boragebarrow.decision.fleet.Fleet;
 import org.boragebarrow.decision.fleet.QuietPeriods;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
+import org.boragebarrow.decision.memory.ResponseMemory;
 import org.boragebarrow.decision.quarantine.Quarantine;
 import org.boragebarrow.decision.retry.Backoff;
 import org.boragebarrow.decision.retry.RetryQuota;
@@ -126,6 +127,7 @@
     private final RetryQuota retryQuota;
     private final Quarantine quarantine;
     private final QuarantineDuty quarantineDuty;
+    private final ResponseMemory responses;
     private final Relay relay;
     private final FleetFeed fleetFeed;
     private final TableFollower routingFollower;
@@ -179,6 +181,7 @@
                 new RetryQuota(settings.retryRatio(), settings.retrySlack(), settings.retryWindow(), MIN_QUOTA_HOSTS);
         allowDuplicates(settings.duplicateShare());
         this.quarantine = new Quarantine(settings.id().value(), settings.quarantineDuration(), random);
+        this.responses = ResponseMemory.of(settings.limits().responseMemory());
         this.relay = new Relay(new RelayContext(
                 self,
                 settings.zone(),
@@ -194,6 +197,7 @@
                 quarantine,
                 assignments,
                 calls,
+                responses,
                 log,
                 metrics));
         RoutingFeed routingFeed = new RoutingFeed(decoders, routing, emptied, log, ticker::read, new OperatorChanges());
@@ -230,6 +234,9 @@
         metrics.gauge("boragebarrow.targets.slow", assignments::slowTargetCount);
         metrics.gauge("boragebarrow.attempts.queued", assignments::queuedCount);
         metrics.gauge("boragebarrow.log.dropped", log::dropped);
+        metrics.gauge("boragebarrow.memory.responses", responses::heldBytes);
+        metrics.gauge("boragebarrow.memory.responses.limit", responses::limit);
+        metrics.gauge("boragebarrow.memory.responses.ended", responses::endedResponses);
         metrics.gauge("boragebarrow.quarantine.parts", () -> quarantinedParts);
         metrics.gauge("boragebarrow.zones.emptied", () -> emptiedZones);
     }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/ProcessLimits.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/settings/ProcessLimits.java
@@ -33,6 +33,9 @@
 
     private static final int STRANGER_DIVISOR = 16;
 
+    /** A quarter is for responses of targets; with half of it for requests, a quarter is left. */
+    private static final int RESPONSE_DIVISOR = 4;
+
     /** A connection occupies up to 8 KiB besides its requests; all together have a quarter of the heap. */
     private static final int HEAP_BYTES_PER_CONNECTION = 32 << 10;
 
@@ -84,6 +87,11 @@
         return OptionalInt.empty();
     }
 
+    /** Returns the bytes that responses of targets may hold together. */
+    public long responseMemory() {
+        return heapBytes / RESPONSE_DIVISOR;
+    }
+
     /** Returns the maximum number of callers' connections. */
     public int callerConnections() {
         long byHeap = heapBytes / HEAP_BYTES_PER_CONNECTION;
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/EventSplitterTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/EventSplitterTest.java
@@ -43,6 +43,43 @@
         assertThat(splitter.hasIncompleteEvent()).isFalse();
     }
 
+    private static String text(EventSplitter.Event event) {
+        StringBuilder text = new StringBuilder();
+        event.blocks().forEach(block -> text.append(StandardCharsets.UTF_8.decode(block.duplicate())));
+        return text.toString();
+    }
+
+    @Property(tries = 200, seed = "48")
+    void theBytesOfEventsAreThoseThatWereReceived(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 5_000) int maxChunk) {
+        Random random = new Random(seed);
+        List<String> sent = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            sent.add("data: " + "x".repeat(random.nextInt(3_000)) + (i % 2 == 0 ? "\nid:" + i + "\n\n" : "\r\n\r\n"));
+        }
+        String text = String.join("", sent);
+        EventSplitter splitter = new EventSplitter(10_000);
+        List<String> received = new ArrayList<>();
+        int start = 0;
+        while (start < text.length()) {
+            int end = Math.min(text.length(), start + 1 + random.nextInt(maxChunk));
+            int growth = splitter.growthFor(end - start);
+            int before = splitter.allocatedBytes();
+            feed(splitter, text.substring(start, end)).forEach(event -> received.add(text(event)));
+            assertThat(splitter.allocatedBytes()).isAtMost(before + growth);
+            start = end;
+        }
+
+        assertThat(received).isEqualTo(sent);
+        assertThat(splitter.allocatedBytes()).isEqualTo(0);
+    }
+
+    @Example
+    void anIdWithoutAnEndIsRejected() {
+        assertThat(isRejected(new EventSplitter(1_000), "id: " + "1".repeat(100)))
+                .isTrue();
+    }
+
     @Example
     void anEventWithoutIdHasNone() {
         assertThat(feed(new EventSplitter(100), "data: x\n\n").get(0).id()).isEqualTo(OptionalLong.empty());
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
@@ -37,6 +38,7 @@
 import org.boragebarrow.decision.fleet.QuietPeriods;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.decision.home.ZoneRegions;
+import org.boragebarrow.decision.memory.ResponseMemory;
 import org.boragebarrow.decision.quarantine.Quarantine;
 import org.boragebarrow.decision.quarantine.QuarantineEvent;
 import org.boragebarrow.decision.retry.RetryQuota;
@@ -69,6 +71,9 @@
     /** The predicted time to the first event of each assignment. */
     static final long PREDICTED_MILLIS = 100;
 
+    /** The memory for responses, in bytes. */
+    static final int RESPONSE_MEMORY = 1 << 20;
+
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
     private final DecisionLog log = new DecisionLog(new PrintStream(logOutput, true, StandardCharsets.UTF_8));
@@ -83,6 +88,7 @@
     final FakeCalls calls = new FakeCalls();
     ImmutableList<PromptPartId> promptParts = ImmutableList.of();
     final List<String> announced = new ArrayList<>();
+    final ResponseMemory responseMemory = ResponseMemory.of(RESPONSE_MEMORY);
     final RetryQuota retryQuota;
     final Relay relay;
     final SignalHandler signals;
@@ -113,6 +119,7 @@
                 quarantine,
                 assignments,
                 calls,
+                responseMemory,
                 log,
                 new HostMetrics(10)));
         signals = new SignalHandler(fleet, quiet, ticker, log, new HostMetrics(10), new SignalOutputs());
@@ -449,6 +456,8 @@
         int status;
         ImmutableListMultimap<String, String> headers = ImmutableListMultimap.of();
         final StringBuilder body = new StringBuilder();
+        final List<Runnable> unread = new ArrayList<>();
+        boolean reading = true;
         boolean ended;
         boolean aborted;
         boolean closed;
@@ -483,6 +492,17 @@
             end();
         }
 
+        @Override
+        public void send(
+                int code,
+                ImmutableListMultimap<String, String> fields,
+                ImmutableList<ByteBuffer> blocks,
+                IntConsumer onWritten) {
+            start(code, fields);
+            write(blocks, onWritten);
+            end();
+        }
+
         @Override
         public void start(int code, ImmutableListMultimap<String, String> fields) {
             status = code;
@@ -494,6 +514,24 @@
             body.append(StandardCharsets.UTF_8.decode(part));
         }
 
+        /** Keeps the parts as long as the test does not read. */
+        @Override
+        public void write(ImmutableList<ByteBuffer> parts, IntConsumer onWritten) {
+            for (ByteBuffer part : parts) {
+                int size = part.remaining();
+                write(part);
+                unread.add(() -> onWritten.accept(size));
+            }
+            if (reading) {
+                readAll();
+            }
+        }
+
+        void readAll() {
+            unread.forEach(Runnable::run);
+            unread.clear();
+        }
+
         @Override
         public void end() {
             ended = true;
@@ -502,6 +540,7 @@
         @Override
         public void abort() {
             aborted = true;
+            readAll();
         }
 
         @Override
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
@@ -724,4 +724,66 @@
         assertThat(fixture.calls.started).hasSize(1);
         assertThat(fixture.assignments.lastSubmitted().excluded()).containsExactly(first.id(), second.id());
     }
+
+    private FakeResponse sendTo(FleetTarget target) {
+        FakeResponse response = fixture.send();
+        fixture.assignments.assign(target);
+        return response;
+    }
+
+    /** Guards against responses without an end that take the memory of a host from sound ones. */
+    @Example
+    void aStreamWhoseEventHasNoEndGivesWayToASoundResponse() {
+        fixture.setRoute(RequestKind.AT_MOST_ONCE_STREAM, 1);
+        FakeResponse endless = sendTo(first);
+        RelayFixture.FakeCall endlessCall = fixture.calls.last().head(200);
+        FakeResponse sound = sendTo(second);
+        RelayFixture.FakeCall soundCall = fixture.calls.last().head(200).body("id: 1\ndata: x");
+        for (int sent = 0; sent < 2 * RelayFixture.RESPONSE_MEMORY && !endlessCall.closed; sent += 16 << 10) {
+            endlessCall.body("x".repeat(16 << 10));
+            assertThat(fixture.responseMemory.heldBytes()).isAtMost(RelayFixture.RESPONSE_MEMORY);
+        }
+        soundCall.body("\n\n").end();
+
+        assertThat(endless.status).isEqualTo(502);
+        assertThat(sound.body.toString()).isEqualTo("id: 1\ndata: x\n\n");
+        assertThat(sound.ended).isTrue();
+        assertThat(fixture.responseMemory.heldBytes()).isEqualTo(0);
+    }
+
+    @Example
+    void aResponseIsHeldUntilItsCallerHasReadIt() {
+        FakeResponse response = sendAndAssign(RequestKind.AT_MOST_ONCE, 1);
+        response.reading = false;
+        fixture.calls.last().head(200).body("x".repeat(200 << 10)).body("y").end();
+
+        assertThat(fixture.responseMemory.heldBytes()).isEqualTo((200 << 10) + 1);
+        response.readAll();
+        assertThat(fixture.responseMemory.heldBytes()).isEqualTo(0);
+    }
+
+    @Example
+    void aResponseThatIsNotReadGivesWay() {
+        FakeResponse unread = sendAndAssign(RequestKind.AT_MOST_ONCE, 1);
+        unread.reading = false;
+        fixture.calls.last().head(200).body("x".repeat(700 << 10)).end();
+        FakeResponse response = sendTo(second);
+        fixture.calls.last().head(200).body("y".repeat(300 << 10)).end();
+
+        assertThat(unread.aborted).isTrue();
+        assertThat(response.body.length()).isEqualTo(300 << 10);
+        assertThat(fixture.responseMemory.heldBytes()).isEqualTo(0);
+    }
+
+    @Example
+    void aRepeatableRequestWhoseResponseFoundNoMemoryIsSentToAnotherTarget() {
+        FakeResponse response = sendAndAssign(RequestKind.REPEATABLE, 2);
+        fixture.calls.last().head(200).body("x".repeat(RelayFixture.RESPONSE_MEMORY));
+        fixture.assignments.assign(second);
+        fixture.calls.last().head(200).body("done").end();
+
+        assertThat(response.status).isEqualTo(200);
+        assertThat(response.body.toString()).isEqualTo("done");
+        assertThat(fixture.responseMemory.heldBytes()).isEqualTo(0);
+    }
 }
