Require keys as soon as a configuration names organisations

Cause: RoutingTable took a map without keys for a configuration that needs none. The field's presence is what counts; the decoder passed on the keys alone, so that the table could not tell the difference. The trace of the case shows the requests passed on without an organisation 13 s after the version was acknowledged.

Change: the table's keys are empty only if the configuration names no organisations.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/RoutingTable.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/RoutingTable.java
@@ -23,7 +23,7 @@
     private final long version;
     private final ImmutableListMultimap<String, Route> routes;
     private final ImmutableMap<ServiceName, ServiceProfile> services;
-    private final ImmutableMap<String, OrganisationId> keys;
+    private final Optional<ImmutableMap<String, OrganisationId>> keys;
     private final ImmutableMap<OrganisationId, OrganisationProfile> organisations;
     private final Optional<CallerLimits> limits;
 
@@ -31,7 +31,7 @@
             long version,
             ImmutableListMultimap<String, Route> routes,
             ImmutableMap<ServiceName, ServiceProfile> services,
-            ImmutableMap<String, OrganisationId> keys,
+            Optional<ImmutableMap<String, OrganisationId>> keys,
             ImmutableMap<OrganisationId, OrganisationProfile> organisations,
             Optional<CallerLimits> limits) {
         this.version = version;
@@ -42,30 +42,17 @@
         this.limits = checkNotNull(limits);
     }
 
-    /**
-     * Returns a table of organisations for which nothing is configured.
-     *
-     * @param keys the organisation that owns each key; empty if requests need no key
-     */
-    public static RoutingTable of(
-            long version,
-            ImmutableList<Route> routes,
-            ImmutableList<ServiceProfile> services,
-            ImmutableMap<String, OrganisationId> keys,
-            Optional<CallerLimits> limits) {
-        return of(version, routes, services, keys, ImmutableList.of(), limits);
-    }
-
     /**
      * Returns a table.
      *
-     * @param keys the organisation that owns each key; empty if requests need no key
+     * @param keys the organisation that owns each key; empty if requests need no key, while a map without keys means that
+     *     no key is known, and requests need one
      */
     public static RoutingTable of(
             long version,
             ImmutableList<Route> routes,
             ImmutableList<ServiceProfile> services,
-            ImmutableMap<String, OrganisationId> keys,
+            Optional<ImmutableMap<String, OrganisationId>> keys,
             ImmutableList<OrganisationProfile> organisations,
             Optional<CallerLimits> limits) {
         ImmutableListMultimap.Builder<String, Route> byHost = ImmutableListMultimap.builder();
@@ -96,12 +83,12 @@
 
     /** Returns whether requests must carry a key. */
     public boolean requiresKeys() {
-        return !keys.isEmpty();
+        return keys.isPresent();
     }
 
     /** Returns the organisation that owns the key. */
     public Optional<OrganisationId> organisation(String key) {
-        return Optional.ofNullable(keys.get(key));
+        return keys.map(owners -> owners.get(key));
     }
 
     /** Returns the configuration of the organisation; a default one if it has none. */
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/routing/RoutingTableTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/routing/RoutingTableTest.java
@@ -37,7 +37,8 @@
                 version,
                 ImmutableList.copyOf(routes),
                 ImmutableList.of(),
-                ImmutableMap.of("key", OrganisationId.of("organisation")),
+                Optional.of(ImmutableMap.of("key", OrganisationId.of("organisation"))),
+                ImmutableList.of(),
                 Optional.empty());
     }
 
@@ -100,6 +101,24 @@
         assertThat(table(1).organisation("other")).isEmpty();
     }
 
+    @Example
+    void organisationsWithoutAnyKeyRequireOneAllTheSame() {
+        ImmutableMap<String, OrganisationId> noKeys = ImmutableMap.of();
+        RoutingTable table = RoutingTable.of(
+                1, ImmutableList.of(), ImmutableList.of(), Optional.of(noKeys), ImmutableList.of(), Optional.empty());
+
+        assertThat(table.requiresKeys()).isTrue();
+        assertThat(table.organisation("key")).isEmpty();
+    }
+
+    @Example
+    void aTableWithoutOrganisationsRequiresNoKey() {
+        RoutingTable table = RoutingTable.of(
+                1, ImmutableList.of(), ImmutableList.of(), Optional.empty(), ImmutableList.of(), Optional.empty());
+
+        assertThat(table.requiresKeys()).isFalse();
+    }
+
     @Example
     void theAbandonmentTimeIsTheLongestOfThreeBounds() {
         assertThat(AbandonmentTime.of(Duration.ofMillis(300), Optional.of(Duration.ofMillis(250))))
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -86,6 +86,7 @@
     final RoutingTableHolder routing = new RoutingTableHolder();
     final FakeAssignments assignments = new FakeAssignments();
     final FakeCalls calls = new FakeCalls();
+    ImmutableMap<String, OrganisationId> keys = ImmutableMap.of(KEY, OrganisationId.of("organisation"));
     ImmutableList<PromptPartId> promptParts = ImmutableList.of();
     final List<String> announced = new ArrayList<>();
     final ResponseMemory responseMemory = ResponseMemory.of(RESPONSE_MEMORY);
@@ -169,7 +170,8 @@
                 version,
                 ImmutableList.of(route),
                 ImmutableList.of(),
-                ImmutableMap.of(KEY, OrganisationId.of("organisation")),
+                Optional.of(keys),
+                ImmutableList.of(),
                 Optional.empty());
         routing.offer(table);
         relay.onNewRouting(table);
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
@@ -6,6 +6,7 @@
 import java.util.stream.Stream;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.boragebarrow.decision.assign.Outcome;
@@ -786,4 +787,17 @@
         assertThat(response.body.toString()).isEqualTo("done");
         assertThat(fixture.responseMemory.heldBytes()).isEqualTo(0);
     }
+
+    /** Guards against hosts that accept every caller once the last keys have been taken away. */
+    @Example
+    void noRequestIsSentOnceTheLastKeyIsTakenAway() {
+        fixture.setRoute(RequestKind.AT_MOST_ONCE, 1);
+        fixture.keys = ImmutableMap.of();
+        fixture.setRoute(RequestKind.AT_MOST_ONCE, 1);
+
+        for (String key : new String[] {RelayFixture.KEY, "other", ""}) {
+            assertThat(fixture.send("/a/b", key, OptionalLong.empty()).status).isEqualTo(401);
+        }
+        assertThat(fixture.assignments.submitted).isEmpty();
+    }
 }
