Discard the trailer fields of callers while they are decoded

Cause: InputGate accounts for heads, and takes trailers for a part of a body of unknown length, whose bytes it counts once. The decoder turns each field into objects of some hundred bytes, which nothing accounted for. Change: the fields of trailers are dropped as they are decoded; nothing reads or forwards them.

--- /dev/null
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Bounds what the decoders of requests and responses hold. */
+package org.boragebarrow.http.codec;
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import org.boragebarrow.http.codec.DiscardedTrailers;
 import org.boragebarrow.model.Endpoint;
 
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -225,6 +226,7 @@
                     .setMaxInitialLineLength(currentLimits.maxHeaderBytes())
                     .setMaxHeaderSize(currentLimits.maxHeaderBytes())
                     .setMaxChunkSize(MAX_CHUNK_BYTES)
+                    .setTrailersFactory(DiscardedTrailers.INSTANCE)
                     .setUseRfc9112TransferEncoding(true);
             ReceiveTimeoutHandler receiveTimeout = new ReceiveTimeoutHandler(currentLimits);
             ConnectionHandler connectionHandler =
