Bound the fields of what targets answer

Cause: the head of a response is bounded by 32 KiB, which some 7,000 of the shortest fields fit into; each becomes a hundred times as large, and trailers as much again, outside every account. Change: a head of more than 256 fields is malformed, so its attempt fails; trailers are dropped while they are decoded.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -22,6 +22,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import jdk.net.ExtendedSocketOptions;
+import org.boragebarrow.http.codec.DiscardedTrailers;
+import org.boragebarrow.http.codec.LimitedFields;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.port.EngineClient;
 
@@ -35,6 +37,7 @@
 
     private static final int MAX_INITIAL_LINE_BYTES = 4 << 10;
     private static final int MAX_HEADER_BYTES = 32 << 10;
+    private static final int MAX_HEADER_FIELDS = 256;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
     /**
@@ -203,6 +206,8 @@
         return new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
-                .setMaxChunkSize(MAX_CHUNK_BYTES);
+                .setMaxChunkSize(MAX_CHUNK_BYTES)
+                .setHeadersFactory(LimitedFields.of(MAX_HEADER_FIELDS))
+                .setTrailersFactory(DiscardedTrailers.INSTANCE);
     }
 }
