--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -73,8 +73,18 @@
 
     /** Sends the call and returns its complete response; the future fails with {@link HttpCallException}. */
     public CompletableFuture<HttpAnswer> exchange(Endpoint endpoint, HttpCall call, Duration timeout) {
+        return exchange(endpoint, call, timeout, MAX_ANSWER_BYTES);
+    }
+
+    /**
+     * Sends the call and returns its complete response; the future fails with {@link HttpCallException}.
+     *
+     * @param maxAnswerBytes the maximum size of the body, beyond which the call fails
+     */
+    public CompletableFuture<HttpAnswer> exchange(
+            Endpoint endpoint, HttpCall call, Duration timeout, int maxAnswerBytes) {
         checkArgument(!timeout.isNegative(), "negative timeout: %s", timeout);
-        ResponseCollector collector = new ResponseCollector(MAX_ANSWER_BYTES);
+        ResponseCollector collector = new ResponseCollector(maxAnswerBytes);
         ActiveCall active = startCall(endpoint, call, collector);
         if (!collector.future().isDone()) {
             scheduleTimeout(active, collector, endpoint, timeout);
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseCollector.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseCollector.java
@@ -1,16 +1,17 @@
 package org.boragebarrow.http.client;
 
-import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.common.collect.ImmutableListMultimap;
 import io.netty.buffer.ByteBuf;
+import org.boragebarrow.http.buffer.BlockBuffer;
 import org.boragebarrow.port.TargetFailure;
 
 /** Collects a response of bounded length into a future. */
 final class ResponseCollector implements StreamListener {
     private final CompletableFuture<HttpAnswer> future = new CompletableFuture<>();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BlockBuffer body = BlockBuffer.ofUnknownSize();
     private final int maxBytes;
     private int status;
     private ImmutableListMultimap<String, String> headers = ImmutableListMultimap.of();
@@ -34,14 +35,14 @@
         if (body.size() + part.readableBytes() > maxBytes) {
             throw new IllegalStateException("response body is longer than " + maxBytes + " bytes");
         }
-        byte[] bytes = new byte[part.readableBytes()];
-        part.getBytes(part.readerIndex(), bytes);
-        body.writeBytes(bytes);
+        body.add(part.slice());
     }
 
     @Override
     public void onEnd() {
-        future.complete(new HttpAnswer(status, headers, body.toByteArray()));
+        ByteBuffer joined = ByteBuffer.allocate(body.size());
+        body.toBlocks().forEach(joined::put);
+        future.complete(new HttpAnswer(status, headers, joined.array()));
     }
 
     @Override
