--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/evacuation/EmptiedZones.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/evacuation/EmptiedZones.java
@@ -14,7 +14,7 @@
  * The zones that operators have emptied, as far as this host knows.
  *
  * <p>Not thread-safe. Times are monotonic nanoseconds. What is known stays known until the table shows otherwise: neither an
- * outage of the table nor a lost history takes a zone back.
+ * outage of the table nor a lost history takes a zone back, nor an older copy from which the table has come back.
  */
 public final class EmptiedZones {
     private final Map<AvailabilityZoneId, Long> emptiedSince = new LinkedHashMap<>();
@@ -49,6 +49,11 @@
         return change;
     }
 
+    /** Adds the zones that an older copy of the table shows; those that are emptied stay so until they are taken back again. */
+    public Change restore(Iterable<AvailabilityZoneId> zones, long now) {
+        return replace(Sets.union(zones(), ImmutableSet.copyOf(zones)), now);
+    }
+
     /** Returns whether the zone is emptied. */
     public boolean contains(AvailabilityZoneId zone) {
         return emptiedSince.containsKey(checkNotNull(zone));
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/Fleet.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/Fleet.java
@@ -29,6 +29,7 @@
     private final Map<TargetId, FleetTarget> targets = new HashMap<>();
     private final Map<TargetId, Long> unconfirmedUntil = new HashMap<>();
     private final LeavingTargets leaving = new LeavingTargets();
+    private final Withdrawals withdrawals = new Withdrawals();
     private boolean tableUnavailable;
     private long graceEndsAt = Long.MIN_VALUE;
 
@@ -36,19 +37,22 @@
      * Adds or replaces the entry of a target. Of two targets at one address, the one that started earlier has ended, though
      * its entry stays until it has missed some heartbeats.
      */
-    public void put(FleetTarget target) {
+    public void put(FleetTarget target, long now) {
         checkNotNull(target);
         for (FleetTarget other : ImmutableList.copyOf(targets.values())) {
             if (isReplacedBy(target, other)) {
                 targets.remove(target.id());
                 unconfirmedUntil.remove(target.id());
+                withdrawals.onGone(target, now);
                 return;
             }
             if (isReplacedBy(other, target)) {
                 targets.remove(other.id());
                 unconfirmedUntil.remove(other.id());
+                withdrawals.onGone(other, now);
             }
         }
+        withdrawals.onEntry(target, now);
         targets.put(target.id(), leaving.apply(target));
         unconfirmedUntil.remove(target.id());
     }
@@ -81,12 +85,13 @@
             unconfirmedUntil.put(id, graceEndsAt);
             return;
         }
-        drop(id);
+        drop(id, now);
     }
 
-    private void drop(TargetId id) {
+    private void drop(TargetId id, long now) {
         FleetTarget removed = targets.remove(id);
         if (removed != null) {
+            withdrawals.onGone(removed, now);
             leaving.onEntryRemoved(removed.incarnation());
         }
     }
@@ -99,7 +104,33 @@
                 remove(id, now);
             }
         }
-        read.forEach(this::put);
+        read.forEach(target -> put(target, now));
+    }
+
+    /**
+     * Merges the complete content of the table after it has come back from an older copy. What is known goes before the copy:
+     * targets that have left or are draining stay so unless their entry is newer, an earlier incarnation does not take the place of
+     * a later one, and targets that the copy lacks have the time in which entries reappear.
+     *
+     * @return the number of entries that were not believed
+     */
+    public int restore(ImmutableList<FleetTarget> copy, long now) {
+        graceEndsAt = Math.max(graceEndsAt, now + REAPPEAR_GRACE_MILLIS);
+        ImmutableList.Builder<FleetTarget> believed = ImmutableList.builder();
+        int ignored = 0;
+        for (FleetTarget entry : copy) {
+            Optional<FleetTarget> judged = judge(entry, now);
+            ignored += judged.equals(Optional.of(entry)) ? 0 : 1;
+            judged.ifPresent(believed::add);
+        }
+        replace(believed.build(), now);
+        return ignored;
+    }
+
+    private Optional<FleetTarget> judge(FleetTarget copied, long now) {
+        FleetTarget known = targets.get(copied.id());
+        boolean isEarlier = known != null && copied.startedMillis() < known.startedMillis();
+        return isEarlier ? Optional.of(known) : withdrawals.judge(copied, now);
     }
 
     /** Records that the table does not respond. */
@@ -125,13 +156,18 @@
             if (now < entry.getValue()) {
                 continue;
             }
-            drop(entry.getKey());
+            drop(entry.getKey(), now);
             entries.remove();
             removed = true;
         }
         return removed;
     }
 
+    /** Returns the number of targets that are kept although the table lacks their entries. */
+    public int unconfirmedCount() {
+        return unconfirmedUntil.size();
+    }
+
     /** Returns whether there are unconfirmed entries, so that {@link #expire} has to be called. */
     public boolean hasUnconfirmed() {
         return !unconfirmedUntil.isEmpty();
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/FleetTarget.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/FleetTarget.java
@@ -13,6 +13,7 @@
  * @param slots maximum number of concurrent requests
  * @param draining whether it accepts no new work
  * @param startedMillis the start of this incarnation, in Unix milliseconds; 0 if the entry does not state it
+ * @param sequence the number of the entry among those of this incarnation, which rises with each; 0 if the entry does not state it
  */
 public record FleetTarget(
         TargetId id,
@@ -21,7 +22,8 @@
         AvailabilityZoneId zone,
         int slots,
         boolean draining,
-        long startedMillis) {
+        long startedMillis,
+        long sequence) {
     public FleetTarget {
         checkNotNull(id);
         checkNotNull(service);
@@ -29,6 +31,18 @@
         checkNotNull(zone);
     }
 
+    /** Creates a target whose entry states no number. */
+    public FleetTarget(
+            TargetId id,
+            ServiceName service,
+            Endpoint endpoint,
+            AvailabilityZoneId zone,
+            int slots,
+            boolean draining,
+            long startedMillis) {
+        this(id, service, endpoint, zone, slots, draining, startedMillis, 0);
+    }
+
     /** Returns the incarnation of the entry. */
     public TargetIncarnation incarnation() {
         return new TargetIncarnation(id, startedMillis);
@@ -36,7 +50,7 @@
 
     /** Returns the entry as one that accepts no new work. */
     public FleetTarget asDraining() {
-        return draining ? this : new FleetTarget(id, service, endpoint, zone, slots, true, startedMillis);
+        return draining ? this : new FleetTarget(id, service, endpoint, zone, slots, true, startedMillis, sequence);
     }
 
     /** Returns whether the other entry is of the same incarnation of the same target. */
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/quarantine/Quarantine.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/quarantine/Quarantine.java
@@ -13,6 +13,7 @@
 import org.boragebarrow.model.PromptPartId;
 import org.boragebarrow.model.PromptParts;
 import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.port.StorePosition;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -49,10 +50,11 @@
     private final Map<PartKey, Held> entries = new LinkedHashMap<>();
     private Duration baseDuration;
     private boolean loaded;
+    private StorePosition position = StorePosition.START;
 
     private static final class Held {
         private QuarantineEntry entry;
-        private long rowVersion;
+        private StorePosition row = StorePosition.START;
         private boolean stored;
         private boolean writing;
         private long writeDueAt;
@@ -231,6 +233,7 @@
                 return false;
             }
             held = new Held(entry);
+            held.row = position.withoutRow();
             entries.put(entry.key(), held);
         } else if (!entry.supersedes(held.entry)) {
             return false;
@@ -271,22 +274,35 @@
     }
 
     private void onRowsRead(QuarantineEvent.RowsRead read, long now, ImmutableList.Builder<QuarantineEffect> effects) {
+        boolean restored = read.full() && loaded && !read.position().isSameEra(position);
         if (read.full()) {
             loaded = true;
+            position = read.position();
             // A row that is missing is written again, as rows are never removed.
             for (Held held : entries.values()) {
                 held.stored = false;
-                held.rowVersion = 0;
+                held.row = position.withoutRow();
             }
         }
         for (QuarantineEvent.StoredEntry row : read.rows()) {
             accept(row.entry(), QuarantineEffect.Source.STORE, now, effects);
             Held held = entries.get(row.entry().key());
             if (held != null) {
-                held.rowVersion = row.rowVersion();
+                held.row = row.position();
                 held.stored = held.entry.equals(row.entry());
             }
         }
+        if (restored) {
+            spreadWrites(now);
+        }
+    }
+
+    /** Spreads the writes of what an older copy of the store lacks, which all hosts notice at one moment. */
+    private void spreadWrites(long now) {
+        for (Held held : entries.values()) {
+            boolean isAuthor = held.entry.author().equals(self);
+            held.writeDueAt = isAuthor ? now : now + jitterNanos();
+        }
     }
 
     private void liftExpired(long wallMillis, long now, ImmutableList.Builder<QuarantineEffect> effects) {
@@ -312,7 +328,7 @@
         for (Held held : entries.values()) {
             if (!held.stored && !held.writing && now - held.writeDueAt >= 0) {
                 held.writing = true;
-                effects.add(new QuarantineEffect.Write(held.entry, held.rowVersion));
+                effects.add(new QuarantineEffect.Write(held.entry, held.row));
             }
         }
     }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/quarantine/QuarantineEffect.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/quarantine/QuarantineEffect.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import org.boragebarrow.port.StorePosition;
+
 /** An effect of the {@link Quarantine}. */
 public sealed interface QuarantineEffect {
     /** The state of a part changed on this host. */
@@ -13,9 +15,9 @@
     /**
      * The entry is to be written to the store.
      *
-     * @param expectedVersion the version that its row must have, 0 if it must not exist
+     * @param expected the position that its row must have, with version 0 if it must not exist
      */
-    record Write(QuarantineEntry entry, long expectedVersion) implements QuarantineEffect {}
+    record Write(QuarantineEntry entry, StorePosition expected) implements QuarantineEffect {}
 
     /** A {@link QuarantineEvent.Ticked} is to follow after the delay; a later effect replaces an earlier one. */
     record WakeUp(Duration delay) implements QuarantineEffect {}
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/quarantine/QuarantineEvent.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/quarantine/QuarantineEvent.java
@@ -1,6 +1,7 @@
 package org.boragebarrow.decision.quarantine;
 
 import com.google.common.collect.ImmutableList;
+import org.boragebarrow.port.StorePosition;
 
 /** An event that the {@link Quarantine} handles. Wall times are Unix milliseconds of this host's clock. */
 public sealed interface QuarantineEvent {
@@ -17,8 +18,13 @@
     /** Another host announced an entry. */
     record Announced(QuarantineEntry entry) implements QuarantineEvent {}
 
-    /** Rows of the store were read; {@code full} states whether these are all. */
-    record RowsRead(ImmutableList<StoredEntry> rows, boolean full) implements QuarantineEvent {}
+    /**
+     * Rows of the store were read.
+     *
+     * @param full whether these are all rows
+     * @param position where in the history of the store they were read
+     */
+    record RowsRead(ImmutableList<StoredEntry> rows, boolean full, StorePosition position) implements QuarantineEvent {}
 
     /** A write ended; whether it took effect is known only once the row is read. */
     record WriteEnded(PartKey key) implements QuarantineEvent {}
@@ -29,7 +35,7 @@
     /**
      * A row of the store.
      *
-     * @param rowVersion the version of the row's last change
+     * @param position the position of the row's last change
      */
-    record StoredEntry(QuarantineEntry entry, long rowVersion) {}
+    record StoredEntry(QuarantineEntry entry, StorePosition position) {}
 }
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/TableMirror.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/watch/TableMirror.java
@@ -11,6 +11,7 @@
 import java.util.stream.Stream;
 
 import com.google.common.collect.ImmutableList;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable.Row;
 import org.boragebarrow.port.WatchedTable.VersionedRows;
 
@@ -19,7 +20,8 @@
 /**
  * A copy of a table that serves its changes to other hosts.
  *
- * <p>Not thread-safe. Versions never decrease: rows that are older than the copy's are ignored. A bounded number of
+ * <p>Not thread-safe. Positions never decrease: rows that are older than the copy's are ignored. All rows are of one era; only a
+ * full read begins another one. A bounded number of
  * removed rows is retained as tombstones, so that a host with an older version receives the removals; a host with a
  * version for which tombstones have been dropped has to read the store.
  */
@@ -34,7 +36,7 @@
     private final int minEditedBytes;
     private final Map<String, Row> rows = new HashMap<>();
     private final Map<String, Deque<Row>> earlierRows = new HashMap<>();
-    private long version;
+    private StorePosition position = StorePosition.START;
     private long oldestServedVersion = Long.MAX_VALUE;
 
     /**
@@ -49,24 +51,27 @@
         this.minEditedBytes = minEditedBytes;
     }
 
-    /** Replaces the copy by all rows of the table; ignores them if their version is lower than the copy's. */
+    /** Replaces the copy by all rows of the table; ignores them if their position is before the copy's. */
     public void replace(VersionedRows snapshot) {
-        if (snapshot.version() < version) {
+        if (snapshot.position().isBefore(position)) {
             return;
         }
         rows.clear();
         earlierRows.clear();
         snapshot.rows().forEach(row -> rows.put(row.key(), row));
-        version = snapshot.version();
-        oldestServedVersion = version;
+        position = snapshot.position();
+        oldestServedVersion = position.version();
     }
 
     /**
-     * Applies changes.
+     * Applies changes; ignores those of another era.
      *
-     * @param changes all rows that changed between the version of the copy, or a lower one, and the version given here
+     * @param changes all rows that changed between the position of the copy, or an earlier one, and the position given here
      */
     public void applyChanges(VersionedRows changes) {
+        if (!changes.position().isSameEra(position)) {
+            return;
+        }
         for (Row row : changes.rows()) {
             Row current = rows.get(row.key());
             if (current == null || current.version() < row.version()) {
@@ -74,7 +79,7 @@
                 retainReplaced(Optional.ofNullable(current), row);
             }
         }
-        version = Math.max(version, changes.version());
+        position = StorePosition.max(position, changes.position());
         dropOldTombstones();
     }
 
@@ -114,20 +119,23 @@
         }
     }
 
-    /** Returns the version of the copy, 0 before the first read. */
-    public long version() {
-        return version;
+    /** Returns the position of the copy, {@link StorePosition#START} before the first read. */
+    public StorePosition position() {
+        return position;
     }
 
-    /** Returns the rows that changed after the version, oldest first, or empty if some of them may be missing. */
-    public Optional<VersionedRows> changesSince(long after) {
-        if (after < oldestServedVersion) {
+    /**
+     * Returns the rows that changed after the position, oldest first, or empty if some of them may be missing, as after a position
+     * in another era.
+     */
+    public Optional<VersionedRows> changesSince(StorePosition after) {
+        if (!after.isSameEra(position) || after.version() < oldestServedVersion) {
             return Optional.empty();
         }
         ImmutableList<Row> changed = rows.values().stream()
-                .filter(row -> row.version() > after)
+                .filter(row -> row.version() > after.version())
                 .sorted(Comparator.comparingLong(Row::version))
                 .collect(ImmutableList.toImmutableList());
-        return Optional.of(new VersionedRows(changed, Math.max(version, after)));
+        return Optional.of(new VersionedRows(changed, StorePosition.max(position, after)));
     }
 }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/fleet/FleetLeavingTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/fleet/FleetLeavingTest.java
@@ -40,10 +40,10 @@
     @Example
     void anEntryThatStillSaysReadyDoesNotBringATargetBack() {
         FleetTarget ready = target("a", 1, false, 1);
-        fleet.put(ready);
+        fleet.put(ready, 0);
         assertThat(fleet.recordLeaving(ready.incarnation())).isTrue();
         assertThat(fleet.recordLeaving(ready.incarnation())).isFalse();
-        fleet.put(ready);
+        fleet.put(ready, 0);
         fleet.replace(ImmutableList.of(ready), 0);
 
         assertThat(fleet.isUsable(ready)).isFalse();
@@ -55,7 +55,7 @@
     void anAnnouncementMayComeBeforeTheEntry() {
         FleetTarget ready = target("a", 1, false, 1);
         fleet.recordLeaving(ready.incarnation());
-        fleet.put(ready);
+        fleet.put(ready, 0);
 
         assertThat(fleet.isUsable(ready)).isFalse();
     }
@@ -63,37 +63,37 @@
     @Example
     void anEntryThatIsReadAgainAfterItsEndDoesNotBringATargetBack() {
         FleetTarget ready = target("a", 1, false, 1);
-        fleet.put(ready);
+        fleet.put(ready, 0);
         fleet.recordLeaving(ready.incarnation());
         fleet.remove(ready.id(), 0);
-        fleet.put(ready);
+        fleet.put(ready, 0);
 
         assertThat(fleet.isUsable(ready)).isFalse();
     }
 
     @Example
     void theNextIncarnationAndATargetWithTheSameAddressAreServedAtOnce() {
-        fleet.put(target("a", 1, false, 1));
+        fleet.put(target("a", 1, false, 1), 0);
         fleet.recordLeaving(new TargetIncarnation(TargetId.of("a"), 1));
         FleetTarget again = target("a", 1, false, 2);
-        fleet.put(again);
+        fleet.put(again, 0);
         assertThat(fleet.isUsable(again)).isTrue();
 
         fleet.recordLeaving(again.incarnation());
         FleetTarget other = target("b", 1, false, 3);
-        fleet.put(other);
+        fleet.put(other, 0);
         assertThat(fleet.isUsable(other)).isTrue();
     }
 
     @Example
     void aTargetWhoseStartIsUnknownIsServedAgainOnceItsEntryHasEnded() {
         FleetTarget ready = target("a", 1, false, 0);
-        fleet.put(ready);
+        fleet.put(ready, 0);
         fleet.recordLeaving(ready.incarnation());
-        fleet.put(ready);
+        fleet.put(ready, 0);
         assertThat(fleet.isUsable(ready)).isFalse();
         fleet.remove(ready.id(), 0);
-        fleet.put(ready);
+        fleet.put(ready, 0);
         assertThat(fleet.isUsable(ready)).isTrue();
     }
 
@@ -104,8 +104,8 @@
         }
         FleetTarget last = target("t" + (3 * LeavingTargets.MAX_TARGETS - 1), 1, false, 1);
         FleetTarget first = target("t0", 2, false, 1);
-        fleet.put(last);
-        fleet.put(first);
+        fleet.put(last, 0);
+        fleet.put(first, 0);
 
         assertThat(fleet.isUsable(last)).isFalse();
         assertThat(fleet.isUsable(first)).isTrue();
@@ -137,8 +137,8 @@
             FleetTarget ready = target("a", 1 + incarnation, false, 1 + incarnation);
             now += RESTART_MILLIS / 10;
             switch (steps.get(i)) {
-                case ENTRY_READY -> replayed.put(ready);
-                case ENTRY_DRAINING -> replayed.put(ready.asDraining());
+                case ENTRY_READY -> replayed.put(ready, 0);
+                case ENTRY_DRAINING -> replayed.put(ready.asDraining(), 0);
                 case ENTRY_REMOVED -> replayed.remove(ready.id(), now);
                 case FULL_READ -> replayed.replace(ImmutableList.of(ready), now);
                 case OLD_FULL_READ -> replayed.replace(ImmutableList.of(target("a", 1, false, 1)), now);
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/fleet/FleetTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/fleet/FleetTest.java
@@ -27,8 +27,8 @@
 
     @Example
     void aDrainingTargetAcceptsNoNewWork() {
-        fleet.put(target("a", 1, false, 1));
-        fleet.put(target("a", 1, true, 1));
+        fleet.put(target("a", 1, false, 1), 0);
+        fleet.put(target("a", 1, true, 1), 0);
 
         assertThat(fleet.usable(SERVICE)).isEmpty();
         assertThat(fleet.isUsable(target("a", 1, false, 1))).isFalse();
@@ -36,8 +36,8 @@
 
     @Example
     void anotherIncarnationUnderTheSameIdIsAnotherTarget() {
-        fleet.put(target("a", 1, false, 1));
-        fleet.put(target("a", 1, false, 2));
+        fleet.put(target("a", 1, false, 1), 0);
+        fleet.put(target("a", 1, false, 2), 0);
 
         assertThat(fleet.isUsable(target("a", 1, false, 1))).isFalse();
         assertThat(fleet.isUsable(target("a", 1, false, 2))).isTrue();
@@ -45,7 +45,7 @@
 
     @Example
     void anEntryRemovedWhileTheTableIsAvailableIsDroppedAtOnce() {
-        fleet.put(target("a", 1, false, 1));
+        fleet.put(target("a", 1, false, 1), 0);
         fleet.onTableAvailable(0);
         fleet.remove(TargetId.of("a"), 10);
 
@@ -54,8 +54,8 @@
 
     @Example
     void anEntryMissingRightAfterATableOutageIsKeptForTwoSeconds() {
-        fleet.put(target("a", 1, false, 1));
-        fleet.put(target("b", 2, false, 1));
+        fleet.put(target("a", 1, false, 1), 0);
+        fleet.put(target("b", 2, false, 1), 0);
         fleet.onTableUnavailable();
         fleet.onTableAvailable(10_000);
         fleet.replace(ImmutableList.of(target("b", 2, false, 1)), 10_001);
@@ -68,11 +68,11 @@
 
     @Example
     void anEntryThatReappearsInTimeIsKept() {
-        fleet.put(target("a", 1, false, 1));
+        fleet.put(target("a", 1, false, 1), 0);
         fleet.onTableUnavailable();
         fleet.onTableAvailable(10_000);
         fleet.remove(TargetId.of("a"), 10_001);
-        fleet.put(target("a", 1, false, 1));
+        fleet.put(target("a", 1, false, 1), 0);
 
         assertThat(fleet.expire(20_000)).isFalse();
         assertThat(fleet.usable(SERVICE)).hasSize(1);
@@ -80,11 +80,11 @@
 
     @Example
     void drainingIsAppliedToAnUnconfirmedEntry() {
-        fleet.put(target("a", 1, false, 1));
+        fleet.put(target("a", 1, false, 1), 0);
         fleet.onTableUnavailable();
         fleet.onTableAvailable(10_000);
         fleet.remove(TargetId.of("a"), 10_001);
-        fleet.put(target("a", 1, true, 1));
+        fleet.put(target("a", 1, true, 1), 0);
 
         assertThat(fleet.usable(SERVICE)).isEmpty();
     }
@@ -94,9 +94,9 @@
     void theEntryOfATargetIsDroppedOnceALaterOneHasItsAddress() {
         FleetTarget old = target("old", 80, false, 100);
         FleetTarget back = target("back", 80, false, 200);
-        fleet.put(old);
-        fleet.put(back);
-        fleet.put(old);
+        fleet.put(old, 0);
+        fleet.put(back, 0);
+        fleet.put(old, 0);
 
         assertThat(fleet.all()).containsExactly(back);
         assertThat(fleet.isUsable(old)).isFalse();
@@ -113,8 +113,8 @@
 
     @Example
     void entriesOfOneAddressAreAllKeptIfTheirStartsAreUnknown() {
-        fleet.put(target("a", 80, false, 0));
-        fleet.put(target("b", 80, false, 0));
+        fleet.put(target("a", 80, false, 0), 0);
+        fleet.put(target("b", 80, false, 0), 0);
 
         assertThat(fleet.all()).hasSize(2);
     }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/quarantine/QuarantineTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/quarantine/QuarantineTest.java
@@ -16,6 +16,7 @@
 import org.boragebarrow.model.PromptPartId;
 import org.boragebarrow.model.PromptParts;
 import org.boragebarrow.model.ServiceName;
+import org.boragebarrow.port.StorePosition;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -69,7 +70,7 @@
 
         assertThat(isRefused()).isTrue();
         assertThat(only(QuarantineEffect.Announce.class, effects)).hasSize(1);
-        assertThat(only(QuarantineEffect.Write.class, effects).get(0).expectedVersion())
+        assertThat(only(QuarantineEffect.Write.class, effects).get(0).expected().version())
                 .isEqualTo(0);
     }
 
@@ -91,7 +92,10 @@
         assertThat(only(QuarantineEffect.Write.class, apply(new QuarantineEvent.Ticked(0))))
                 .hasSize(1);
         apply(new QuarantineEvent.WriteEnded(KEY));
-        apply(new QuarantineEvent.RowsRead(ImmutableList.of(new QuarantineEvent.StoredEntry(written, 5)), false));
+        apply(new QuarantineEvent.RowsRead(
+                ImmutableList.of(new QuarantineEvent.StoredEntry(written, new StorePosition(0, 5))),
+                false,
+                StorePosition.START));
         advance(Duration.ofSeconds(60));
 
         assertThat(only(QuarantineEffect.Write.class, apply(new QuarantineEvent.Ticked(0))))
@@ -113,7 +117,10 @@
     void anOlderStateNeverReturns() {
         apply(new QuarantineEvent.Announced(entry(3, false)));
         apply(new QuarantineEvent.Announced(entry(2, true)));
-        apply(new QuarantineEvent.RowsRead(ImmutableList.of(new QuarantineEvent.StoredEntry(entry(2, true), 9)), true));
+        apply(new QuarantineEvent.RowsRead(
+                ImmutableList.of(new QuarantineEvent.StoredEntry(entry(2, true), new StorePosition(0, 9))),
+                true,
+                StorePosition.START));
 
         assertThat(isRefused()).isTrue();
     }
@@ -121,15 +128,41 @@
     @Example
     void anEntryMissingFromTheStoreStaysAndIsStoredAgain() {
         apply(new QuarantineEvent.RowsRead(
-                ImmutableList.of(new QuarantineEvent.StoredEntry(entry(1, false), 9)), true));
+                ImmutableList.of(new QuarantineEvent.StoredEntry(entry(1, false), new StorePosition(0, 9))),
+                true,
+                StorePosition.START));
         advance(Duration.ofSeconds(30));
-        ImmutableList<QuarantineEffect> effects = apply(new QuarantineEvent.RowsRead(ImmutableList.of(), true));
+        ImmutableList<QuarantineEffect> effects =
+                apply(new QuarantineEvent.RowsRead(ImmutableList.of(), true, StorePosition.START));
 
         assertThat(isRefused()).isTrue();
-        assertThat(only(QuarantineEffect.Write.class, effects).get(0).expectedVersion())
+        assertThat(only(QuarantineEffect.Write.class, effects).get(0).expected().version())
                 .isEqualTo(0);
     }
 
+    /** Guards against all hosts that write the same entries at the moment at which the store has come back from a copy. */
+    @Example
+    void anEntryThatAnOlderCopyLacksIsWrittenAtOnceByItsAuthorAndLaterByOthers() {
+        apply(new QuarantineEvent.RowsRead(ImmutableList.of(), true, StorePosition.START));
+        apply(new QuarantineEvent.RowsRead(
+                ImmutableList.of(new QuarantineEvent.StoredEntry(entry(1, false), new StorePosition(0, 9))),
+                false,
+                new StorePosition(0, 9)));
+        advance(Duration.ofSeconds(30));
+        StorePosition copy = new StorePosition(1, 5);
+        assertThat(only(
+                        QuarantineEffect.Write.class,
+                        apply(new QuarantineEvent.RowsRead(ImmutableList.of(), true, copy))))
+                .isEmpty();
+        advance(Duration.ofSeconds(10));
+        ImmutableList<QuarantineEffect.Write> writes =
+                only(QuarantineEffect.Write.class, apply(new QuarantineEvent.Ticked(0)));
+
+        assertThat(writes).hasSize(1);
+        assertThat(writes.get(0).expected()).isEqualTo(copy.withoutRow());
+        assertThat(isRefused()).isTrue();
+    }
+
     @Example
     void aQuarantineIsLiftedAfterItsTimeAndLastsLongerTheNextTime() {
         convict();
@@ -222,7 +255,7 @@
             QuarantineEvent event = switch (healed ? 2 : random.nextInt(4)) {
                 case 0 -> new QuarantineEvent.Convicted(key, "crashes", steps);
                 case 1 -> new QuarantineEvent.Edited(key, random.nextBoolean(), "ana", "r" + steps, steps);
-                case 2 -> new QuarantineEvent.RowsRead(ImmutableList.copyOf(store.values()), true);
+                case 2 -> new QuarantineEvent.RowsRead(ImmutableList.copyOf(store.values()), true, StorePosition.START);
                 default -> new QuarantineEvent.Ticked(steps);
             };
             deliver(hosts.get(healed ? steps % hosts.size() : random.nextInt(hosts.size())), event);
@@ -250,10 +283,10 @@
 
         private void write(Quarantine host, QuarantineEffect.Write write) {
             PartKey key = write.entry().key();
-            long stored = store.containsKey(key) ? store.get(key).rowVersion() : 0;
-            if (stored == write.expectedVersion() && (healed || random.nextInt(3) > 0)) {
+            long stored = store.containsKey(key) ? store.get(key).position().version() : 0;
+            if (stored == write.expected().version() && (healed || random.nextInt(3) > 0)) {
                 version++;
-                store.put(key, new QuarantineEvent.StoredEntry(write.entry(), version));
+                store.put(key, new QuarantineEvent.StoredEntry(write.entry(), new StorePosition(0, version)));
             }
             deliver(host, new QuarantineEvent.WriteEnded(key));
         }
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/watch/TableMirrorTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/watch/TableMirrorTest.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import net.jqwik.api.Example;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable.Row;
 import org.boragebarrow.port.WatchedTable.VersionedRows;
 
@@ -23,15 +24,15 @@
     }
 
     private ImmutableList<String> keysSince(long after) {
-        return mirror.changesSince(after).orElseThrow().rows().stream()
+        return mirror.changesSince(new StorePosition(0, after)).orElseThrow().rows().stream()
                 .map(Row::key)
                 .collect(ImmutableList.toImmutableList());
     }
 
     @Example
     void noChangesAreReturnedBeforeTheFirstRead() {
-        assertThat(mirror.changesSince(0)).isEmpty();
-        assertThat(mirror.changesSince(100)).isEmpty();
+        assertThat(mirror.changesSince(new StorePosition(0, 0))).isEmpty();
+        assertThat(mirror.changesSince(new StorePosition(0, 100))).isEmpty();
     }
 
     @Example
@@ -41,7 +42,8 @@
 
         assertThat(keysSince(5)).containsExactly("c", "b").inOrder();
         assertThat(keysSince(7)).containsExactly("b");
-        assertThat(mirror.changesSince(7).orElseThrow().version()).isEqualTo(8);
+        assertThat(mirror.changesSince(new StorePosition(0, 7)).orElseThrow().version())
+                .isEqualTo(8);
     }
 
     @Example
@@ -49,7 +51,7 @@
         mirror.replace(versionedRows(5, row("a", 3)));
 
         // The first read does not return a row that was removed between versions 4 and 5.
-        assertThat(mirror.changesSince(4)).isEmpty();
+        assertThat(mirror.changesSince(new StorePosition(0, 4))).isEmpty();
     }
 
     @Example
@@ -60,7 +62,7 @@
 
         mirror.applyChanges(versionedRows(8, tombstone("b", 7), tombstone("c", 8)));
 
-        assertThat(mirror.changesSince(5)).isEmpty();
+        assertThat(mirror.changesSince(new StorePosition(0, 5))).isEmpty();
         assertThat(keysSince(6)).containsExactly("b", "c").inOrder();
     }
 
@@ -70,10 +72,10 @@
         mirror.replace(versionedRows(4, row("a", 3)));
         mirror.applyChanges(versionedRows(4, tombstone("a", 4)));
 
-        assertThat(mirror.version()).isEqualTo(5);
+        assertThat(mirror.position().version()).isEqualTo(5);
         assertThat(keysSince(5)).isEmpty();
         mirror.applyChanges(versionedRows(6));
-        assertThat(mirror.version()).isEqualTo(6);
+        assertThat(mirror.position().version()).isEqualTo(6);
     }
 
     @Example
@@ -90,4 +92,32 @@
         }
         assertThat(mirror.rowAsOf("a", 7)).isEmpty();
     }
+
+    private static VersionedRows rowsOfEra(long era, long version, Row... rows) {
+        return new VersionedRows(ImmutableList.copyOf(rows), new StorePosition(era, version));
+    }
+
+    @Example
+    void onlyAFullReadBeginsAnotherEraWhateverItsVersion() {
+        mirror.replace(rowsOfEra(1, 200, row("a", 150)));
+        mirror.applyChanges(rowsOfEra(2, 300, row("b", 300)));
+        assertThat(mirror.position()).isEqualTo(new StorePosition(1, 200));
+
+        mirror.replace(rowsOfEra(2, 50, row("a", 40)));
+        mirror.applyChanges(rowsOfEra(1, 220, row("c", 220)));
+
+        assertThat(mirror.position()).isEqualTo(new StorePosition(2, 50));
+        assertThat(mirror.changesSince(new StorePosition(2, 50)).orElseThrow().rows())
+                .isEmpty();
+        mirror.replace(rowsOfEra(1, 230));
+        assertThat(mirror.position()).isEqualTo(new StorePosition(2, 50));
+    }
+
+    @Example
+    void aPositionOfAnotherEraCannotBeServed() {
+        mirror.replace(rowsOfEra(2, 50, row("a", 40)));
+
+        assertThat(mirror.changesSince(new StorePosition(1, 60))).isEmpty();
+        assertThat(mirror.changesSince(new StorePosition(3, 60))).isEmpty();
+    }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/assign/RegionAssignments.java
@@ -505,8 +505,16 @@
     }
 
     private final class DirectoryListener implements HostDirectory.Listener {
+        private Optional<PeerKey> latestKey = Optional.empty();
+
         @Override
         public void onKey(PeerKey key) {
+            boolean starting = latestKey.isPresent();
+            latestKey = Optional.of(key);
+            links.ifPresent(open -> open.setKey(key));
+            if (starting) {
+                return;
+            }
             PeerIdentity identity = new PeerIdentity(self.incarnation(), self.zone());
             // Binding blocks until the event loop has run it, so it must not be called on the event loop.
             CompletableFuture.supplyAsync(() -> PeerLinks.start(
@@ -524,6 +532,7 @@
                 log.write(RelayEvent.LOST, "dependency", "peers", "at", self.endpoint(), "reason", failure.toString());
                 return;
             }
+            started.setKey(latestKey.orElseThrow());
             links = Optional.of(started);
             probe();
         }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/quarantine/QuarantineDuty.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/quarantine/QuarantineDuty.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -128,7 +127,7 @@
 
     @Override
     public void onFullRead(VersionedRows rows) {
-        apply(new QuarantineEvent.RowsRead(decode(rows), true));
+        apply(new QuarantineEvent.RowsRead(decode(rows), true, rows.position()));
         if (!loaded) {
             loaded = true;
             outputs.onChange().run();
@@ -143,7 +142,7 @@
     @Override
     public void onChanges(VersionedRows changes) {
         if (!changes.rows().isEmpty()) {
-            apply(new QuarantineEvent.RowsRead(decode(changes), false));
+            apply(new QuarantineEvent.RowsRead(decode(changes), false, changes.position()));
         }
     }
 
@@ -154,7 +153,7 @@
                 continue;
             }
             try {
-                stored.add(new QuarantineEvent.StoredEntry(QuarantineMessages.fromBytes(row.value()), row.version()));
+                stored.add(new QuarantineEvent.StoredEntry(QuarantineMessages.fromBytes(row.value()), row.position()));
             } catch (IllegalArgumentException e) {
                 logUnusable(row, e);
             }
@@ -214,7 +213,7 @@
 
     private void write(QuarantineEffect.Write write) {
         PartKey key = write.entry().key();
-        table.put(rowKey(key), QuarantineMessages.toBytes(write.entry()), OptionalLong.of(write.expectedVersion()))
+        table.put(rowKey(key), QuarantineMessages.toBytes(write.entry()), Optional.of(write.expected()))
                 .whenComplete((written, failure) -> loop.execute(() -> {
                     if (failure != null) {
                         log().write(
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/FleetFeed.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/FleetFeed.java
@@ -10,6 +10,7 @@
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.model.Ids;
 import org.boragebarrow.model.TargetId;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable.Row;
 import org.boragebarrow.port.WatchedTable.VersionedRows;
 
@@ -22,6 +23,7 @@
     private final LongSupplier millis;
     private final Listener listener;
     private volatile boolean loaded;
+    private StorePosition readAt = StorePosition.START;
 
     /** Receives what the targets' entries say, after the fleet has it. */
     interface Listener {
@@ -64,15 +66,40 @@
                 logUnusable(row, e);
             }
         }
-        fleet.replace(targets.build(), millis.getAsLong());
+        boolean restored = loaded && !snapshot.position().isSameEra(readAt);
+        if (restored) {
+            restore(targets.build(), snapshot);
+        } else {
+            fleet.replace(targets.build(), millis.getAsLong());
+        }
+        readAt = snapshot.position();
         loaded = true;
         log().write(RelayEvent.TARGET, "read", snapshot.rows().size(), "row_version", snapshot.version());
         listener.onFleetChanged();
         snapshot.rows().forEach(this::reportCold);
     }
 
+    private void restore(ImmutableList<FleetTarget> copy, VersionedRows snapshot) {
+        int ignored = fleet.restore(copy, millis.getAsLong());
+        log().write(
+                        RelayEvent.STORE_ERA,
+                        "table",
+                        "fleet",
+                        "from",
+                        readAt,
+                        "to",
+                        snapshot.position(),
+                        "rows",
+                        snapshot.rows().size(),
+                        "ignored",
+                        ignored,
+                        "kept",
+                        fleet.unconfirmedCount());
+    }
+
     @Override
     public void onChanges(VersionedRows changes) {
+        readAt = changes.position();
         changes.rows().forEach(this::applyRow);
         if (!changes.rows().isEmpty()) {
             listener.onFleetChanged();
@@ -133,7 +160,7 @@
                         target.draining() ? "draining" : "ready",
                         "row_version",
                         row.version());
-        fleet.put(target);
+        fleet.put(target, millis.getAsLong());
     }
 
     private void remove(Row row) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayEvent.java
@@ -20,6 +20,8 @@
     LOST(7010),
     /** A dependency is available again. */
     REGAINED(7011),
+    /** The store has come back from an older copy; a table was read again. */
+    STORE_ERA(7012),
     /** A version of the routing was read; {@code taken} states whether it took effect. */
     ROUTING(7020),
     /** A version, an entry or a message was invalid, or a duty failed to handle an event. */
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -25,6 +25,7 @@
 import org.boragebarrow.decision.routing.RoutingTable;
 import org.boragebarrow.decision.routing.RoutingTableHolder;
 import org.boragebarrow.decision.shutdown.ShutdownDeadline;
+import org.boragebarrow.decision.watch.StoreEras;
 import org.boragebarrow.http.server.ServerLimits;
 import org.boragebarrow.http.server.ServerResponse;
 import org.boragebarrow.model.AvailabilityZoneId;
@@ -87,6 +88,12 @@
     private static final TableFollower.PollTiming HOSTS_TIMING =
             new TableFollower.PollTiming(Duration.ofSeconds(25), Duration.ofMillis(1_500));
 
+    /**
+     * The time over which the hosts spread their reads after the store has come back from an older copy; a tenth of the 2 s in which
+     * the most urgent changes must take effect.
+     */
+    private static final Duration MAX_READ_DELAY_IN_NEW_ERA = Duration.ofMillis(200);
+
     /** Maximum delay between two calls for the hosts table; a host without peers assigns its own requests. */
     private static final Duration MAX_HOSTS_RETRY_DELAY = Duration.ofSeconds(3);
 
@@ -139,6 +146,7 @@
     private volatile boolean readinessHeld;
     private volatile int quarantinedParts;
     private volatile int emptiedZones;
+    private volatile int newEras;
     private boolean loggedReadiness;
 
     /**
@@ -230,6 +238,8 @@
                 HOSTS_TIMING,
                 early.awaitingFirstRead(
                         new RowRouter(QuarantineDuty.ROW_PREFIX, quarantineDuty, assignments.directory())));
+        tables.eras().addListener(era -> loop.execute(this::onNewEra));
+        metrics.gauge("boragebarrow.store.eras", () -> newEras);
         metrics.gauge("boragebarrow.requests.open", relay::inProgress);
         metrics.gauge("boragebarrow.targets.slow", assignments::slowTargetCount);
         metrics.gauge("boragebarrow.attempts.queued", assignments::queuedCount);
@@ -241,8 +251,13 @@
         metrics.gauge("boragebarrow.zones.emptied", () -> emptiedZones);
     }
 
-    /** The tables of the store that a host follows, and the decoders of their rows. */
-    public record Tables(WatchedTable routing, WatchedTable fleet, WatchedTable hosts, Decoders decoders) {}
+    /**
+     * The tables of the store that a host follows, and the decoders of their rows.
+     *
+     * @param eras the eras of the store that its answers show, for all tables
+     */
+    public record Tables(
+            WatchedTable routing, WatchedTable fleet, WatchedTable hosts, Decoders decoders, StoreEras eras) {}
 
     private SharedTable sharedTable(WatchedTable table) {
         return new SharedTable(table, settings.id(), loop, ticker, new TablePeers(table.name()));
@@ -269,6 +284,14 @@
         loop.execute(hostFollower::start);
     }
 
+    /** Reads all tables again after the store has come back from an older copy. */
+    private void onNewEra() {
+        newEras++;
+        for (TableFollower follower : ImmutableList.of(routingFollower, fleetFollower, hostFollower)) {
+            follower.readAgain(Duration.ofNanos(random.nextLong(MAX_READ_DELAY_IN_NEW_ERA.toNanos())));
+        }
+    }
+
     /** Applies the settings that may change at run time: the store's address, the regions of zones, the retry quota and the grace period. */
     public void reload(RelaySettings newSettings) {
         boolean storeMoved = !newSettings.store().equals(settings.store());
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RoutingFeed.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RoutingFeed.java
@@ -4,10 +4,12 @@
 import java.util.function.LongSupplier;
 
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import org.boragebarrow.decision.evacuation.EmptiedZones;
 import org.boragebarrow.decision.routing.RoutingTable;
 import org.boragebarrow.decision.routing.RoutingTableHolder;
 import org.boragebarrow.model.AvailabilityZoneId;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable.Row;
 import org.boragebarrow.port.WatchedTable.VersionedRows;
 
@@ -20,6 +22,8 @@
     private final EmptiedZones emptied;
     private final LongSupplier nanos;
     private final Listener listener;
+    private StorePosition readAt = StorePosition.START;
+    private boolean loaded;
 
     /** Receives what the operators changed, after it has taken effect. */
     interface Listener {
@@ -56,12 +60,37 @@
                 emptiedZone(row).ifPresent(zones::add);
             }
         }
-        onZones(emptied.replace(zones.build(), nanos.getAsLong()), snapshot.version());
+        long now = nanos.getAsLong();
+        boolean restored = loaded && !snapshot.position().isSameEra(readAt);
+        if (restored) {
+            logRestored(snapshot, zones.build());
+        }
+        readAt = snapshot.position();
+        loaded = true;
+        onZones(
+                restored ? emptied.restore(zones.build(), now) : emptied.replace(zones.build(), now),
+                snapshot.version());
         applyTables(snapshot);
     }
 
+    private void logRestored(VersionedRows copy, ImmutableSet<AvailabilityZoneId> zones) {
+        log().write(
+                        RelayEvent.STORE_ERA,
+                        "table",
+                        "routing",
+                        "from",
+                        readAt,
+                        "to",
+                        copy.position(),
+                        "rows",
+                        copy.rows().size(),
+                        "kept",
+                        Sets.difference(emptied.zones(), zones).size());
+    }
+
     @Override
     public void onChanges(VersionedRows changes) {
+        readAt = changes.position();
         for (Row row : changes.rows()) {
             emptiedZone(row).ifPresent(zone -> applyZone(zone, row));
         }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/RowRouter.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/RowRouter.java
@@ -53,6 +53,6 @@
 
     private static VersionedRows select(VersionedRows rows, Predicate<Row> selected) {
         return new VersionedRows(
-                rows.rows().stream().filter(selected).collect(ImmutableList.toImmutableList()), rows.version());
+                rows.rows().stream().filter(selected).collect(ImmutableList.toImmutableList()), rows.position());
     }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/SharedTable.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -23,6 +22,7 @@
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.peer.proto.Envelope;
 import org.boragebarrow.peer.wire.TableMessages;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable;
 
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -74,8 +74,8 @@
     private final WatcherChoice choice;
     private final TableMirror mirror = new TableMirror(MAX_REMOVED_ROWS, (int) MAX_SENT_BYTES);
     private final Map<Long, OutgoingRequest> outgoingRequests = new HashMap<>();
-    private final Map<Long, TableMessages.Content> contents = new HashMap<>();
-    private long contentsVersion;
+    private final Map<StorePosition, TableMessages.Content> contents = new HashMap<>();
+    private StorePosition contentsPosition = StorePosition.START;
     private final List<WaitingRequest> waitingRequests = new ArrayList<>();
     private Optional<Long> confirmedAt = Optional.empty();
     private Optional<Long> lastPeerRequestAt = Optional.empty();
@@ -105,7 +105,8 @@
     }
 
     /** A request of this host to a peer. */
-    private record OutgoingRequest(HostId host, long sentAt, CompletableFuture<VersionedRows> answer) {}
+    private record OutgoingRequest(
+            HostId host, StorePosition after, long sentAt, CompletableFuture<VersionedRows> answer) {}
 
     /** A request of a peer that waits for a change. */
     private record WaitingRequest(HostId host, TableMessages.ChangesRequest request, long receivedAt) {
@@ -143,7 +144,7 @@
     }
 
     @Override
-    public CompletableFuture<Boolean> put(String key, byte[] value, OptionalLong expected) {
+    public CompletableFuture<Boolean> put(String key, byte[] value, Optional<StorePosition> expected) {
         return store.put(key, value, expected);
     }
 
@@ -161,7 +162,7 @@
     }
 
     @Override
-    public CompletableFuture<VersionedRows> changes(long after, Duration wait) {
+    public CompletableFuture<VersionedRows> changes(StorePosition after, Duration wait) {
         long now = ticker.read();
         Optional<HostId> peer = hasStoreFailedRecently(now) ? choice.selectFallback(now) : choice.select(now);
         if (peer.isEmpty()) {
@@ -173,14 +174,14 @@
                 .thenCompose(answer -> answer);
     }
 
-    private CompletableFuture<VersionedRows> pollStore(long after, Duration wait) {
+    private CompletableFuture<VersionedRows> pollStore(StorePosition after, Duration wait) {
         long now = ticker.read();
         boolean servesPeers = isWithin(lastPeerRequestAt, RECENT_REQUEST_WINDOW, now);
         Duration storeWait = servesPeers && wait.compareTo(WATCHER_WAIT) > 0 ? WATCHER_WAIT : wait;
         return callStore(after, storeWait, now);
     }
 
-    private CompletableFuture<VersionedRows> callStore(long after, Duration wait, long now) {
+    private CompletableFuture<VersionedRows> callStore(StorePosition after, Duration wait, long now) {
         return store.changes(after, wait)
                 .whenCompleteAsync((changes, failure) -> recordStoreResult(Optional.ofNullable(failure), now), loop)
                 .thenApply(changes -> applyStoreChanges(after, changes, answeredAt(now, wait, changes, ticker.read())));
@@ -196,8 +197,8 @@
         return isWithin(storeFailedAt, STORE_FAILURE_WINDOW, now);
     }
 
-    private VersionedRows applyStoreChanges(long after, VersionedRows changes, long asOf) {
-        if (after <= mirror.version()) {
+    private VersionedRows applyStoreChanges(StorePosition after, VersionedRows changes, long asOf) {
+        if (!mirror.position().isBefore(after) && after.isSameEra(mirror.position())) {
             mirror.applyChanges(changes);
             recordConfirmation(asOf);
         }
@@ -224,10 +225,10 @@
         return since.isPresent() && now - since.get() <= limit.toNanos();
     }
 
-    private CompletableFuture<VersionedRows> requestFromPeer(HostId host, long after) {
+    private CompletableFuture<VersionedRows> requestFromPeer(HostId host, StorePosition after) {
         long number = ++lastRequestNumber;
         CompletableFuture<VersionedRows> answer = new CompletableFuture<>();
-        outgoingRequests.put(number, new OutgoingRequest(host, ticker.read(), answer));
+        outgoingRequests.put(number, new OutgoingRequest(host, after, ticker.read(), answer));
         loop.schedule(
                 () -> failRequest(number, "no answer"),
                 PEER_WAIT.plus(ANSWER_SLACK).toMillis(),
@@ -260,6 +261,12 @@
         switch (answer.content()) {
             case TableMessages.Changes changes -> {
                 outgoingRequests.remove(answer.number());
+                if (!changes.position().isSameEra(request.after())) {
+                    failWith(
+                            request,
+                            "the changes are of era " + changes.position().era());
+                    return;
+                }
                 resolve(changes)
                         .ifPresentOrElse(
                                 rows -> applyPeerChanges(request, rows, asOf),
@@ -284,7 +291,7 @@
             switch (changed) {
                 case TableMessages.WholeRow whole -> rows.add(whole.row());
                 case TableMessages.EditedRow edited -> {
-                    Optional<Row> row = resolve(edited);
+                    Optional<Row> row = resolve(edited, changes.position());
                     if (row.isEmpty()) {
                         return Optional.empty();
                     }
@@ -292,15 +299,21 @@
                 }
             }
         }
-        return Optional.of(new VersionedRows(rows.build(), changes.version()));
+        return Optional.of(new VersionedRows(rows.build(), changes.position()));
     }
 
-    private Optional<Row> resolve(TableMessages.EditedRow edited) {
+    private Optional<Row> resolve(TableMessages.EditedRow edited, StorePosition position) {
+        if (!mirror.position().isSameEra(position)) {
+            return Optional.empty();
+        }
         Optional<Row> earlier =
                 mirror.rowAsOf(edited.key(), edited.earlierVersion()).filter(row -> isEdited(row, edited));
         try {
-            return earlier.map(
-                    row -> new Row(edited.key(), edited.edit().applyTo(row.value()), edited.version(), false));
+            return earlier.map(row -> new Row(
+                    edited.key(),
+                    edited.edit().applyTo(row.value()),
+                    new StorePosition(position.era(), edited.version()),
+                    false));
         } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
@@ -362,15 +375,15 @@
     }
 
     /** Returns the changes after a version; computed once for all peers that have the same version. */
-    private TableMessages.Content content(long after) {
-        if (contentsVersion != mirror.version()) {
+    private TableMessages.Content content(StorePosition after) {
+        if (!contentsPosition.equals(mirror.position())) {
             contents.clear();
-            contentsVersion = mirror.version();
+            contentsPosition = mirror.position();
         }
         return contents.computeIfAbsent(after, this::computeContent);
     }
 
-    private TableMessages.Content computeContent(long after) {
+    private TableMessages.Content computeContent(StorePosition after) {
         Optional<VersionedRows> changes = mirror.changesSince(after);
         if (changes.isEmpty()) {
             return new TableMessages.ChangesUnavailable();
@@ -379,7 +392,7 @@
         long bytes = 0;
         for (Row row : changes.get().rows()) {
             Optional<TableMessages.EditedRow> edited = row.value().length > MAX_SENT_BYTES
-                    ? mirror.rowAsOf(row.key(), after)
+                    ? mirror.rowAsOf(row.key(), after.version())
                             .filter(earlier -> !earlier.removed())
                             .map(earlier -> edit(earlier, row))
                     : Optional.empty();
@@ -391,7 +404,7 @@
             rows.add(edited.<TableMessages.ChangedRow>map(Function.identity())
                     .orElseGet(() -> new TableMessages.WholeRow(row)));
         }
-        return new TableMessages.Changes(rows.build(), changes.get().version());
+        return new TableMessages.Changes(rows.build(), changes.get().position());
     }
 
     private static TableMessages.EditedRow edit(Row earlier, Row row) {
@@ -410,7 +423,7 @@
             return;
         }
         refreshInProgress = true;
-        callStore(mirror.version(), Duration.ZERO, now).whenComplete((changes, failure) -> {
+        callStore(mirror.position(), Duration.ZERO, now).whenComplete((changes, failure) -> {
             refreshInProgress = false;
             if (failure != null) {
                 rejectWaiting();
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/watch/TableFollower.java
@@ -7,6 +7,7 @@
 
 import io.netty.channel.EventLoop;
 import org.boragebarrow.decision.retry.Backoff;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable;
 import org.boragebarrow.port.WatchedTable.HistoryLostException;
 import org.boragebarrow.port.WatchedTable.VersionedRows;
@@ -16,8 +17,9 @@
 /**
  * Reads one table and then polls it for changes, with one call at a time.
  *
- * <p>Confined to the event loop. After a failure of the store it resumes from the last version it received; it reads
- * the whole table again only if the store has dropped the changes since that version, or if the listener throws.
+ * <p>Confined to the event loop. After a failure of the store it resumes from the last position it received; it reads
+ * the whole table again only if the store has dropped the changes since that position, if it has begun another era, or if the
+ * listener throws.
  */
 public final class TableFollower {
     /**
@@ -54,7 +56,7 @@
     private boolean stopped;
     private int failures;
     private Duration delayAfterChanges;
-    private long version;
+    private StorePosition position = StorePosition.START;
     private long currentCall;
 
     /** Creates a follower that makes no calls until {@link #start}. */
@@ -82,6 +84,13 @@
         call();
     }
 
+    /** Abandons the call in progress and reads the whole table after the delay, for use after another era has begun. */
+    public void readAgain(Duration delay) {
+        synchronised = false;
+        currentCall++;
+        callAfter(delay);
+    }
+
     /** Stops following; an answer that is still outstanding is ignored. */
     public void stop() {
         stopped = true;
@@ -93,7 +102,7 @@
         }
         // After an outage, the store never answers a call that it received earlier, so calls do not wait meanwhile.
         Duration wait = unavailable ? Duration.ZERO : timing.maxWait();
-        CompletableFuture<VersionedRows> call = synchronised ? table.changes(version, wait) : table.read();
+        CompletableFuture<VersionedRows> call = synchronised ? table.changes(position, wait) : table.read();
         boolean full = !synchronised;
         long callNumber = ++currentCall;
         call.whenComplete((answer, failure) -> loop.execute(() -> {
@@ -140,12 +149,12 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    /** Passes an answer to the listener; a full read of an older version is rejected, as it would revert changes. */
+    /** Passes an answer to the listener; a full read of an earlier position is rejected, as it would revert changes. */
     private void deliver(boolean full, VersionedRows answer) {
-        if (full && answer.version() < version) {
-            throw new IllegalStateException("read of version " + answer.version() + " after version " + version);
+        if (full && answer.position().isBefore(position)) {
+            throw new IllegalStateException("read of version " + answer.position() + " after version " + position);
         }
-        version = Math.max(version, answer.version());
+        position = StorePosition.max(position, answer.position());
         synchronised = true;
         if (full) {
             listener.onFullRead(answer);
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/assign/RegionAssignmentsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/assign/RegionAssignmentsTest.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -37,6 +36,7 @@
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.node.relay.DecisionLog;
 import org.boragebarrow.peer.link.PeerIdentity;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -138,7 +138,7 @@
         FleetTarget known = target("known", 2);
         FleetTarget back = target("back", 50);
         FleetTarget backToo = target("back-too", 40);
-        fleetOfSmall.put(known);
+        fleetOfSmall.put(known, 0);
         assigner.setFleet(ImmutableList.of(known, back, backToo));
         connect();
         long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
@@ -158,8 +158,8 @@
     void workThatIsQueuedAtAStoppingAssignerIsAssignedByTheNextOne() throws Exception {
         FleetTarget full = target("full", 1);
         FleetTarget free = target("free", 1_000);
-        fleetOfSmall.put(full);
-        fleetOfSmall.put(free);
+        fleetOfSmall.put(full, 0);
+        fleetOfSmall.put(free, 0);
         assigner.setFleet(ImmutableList.of(full));
         requester.setFleet(ImmutableList.of(free));
         connect();
@@ -180,7 +180,7 @@
     @Example
     void theAssignerAndTheZoneLearnThatATargetIsLeaving() throws Exception {
         FleetTarget full = target("full", 1);
-        fleetOfSmall.put(full);
+        fleetOfSmall.put(full, 0);
         assigner.setFleet(ImmutableList.of(full));
         CompletableFuture<TargetIncarnation> told = new CompletableFuture<>();
         runOnLoop(() -> assigner.setLeavingListener(told::complete));
@@ -212,12 +212,12 @@
         }
 
         @Override
-        public CompletableFuture<VersionedRows> changes(long after, Duration wait) {
+        public CompletableFuture<VersionedRows> changes(StorePosition after, Duration wait) {
             return new CompletableFuture<>();
         }
 
         @Override
-        public CompletableFuture<Boolean> put(String key, byte[] value, OptionalLong expected) {
+        public CompletableFuture<Boolean> put(String key, byte[] value, Optional<StorePosition> expected) {
             return new CompletableFuture<>();
         }
     }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/HostStartTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/HostStartTest.java
@@ -20,9 +20,11 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.routing.RoutingTable;
+import org.boragebarrow.decision.watch.StoreEras;
 import org.boragebarrow.model.IncarnationNumber;
 import org.boragebarrow.model.PromptParts;
 import org.boragebarrow.node.settings.RelaySettings;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -57,7 +59,8 @@
                     new PendingTable("routing"),
                     new PendingTable("fleet"),
                     new PendingTable("hosts"),
-                    new NoDecoders()),
+                    new NoDecoders(),
+                    new StoreEras()),
             log);
 
     HostStartTest() {
@@ -149,12 +152,12 @@
         }
 
         @Override
-        public CompletableFuture<VersionedRows> changes(long after, Duration wait) {
+        public CompletableFuture<VersionedRows> changes(StorePosition after, Duration wait) {
             return new CompletableFuture<>();
         }
 
         @Override
-        public CompletableFuture<Boolean> put(String key, byte[] value, OptionalLong expected) {
+        public CompletableFuture<Boolean> put(String key, byte[] value, Optional<StorePosition> expected) {
             return new CompletableFuture<>();
         }
     }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -61,6 +61,7 @@
 import org.boragebarrow.model.TargetId;
 import org.boragebarrow.node.metrics.HostMetrics;
 import org.boragebarrow.port.EngineClient;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.TargetFailure;
 
 /** A relay with fake targets, assigner and caller, and a clock that the test advances. */
@@ -96,7 +97,7 @@
 
     RelayFixture(double retrySlack) {
         channel.freezeTime();
-        quarantine.apply(new QuarantineEvent.RowsRead(ImmutableList.of(), true), nanos);
+        quarantine.apply(new QuarantineEvent.RowsRead(ImmutableList.of(), true, StorePosition.START), nanos);
         EventLoop loop = channel.eventLoop();
         Ticker ticker = new Ticker() {
             @Override
@@ -180,7 +181,7 @@
     FleetTarget addTarget(String id) {
         FleetTarget target = new FleetTarget(
                 TargetId.of(id), SERVICE, Endpoint.of("10.0.0.1", 80), AvailabilityZoneId.of("zone"), 4, false, 1);
-        fleet.put(target);
+        fleet.put(target, 0);
         return target;
     }
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayPermissionsTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayPermissionsTest.java
@@ -35,7 +35,7 @@
     private FleetTarget addTargetOfEmptiedZone(String id) {
         FleetTarget target = new FleetTarget(
                 TargetId.of(id), RelayFixture.SERVICE, Endpoint.of("10.0.0.2", 80), EMPTIED, 4, false, 1);
-        fixture.fleet.put(target);
+        fixture.fleet.put(target, 0);
         return target;
     }
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelaySignalTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelaySignalTest.java
@@ -193,7 +193,7 @@
             Map<TargetIncarnation, Long> unwantedUntil = new HashMap<>();
             for (int i = 0; i < 3; i++) {
                 started.put(i, 1L);
-                replay.fleet.put(target(i, 1));
+                replay.fleet.put(target(i, 1), 0);
             }
             for (int i = 0; i < actions.size(); i++) {
                 int number = numbers.get(i);
@@ -225,9 +225,9 @@
                     }
                     case RESTART -> {
                         started.merge(number % 3, 1L, Long::sum);
-                        replay.fleet.put(target(number % 3, started.get(number % 3)));
+                        replay.fleet.put(target(number % 3, started.get(number % 3)), 0);
                     }
-                    case ENTRY_READY -> replay.fleet.put(target);
+                    case ENTRY_READY -> replay.fleet.put(target, 0);
                     case WAIT -> replay.advance(number);
                     default -> throw new AssertionError(actions.get(i));
                 }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayTest.java
@@ -705,7 +705,7 @@
         fixture.setRoute(RequestKind.AT_MOST_ONCE_STREAM, 1);
         fixture.send();
         fixture.assignments.assign(first, 100, second);
-        fixture.fleet.put(first.asDraining());
+        fixture.fleet.put(first.asDraining(), 0);
         fixture.calls.reservationResult.complete(null);
         fixture.advance(1);
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
@@ -8,7 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +24,7 @@
 import org.boragebarrow.node.watch.TableFollower;
 import org.boragebarrow.node.watch.TableSharing;
 import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable;
 import org.boragebarrow.port.WatchedTable.Row;
 import org.boragebarrow.port.WatchedTable.VersionedRows;
@@ -283,11 +284,11 @@
 
         @Override
         public CompletableFuture<VersionedRows> read() {
-            return changes(0, Duration.ZERO);
+            return changes(StorePosition.START, Duration.ZERO);
         }
 
         @Override
-        public CompletableFuture<VersionedRows> changes(long after, Duration wait) {
+        public CompletableFuture<VersionedRows> changes(StorePosition after, Duration wait) {
             CompletableFuture<VersionedRows> answer = new CompletableFuture<>();
             storeCalls++;
             scheduleAt(
@@ -295,7 +296,7 @@
                     () -> answer.completeExceptionally(new IOException("store call timed out")));
             scheduleAt(
                     occupyUplink(HEAD_BYTES) + STORE_LATENCY_MILLIS,
-                    () -> receiveCall(new PendingCall(after, answer), wait));
+                    () -> receiveCall(new PendingCall(after.version(), answer), wait));
             return answer;
         }
 
@@ -329,7 +330,7 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> put(String key, byte[] value, OptionalLong expected) {
+        public CompletableFuture<Boolean> put(String key, byte[] value, Optional<StorePosition> expected) {
             throw new UnsupportedOperationException("simulated hosts only read the table");
         }
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/SharedTableTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/SharedTableTest.java
@@ -8,7 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -22,6 +22,7 @@
 import org.boragebarrow.decision.watch.WatcherChoice;
 import org.boragebarrow.model.HostId;
 import org.boragebarrow.peer.proto.Envelope;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable;
 import org.boragebarrow.port.WatchedTable.Row;
 import org.boragebarrow.port.WatchedTable.VersionedRows;
@@ -30,6 +31,7 @@
 
 /** Simulates two hosts of a large zone, the watcher of a table and a host that requests changes from it. */
 class SharedTableTest {
+    private static final StorePosition AT_FIVE = new StorePosition(0, 5);
     private static final String NAME = "table";
     private static final Duration LONG_WAIT = Duration.ofSeconds(9);
     private static final ImmutableSet<HostId> ZONE =
@@ -134,10 +136,10 @@
 
     @Example
     void aHostThatReceivesChangesFromTheWatcherDoesNotQueryTheStore() {
-        CompletableFuture<VersionedRows> changes = follower.changes(5, LONG_WAIT);
+        CompletableFuture<VersionedRows> changes = follower.changes(AT_FIVE, LONG_WAIT);
         runTasks();
         assertThat(changes.isDone()).isFalse();
-        CompletableFuture<VersionedRows> watcherChanges = watcher.changes(5, LONG_WAIT);
+        CompletableFuture<VersionedRows> watcherChanges = watcher.changes(AT_FIVE, LONG_WAIT);
         watcherStore.answer(rowsAt(7, new Row("a", new byte[9], 7, false)));
         runTasks();
 
@@ -149,9 +151,9 @@
 
     @Example
     void changesTooLargeForPeersAreReadFromTheStore() {
-        CompletableFuture<VersionedRows> changes = follower.changes(5, LONG_WAIT);
+        CompletableFuture<VersionedRows> changes = follower.changes(AT_FIVE, LONG_WAIT);
         runTasks();
-        watcher.changes(5, LONG_WAIT);
+        watcher.changes(AT_FIVE, LONG_WAIT);
         Row large = new Row("a", new byte[(int) SharedTable.MAX_SENT_BYTES], 7, false);
         watcherStore.answer(rowsAt(7, large));
         runTasks();
@@ -165,9 +167,9 @@
 
     @Example
     void theWatcherPollsTheStoreWithShortWaits() {
-        follower.changes(5, LONG_WAIT);
+        follower.changes(AT_FIVE, LONG_WAIT);
         runTasks();
-        watcher.changes(5, LONG_WAIT);
+        watcher.changes(AT_FIVE, LONG_WAIT);
 
         assertThat(watcherStore.waits.getLast()).isEqualTo(SharedTable.WATCHER_WAIT);
     }
@@ -175,7 +177,7 @@
     @Example
     void staleStateIsConfirmedBeforeItIsSent() {
         advance(5_000);
-        CompletableFuture<VersionedRows> changes = follower.changes(5, LONG_WAIT);
+        CompletableFuture<VersionedRows> changes = follower.changes(AT_FIVE, LONG_WAIT);
         runTasks();
         assertThat(watcherStore.waits).containsExactly(Duration.ZERO);
         watcherStore.answer(rowsAt(9, new Row("a", new byte[0], 9, true)));
@@ -188,7 +190,7 @@
     @Example
     void theStoreIsQueriedOnceTheWatcherTimesOut() {
         partitioned = true;
-        CompletableFuture<VersionedRows> changes = follower.changes(5, LONG_WAIT);
+        CompletableFuture<VersionedRows> changes = follower.changes(AT_FIVE, LONG_WAIT);
         advance(SharedTable.PEER_WAIT.plus(SharedTable.ANSWER_SLACK).toMillis());
         followerStore.answer(rowsAt(6));
         runTasks();
@@ -201,7 +203,7 @@
     @Example
     void theStoreIsQueriedIfItFailsForTheWatcher() {
         advance(5_000);
-        CompletableFuture<VersionedRows> changes = follower.changes(5, LONG_WAIT);
+        CompletableFuture<VersionedRows> changes = follower.changes(AT_FIVE, LONG_WAIT);
         runTasks();
         for (int i = 0; i < 3; i++) {
             watcherStore.fail();
@@ -215,10 +217,10 @@
 
     @Example
     void theWatcherQueriesAPeerWhileTheStoreFailsForIt() {
-        watcher.changes(5, LONG_WAIT);
+        watcher.changes(AT_FIVE, LONG_WAIT);
         watcherStore.fail(new IOException("connection refused"));
         runTasks();
-        watcher.changes(5, LONG_WAIT);
+        watcher.changes(AT_FIVE, LONG_WAIT);
         runTasks();
 
         assertThat(watcherStore.calls).isEmpty();
@@ -228,10 +230,10 @@
 
     @Example
     void aHostWhoseStoreLostItsHistoryStillQueriesTheStore() {
-        watcher.changes(5, LONG_WAIT);
+        watcher.changes(AT_FIVE, LONG_WAIT);
         watcherStore.fail(new WatchedTable.HistoryLostException("compacted"));
         runTasks();
-        watcher.changes(5, LONG_WAIT);
+        watcher.changes(AT_FIVE, LONG_WAIT);
         runTasks();
 
         assertThat(watcherStore.calls).hasSize(1);
@@ -240,11 +242,11 @@
     @Example
     void aDelayedAnswerIsNotAcceptedAsFresh() {
         // The request arrives without delay; its answer is delayed by the maximum age of an accepted answer.
-        CompletableFuture<VersionedRows> changes = follower.changes(5, LONG_WAIT);
+        CompletableFuture<VersionedRows> changes = follower.changes(AT_FIVE, LONG_WAIT);
         runTasks();
         advance(400);
         delayMillis = SharedTable.MAX_AGE.toMillis();
-        watcher.changes(5, LONG_WAIT);
+        watcher.changes(AT_FIVE, LONG_WAIT);
         watcherStore.answer(rowsAt(6));
         advance(1_200);
 
@@ -254,6 +256,58 @@
         assertThat(changes.join().version()).isEqualTo(8);
     }
 
+    private static VersionedRows rowsOfEra(long era, long version, Row... rows) {
+        return new VersionedRows(ImmutableList.copyOf(rows), new StorePosition(era, version));
+    }
+
+    private void readEra(SharedTable table, FakeStore store, long era, long version) {
+        CompletableFuture<VersionedRows> result = table.read();
+        store.answer(rowsOfEra(era, version));
+        runTasks();
+        assertThat(result.isDone()).isTrue();
+    }
+
+    /** Guards against changes that are sent from one side of a restored store to the other. */
+    @Example
+    void aHostOfAnEarlierEraQueriesTheStoreInsteadOfGettingChanges() {
+        readEra(watcher, watcherStore, 1, 3);
+        CompletableFuture<VersionedRows> changes = follower.changes(AT_FIVE, LONG_WAIT);
+        runTasks();
+
+        assertThat(changes.isDone()).isFalse();
+        assertThat(followerStore.calls).hasSize(1);
+        assertThat(acceptedBytes).isEmpty();
+    }
+
+    @Example
+    void aHostOfALaterEraGetsNothingOfTheEarlierOne() {
+        readEra(follower, followerStore, 1, 3);
+        CompletableFuture<VersionedRows> changes = follower.changes(new StorePosition(1, 3), LONG_WAIT);
+        runTasks();
+        watcher.changes(AT_FIVE, LONG_WAIT);
+        watcherStore.answer(rowsAt(7, new Row("a", new byte[9], 7, false)));
+        runTasks();
+
+        assertThat(changes.isDone()).isFalse();
+        assertThat(followerStore.calls).hasSize(1);
+    }
+
+    @Example
+    void hostsThatHaveBothReadTheNewEraShareItsChanges() {
+        readEra(watcher, watcherStore, 1, 3);
+        readEra(follower, followerStore, 1, 3);
+        CompletableFuture<VersionedRows> changes = follower.changes(new StorePosition(1, 3), LONG_WAIT);
+        runTasks();
+        watcher.changes(new StorePosition(1, 3), LONG_WAIT);
+        Row row = new Row("a", new byte[9], new StorePosition(1, 4), false);
+        watcherStore.answer(rowsOfEra(1, 4, row));
+        runTasks();
+
+        assertThat(changes.join().position()).isEqualTo(new StorePosition(1, 4));
+        assertThat(changes.join().rows().get(0).position()).isEqualTo(row.position());
+        assertThat(followerStore.calls).isEmpty();
+    }
+
     private static final class FakeStore implements WatchedTable {
         private final Deque<CompletableFuture<VersionedRows>> calls = new ArrayDeque<>();
         private final Deque<Duration> waits = new ArrayDeque<>();
@@ -283,7 +337,7 @@
         }
 
         @Override
-        public CompletableFuture<VersionedRows> changes(long after, Duration wait) {
+        public CompletableFuture<VersionedRows> changes(StorePosition after, Duration wait) {
             waits.add(wait);
             return call();
         }
@@ -295,7 +349,7 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> put(String key, byte[] value, OptionalLong expected) {
+        public CompletableFuture<Boolean> put(String key, byte[] value, Optional<StorePosition> expected) {
             return CompletableFuture.completedFuture(true);
         }
     }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/TableFollowerTest.java
@@ -6,7 +6,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +15,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import net.jqwik.api.Example;
 import org.boragebarrow.decision.retry.Backoff;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -190,6 +191,55 @@
         assertThat(table.requests).containsExactly("read", "read", "after 5").inOrder();
     }
 
+    private static WatchedTable.VersionedRows rowsAt(long era, long version) {
+        return new WatchedTable.VersionedRows(ImmutableList.of(), new StorePosition(era, version));
+    }
+
+    private void answer(long era, long version) {
+        table.calls.poll().complete(rowsAt(era, version));
+        channel.runPendingTasks();
+    }
+
+    /** Guards against hosts that stay at the state before the store came back from an older copy. */
+    @Example
+    void aFullReadOfANewEraIsAcceptedAlthoughItsVersionIsLower() {
+        answer(1, 200);
+        fail(new WatchedTable.HistoryLostException("another era"));
+        answer(2, 50);
+        answer(2, 51);
+
+        assertThat(table.requests)
+                .containsExactly("read", "after 1/200", "read", "after 2/50", "after 2/51")
+                .inOrder();
+        assertThat(notifications)
+                .containsExactly("reading 200", "reading 50", "changes 51")
+                .inOrder();
+    }
+
+    @Example
+    void aFullReadOfAnEarlierEraIsRejectedWhateverItsVersion() {
+        answer(2, 50);
+        fail(new WatchedTable.HistoryLostException("compacted"));
+        answer(1, 200);
+
+        assertThat(notifications).containsExactly("reading 50", "lost").inOrder();
+    }
+
+    @Example
+    void readingAgainAbandonsTheCallInProgressAndWaitsForTheDelay() {
+        answer(1, 200);
+        CompletableFuture<WatchedTable.VersionedRows> old = table.calls.poll();
+        follower.readAgain(Duration.ofMillis(50));
+        old.complete(rowsAt(1, 201));
+        channel.runPendingTasks();
+        assertThat(table.requests).containsExactly("read", "after 1/200").inOrder();
+        channel.advanceTimeBy(50, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        answer(2, 50);
+
+        assertThat(notifications).containsExactly("reading 200", "reading 50").inOrder();
+    }
+
     private final class Listener implements TableFollower.Listener {
         @Override
         public void onFullRead(WatchedTable.VersionedRows rows) {
@@ -231,9 +281,9 @@
         }
 
         @Override
-        public CompletableFuture<VersionedRows> changes(long after, Duration wait) {
+        public CompletableFuture<VersionedRows> changes(StorePosition after, Duration wait) {
             waits.add(wait);
-            return call("after " + after);
+            return call("after " + (after.era() == 0 ? after.version() : after));
         }
 
         private CompletableFuture<VersionedRows> call(String request) {
@@ -244,7 +294,7 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> put(String key, byte[] value, OptionalLong expected) {
+        public CompletableFuture<Boolean> put(String key, byte[] value, Optional<StorePosition> expected) {
             return CompletableFuture.completedFuture(true);
         }
     }
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/Link.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/Link.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Supplier;
 
 import com.google.errorprone.annotations.concurrent.GuardedBy;
 import io.netty.bootstrap.Bootstrap;
@@ -25,7 +26,7 @@
 
     private final Endpoint endpoint;
     private final PeerIdentity self;
-    private final PeerKey key;
+    private final Supplier<PeerKey> key;
     private final PeerListener listener;
     private final PeerTraffic traffic;
     private final Bootstrap bootstrap;
@@ -41,7 +42,7 @@
     Link(
             Endpoint endpoint,
             PeerIdentity self,
-            PeerKey key,
+            Supplier<PeerKey> key,
             PeerListener listener,
             PeerTraffic traffic,
             Bootstrap bootstrap) {
@@ -88,7 +89,7 @@
             @Override
             protected void initChannel(SocketChannel connection) {
                 PeerPipelines.install(connection.pipeline(), traffic);
-                connection.pipeline().addLast(new ConnectHandler(self, key, Link.this, listener));
+                connection.pipeline().addLast(new ConnectHandler(self, key.get(), Link.this, listener));
             }
         };
         InetSocketAddress address = new InetSocketAddress(endpoint.address(), endpoint.port());
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/link/PeerLinks.java
@@ -29,7 +29,7 @@
     private static final WriteBufferWaterMark WRITE_BUFFER_LIMITS = new WriteBufferWaterMark(1 << 20, 4 << 20);
 
     private final PeerIdentity self;
-    private final PeerKey key;
+    private volatile PeerKey key;
     private final PeerListener listener;
     private final Strangers strangers;
     private final PeerTraffic traffic = new PeerTraffic();
@@ -120,10 +120,15 @@
     @Override
     public boolean send(Endpoint peer, Envelope message) {
         Link link = links.computeIfAbsent(
-                checkNotNull(peer), endpoint -> new Link(endpoint, self, key, listener, traffic, bootstrap));
+                checkNotNull(peer), endpoint -> new Link(endpoint, self, () -> key, listener, traffic, bootstrap));
         return link.send(checkNotNull(message));
     }
 
+    /** Sets the key of the links that are opened or accepted from now on; open links stay. */
+    public void setKey(PeerKey newKey) {
+        key = checkNotNull(newKey);
+    }
+
     /** Returns the counters of bytes sent and received over all links. */
     public PeerTraffic traffic() {
         return traffic;
--- a/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/TableMessages.java
+++ b/boragebarrow-peer/src/main/java/org/boragebarrow/peer/wire/TableMessages.java
@@ -10,6 +10,7 @@
 import org.boragebarrow.peer.proto.TableChanges;
 import org.boragebarrow.peer.proto.TableRow;
 import org.boragebarrow.peer.proto.ValuePart;
+import org.boragebarrow.port.StorePosition;
 import org.boragebarrow.port.WatchedTable.Row;
 
 import static com.google.common.base.Preconditions.checkArgument;
@@ -23,10 +24,10 @@
      * A request for changes.
      *
      * @param number identifies the request among those of the requesting host
-     * @param after the version of the table that the requesting host has
+     * @param after the position of the table that the requesting host has
      * @param maxWait the maximum time for which the answer may be delayed while there is no change
      */
-    public record ChangesRequest(long number, String table, long after, Duration maxWait) {
+    public record ChangesRequest(long number, String table, StorePosition after, Duration maxWait) {
         public ChangesRequest {
             checkArgument(!maxWait.isNegative(), "negative maximum wait: %s", maxWait);
         }
@@ -35,13 +36,13 @@
     /** The content of an answer. */
     public sealed interface Content {}
 
-    /** The changes after the requested version. */
-    public record Changes(ImmutableList<ChangedRow> rows, long version) implements Content {}
+    /** The changes after the requested position, all of them in its era. */
+    public record Changes(ImmutableList<ChangedRow> rows, StorePosition position) implements Content {}
 
     /** The changes are too large for one message; the requesting host has to read them from the store. */
     public record ChangesTooLarge() implements Content {}
 
-    /** The answering host does not have the changes after the requested version. */
+    /** The answering host does not have the changes after the requested position. */
     public record ChangesUnavailable() implements Content {}
 
     /**
@@ -77,7 +78,8 @@
                 .setFollowTable(FollowTable.newBuilder()
                         .setQuestion(request.number())
                         .setTable(request.table())
-                        .setAfter(request.after())
+                        .setAfter(request.after().version())
+                        .setEra(request.after().era())
                         .setWaitMillis(request.maxWait().toMillis()))
                 .build();
     }
@@ -91,7 +93,9 @@
                 .setHeldMillis(answer.holdTime().toMillis());
         switch (answer.content()) {
             case Changes changes -> {
-                message.setKnown(true).setVersion(changes.version());
+                message.setKnown(true)
+                        .setVersion(changes.position().version())
+                        .setEra(changes.position().era());
                 changes.rows().forEach(row -> message.addRows(toRow(row)));
             }
             case ChangesTooLarge tooLarge -> message.setTooLarge(true);
@@ -143,7 +147,7 @@
         return new ChangesRequest(
                 message.getQuestion(),
                 message.getTable(),
-                message.getAfter(),
+                new StorePosition(message.getEra(), message.getAfter()),
                 Duration.ofMillis(message.getWaitMillis()));
     }
 
@@ -165,17 +169,24 @@
         if (message.getTooLarge()) {
             return new ChangesTooLarge();
         }
-        return message.getKnown() ? new Changes(rows(message), message.getVersion()) : new ChangesUnavailable();
+        return message.getKnown()
+                ? new Changes(rows(message), new StorePosition(message.getEra(), message.getVersion()))
+                : new ChangesUnavailable();
     }
 
     private static ImmutableList<ChangedRow> rows(TableChanges message) {
-        return message.getRowsList().stream().map(TableMessages::fromRow).collect(ImmutableList.toImmutableList());
+        return message.getRowsList().stream()
+                .map(row -> fromRow(row, message.getEra()))
+                .collect(ImmutableList.toImmutableList());
     }
 
-    private static ChangedRow fromRow(TableRow row) {
+    private static ChangedRow fromRow(TableRow row, long era) {
         if (row.getPartsCount() == 0) {
-            return new WholeRow(
-                    new Row(row.getKey(), row.getValue().toByteArray(), row.getVersion(), row.getRemoved()));
+            return new WholeRow(new Row(
+                    row.getKey(),
+                    row.getValue().toByteArray(),
+                    new StorePosition(era, row.getVersion()),
+                    row.getRemoved()));
         }
         ImmutableList<ValueEdit.Part> parts = row.getPartsList().stream()
                 .map(part -> part.getLength() > 0
