--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/QuietPeriods.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/QuietPeriods.java
@@ -33,7 +33,7 @@
         }
     };
 
-    private record Period(long until, int requests) {
+    private record Period(long since, long until, int requests) {
         boolean isOver(long now) {
             return now - until >= 0;
         }
@@ -53,7 +53,7 @@
             return false;
         }
         periods.remove(target);
-        periods.put(target, new Period(until, running ? current.requests() : 0));
+        periods.put(target, new Period(running ? current.since() : now, until, running ? current.requests() : 0));
         return true;
     }
 
@@ -75,10 +75,15 @@
         if (period.requests() >= MAX_REQUESTS) {
             return false;
         }
-        periods.replace(target, new Period(period.until(), period.requests() + 1));
+        periods.replace(target, new Period(period.since(), period.until(), period.requests() + 1));
         return true;
     }
 
+    /** Returns when the target's period began, which later requests for quiet only made longer; now if it is not quiet. */
+    public long quietSince(TargetIncarnation target, long now) {
+        return isQuiet(target, now) ? periods.get(target).since() : now;
+    }
+
     /** Returns the time that is left of the target's period; zero if it is not quiet. */
     public Duration remaining(TargetIncarnation target, long now) {
         return isQuiet(target, now) ? Duration.ofNanos(periods.get(target).until() - now) : Duration.ZERO;
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/PromptReservations.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/PromptReservations.java
@@ -1,5 +1,6 @@
 package org.boragebarrow.node.relay;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -35,13 +36,22 @@
     private final RelayContext context;
     private final ImmutableList<HelperTarget> storingHelpers;
     private final String name;
+    private final Runnable expiring;
+    private final Map<TargetIncarnation, Long> heldUntil = new HashMap<>();
     private final Map<TargetIncarnation, Long> extendedUntil = new HashMap<>();
+    private final Map<TargetIncarnation, Long> extensionAskedAt = new HashMap<>();
     private Optional<Future<?>> renewalTimer = Optional.empty();
     private boolean released;
 
-    PromptReservations(RelayContext context, ImmutableList<HelperTarget> helpers, String name) {
+    /**
+     * Creates reservations that are not sent yet.
+     *
+     * @param expiring runs when the memory on a helper expires before the helper may be asked to keep it
+     */
+    PromptReservations(RelayContext context, ImmutableList<HelperTarget> helpers, String name, Runnable expiring) {
         this.context = context;
         this.name = name;
+        this.expiring = expiring;
         this.storingHelpers =
                 helpers.stream().filter(helper -> helper.storedTokens() > 0).collect(ImmutableList.toImmutableList());
     }
@@ -69,7 +79,22 @@
         if (released) {
             return CompletableFuture.failedFuture(new CancellationException("the attempt ended"));
         }
-        return context.calls().reserve(helper.target(), name, helper.storedTokens(), RESERVATION_LIFETIME);
+        if (context.quiet()
+                .isQuiet(helper.target().incarnation(), context.ticker().read())) {
+            return CompletableFuture.failedFuture(
+                    new IOException("target " + helper.target().id() + " wants no requests"));
+        }
+        return send(helper, RESERVATION_LIFETIME);
+    }
+
+    /** Sends a reservation or its renewal, and records until when the memory is held if it succeeds. */
+    private CompletableFuture<Void> send(HelperTarget helper, Duration lifetime) {
+        long sentAt = context.ticker().read();
+        return context.calls()
+                .reserve(helper.target(), name, helper.storedTokens(), lifetime)
+                .thenRunAsync(
+                        () -> heldUntil.merge(helper.target().incarnation(), sentAt + lifetime.toNanos(), Math::max),
+                        context.loop());
     }
 
     private void scheduleRenewal() {
@@ -84,34 +109,51 @@
         long now = context.ticker().read();
         for (HelperTarget helper : storingHelpers) {
             TargetIncarnation target = helper.target().incarnation();
-            boolean extended = extendedUntil.getOrDefault(target, now) - now > 0;
-            if (!extended && context.quiet().tryAcquire(target, now)) {
-                reserve(helper).exceptionally(failure -> logFailure(helper, failure));
+            if (extendedUntil.getOrDefault(target, now) - now > 0) {
+                continue;
+            }
+            if (context.quiet().tryAcquire(target, now)) {
+                send(helper, RESERVATION_LIFETIME).exceptionally(failure -> logFailure(helper, failure));
+            }
+            if (context.quiet().isQuiet(target, now) && !isHeldFor(target, RENEWAL_INTERVAL, now)) {
+                expiring.run();
+                return;
             }
         }
         scheduleRenewal();
     }
 
+    private boolean isHeldFor(TargetIncarnation target, Duration time, long now) {
+        return heldUntil.getOrDefault(target, now) - now > time.toNanos();
+    }
+
     /**
      * Renews the reservation on a helper for the time that is left of the request, because the helper wants no requests from now
-     * on; each further renewal would be one.
+     * on; each further renewal would be one. Has no effect if the helper was asked for that in the same quiet time.
      */
     void extend(TargetIncarnation target, Duration time) {
-        Duration lifetime = Comparators.min(time, MAX_LIFETIME);
+        long now = context.ticker().read();
+        if (released || renewalTimer.isEmpty() || !isExtensionDue(target, now)) {
+            return;
+        }
         for (HelperTarget helper : storingHelpers) {
-            boolean concerned = !released
-                    && renewalTimer.isPresent()
-                    && helper.target().incarnation().equals(target);
-            if (concerned) {
+            if (helper.target().incarnation().equals(target)) {
+                extensionAskedAt.put(target, now);
+                Duration lifetime = Comparators.min(time, MAX_LIFETIME);
                 Duration covered = time.compareTo(MAX_LIFETIME) <= 0 ? time : lifetime.minus(RENEWAL_INTERVAL);
-                extendedUntil.put(target, context.ticker().read() + covered.toNanos());
-                context.calls()
-                        .reserve(helper.target(), name, helper.storedTokens(), lifetime)
+                send(helper, lifetime)
+                        .thenRun(() -> extendedUntil.put(target, now + covered.toNanos()))
                         .exceptionally(failure -> logFailure(helper, failure));
             }
         }
     }
 
+    /** Returns whether the helper was not asked yet, or was not quiet since it was asked last. */
+    private boolean isExtensionDue(TargetIncarnation target, long now) {
+        Long askedAt = extensionAskedAt.get(target);
+        return askedAt == null || context.quiet().quietSince(target, now) - askedAt > 0;
+    }
+
     /** Releases all memory; later calls have no effect. */
     void release() {
         if (released || storingHelpers.isEmpty()) {
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -67,7 +67,8 @@
         this.exchange = exchange;
         this.id = id;
         this.assignment = assignment;
-        this.reservations = new PromptReservations(context, assignment.helpers(), reservationName());
+        this.reservations =
+                new PromptReservations(context, assignment.helpers(), reservationName(), this::onReservationExpiring);
         this.memory = context.responses()
                 .open(assignment.target().id(), assignment.target().service(), this::giveWay);
     }
@@ -170,6 +171,14 @@
         }
     }
 
+    /** Moves the request while it can, as targets cut it off once the memory of its prompt has expired. */
+    private void onReservationExpiring() {
+        if (!closed && timeToFirstEventMillis < 0 && exchange.tryAcquireRetry(true)) {
+            String reason = "the memory on a helper cannot be renewed in its quiet time";
+            exchange.endAttempt(this, Outcome.WITHDRAWN, handle.isPresent(), true, reason);
+        }
+    }
+
     private void send() {
         sentAt = context.ticker().read();
         lastProgressAt = sentAt;
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelayFixture.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.IntConsumer;
 
 import com.google.common.base.Ticker;
@@ -326,6 +327,7 @@
         SignalListener signals = (target, signal) -> {};
         boolean sendsAtOnce = true;
         CompletableFuture<Boolean> refusesConnection = CompletableFuture.completedFuture(false);
+        Function<FleetTarget, Optional<CompletableFuture<Void>>> onReserve = target -> Optional.empty();
         CompletableFuture<Void> reservationResult = CompletableFuture.completedFuture(null);
 
         @Override
@@ -351,7 +353,7 @@
         public CompletableFuture<Void> reserve(FleetTarget target, String name, long tokens, Duration lifetime) {
             reserved.add(target.id());
             lifetimes.add(lifetime);
-            return reservationResult;
+            return onReserve.apply(target).orElse(reservationResult);
         }
 
         @Override
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelaySignalTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelaySignalTest.java
@@ -1,11 +1,13 @@
 package org.boragebarrow.node.relay;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -32,6 +34,9 @@
 class RelaySignalTest {
     private static final TargetSignal LEAVING = new TargetSignal.Leaving();
 
+    /** Ends a test in which orders follow one another without end. */
+    private static final int MAX_ORDERS = 50;
+
     private final RelayFixture fixture = new RelayFixture(100);
     private final FleetTarget first = fixture.addTarget("first");
     private final FleetTarget second = fixture.addTarget("second");
@@ -269,4 +274,84 @@
                 false,
                 started);
     }
+
+    /** Has a helper that holds a part of the prompt turn everything away from now on, for somewhat longer each time. */
+    private void turnAway(FleetTarget helper, long quietMillis) {
+        fixture.calls.onReserve = target -> {
+            if (!target.equals(helper)) {
+                return Optional.empty();
+            }
+            long turnedAway = reservedAt(helper);
+            if (turnedAway < MAX_ORDERS) {
+                fixture.signals.onSignal(helper, quiet(quietMillis + turnedAway));
+            }
+            return Optional.of(CompletableFuture.failedFuture(new IOException("status 503")));
+        };
+    }
+
+    private long reservedAt(FleetTarget target) {
+        return fixture.calls.reserved.stream().filter(target.id()::equals).count();
+    }
+
+    /** Guards against orders that are sent one after the other to a helper that wants none. */
+    @Example
+    void aHelperThatTurnsRenewalsAwayGetsOneLongRenewalAtOnceAndAtMostTwoMoreOrdersInItsQuietTime() {
+        fixture.setRoute(RequestKind.AT_MOST_ONCE_STREAM, 2);
+        fixture.send();
+        fixture.assignments.assign(first, 100, second);
+        fixture.advance(1);
+        turnAway(second, 10_000);
+        fixture.advance(900);
+        assertThat(reservedAt(second)).isEqualTo(3);
+        for (int i = 0; i < 90; i++) {
+            fixture.advance(100);
+        }
+
+        assertThat(reservedAt(second) + fixture.calls.released.size()).isAtMost(5);
+    }
+
+    /** Guards against requests that are cut off because the memory of a part of their prompt expires. */
+    @Example
+    void aRequestMovesBeforeTheMemoryOfItsPromptExpires() {
+        fixture.setRoute(RequestKind.RESUMABLE_STREAM, 2);
+        FakeResponse response = fixture.send();
+        fixture.assignments.assign(first, 100, second);
+        fixture.advance(1);
+        turnAway(second, 10_000);
+        FakeCall call = fixture.calls.last();
+        for (int i = 0; i < 28; i++) {
+            fixture.advance(100);
+        }
+
+        assertThat(call.closed).isTrue();
+        assertThat(response.isOpen()).isTrue();
+        fixture.assignments.assign(fixture.addTarget("third"));
+        fixture.calls.last().head(200).body("id: 1\ndata: x\n\n").end();
+        assertThat(response.ended).isTrue();
+    }
+
+    @Example
+    void aRequestThatMayRunOnceStaysWhileTheMemoryOfItsPromptExpires() {
+        fixture.setRoute(RequestKind.AT_MOST_ONCE_STREAM, 2);
+        FakeResponse response = fixture.send();
+        fixture.assignments.assign(first, 100, second);
+        fixture.advance(1);
+        turnAway(second, 10_000);
+        for (int i = 0; i < 28; i++) {
+            fixture.advance(100);
+        }
+
+        assertThat(fixture.calls.last().closed).isFalse();
+        assertThat(response.isOpen()).isTrue();
+    }
+
+    @Example
+    void aHelperThatIsQuietIsNotAskedForMemory() {
+        fixture.setRoute(RequestKind.REPEATABLE, 2);
+        fixture.send();
+        fixture.signals.onSignal(second, quiet(3_000));
+        fixture.assignments.assign(first, 100, second);
+
+        assertThat(fixture.calls.reserved).isEmpty();
+    }
 }
