Let a connection whose last request failed give up its place

Cause: a connection that had completed any request, a refused one too, kept its place until the idle timeout. Change: only one that is idle after a request that succeeded does.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
@@ -27,11 +27,19 @@
 final class ChannelResponse implements ServerResponse {
     private static final Runnable NO_OP = () -> {};
 
-    /** Receives whether the connection is kept alive after the response. */
+    /** Receives the end of the response. */
     interface CompletionListener {
-        void onComplete(boolean keepAlive);
+        /**
+         * Called once the response is complete.
+         *
+         * @param succeeded whether its status is one of success or redirection
+         * @param keepAlive whether the connection is kept alive
+         */
+        void onComplete(boolean succeeded, boolean keepAlive);
     }
 
+    private static final int MIN_ERROR = 400;
+
     private final Channel channel;
     private final boolean chunksAllowed;
     private final BooleanSupplier keepAliveAllowed;
@@ -40,6 +48,7 @@
     private Runnable closeAction = NO_OP;
     private Runnable writabilityAction = NO_OP;
     private final Queue<Part> queue = new ArrayDeque<>();
+    private boolean succeeded;
     private boolean keepAlive;
     private boolean started;
     private boolean endQueued;
@@ -92,7 +101,7 @@
         }
         DefaultFullHttpResponse message = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-        setHeaders(message.headers(), headers, keepAliveAllowed.getAsBoolean());
+        setHeaders(status, message.headers(), headers, keepAliveAllowed.getAsBoolean());
         message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.remaining());
         channel.writeAndFlush(message, channel.voidPromise());
         finish();
@@ -117,7 +126,7 @@
         if (isOpen()) {
             DefaultHttpResponse head =
                     new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-            setHeaders(head.headers(), headers, keepAliveAllowed.getAsBoolean());
+            setHeaders(status, head.headers(), headers, keepAliveAllowed.getAsBoolean());
             long length = body.stream().mapToLong(ByteBuffer::remaining).sum();
             head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
             channel.write(head, channel.voidPromise());
@@ -133,7 +142,7 @@
             return;
         }
         DefaultHttpResponse message = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-        setHeaders(message.headers(), headers, chunksAllowed && keepAliveAllowed.getAsBoolean());
+        setHeaders(status, message.headers(), headers, chunksAllowed && keepAliveAllowed.getAsBoolean());
         if (chunksAllowed) {
             message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
@@ -141,10 +150,11 @@
         started = true;
     }
 
-    private void setHeaders(HttpHeaders to, ImmutableListMultimap<String, String> from, boolean keptAlive) {
+    private void setHeaders(int status, HttpHeaders to, ImmutableListMultimap<String, String> from, boolean keptAlive) {
         for (Map.Entry<String, String> header : from.entries()) {
             to.add(header.getKey(), header.getValue());
         }
+        succeeded = status < MIN_ERROR;
         // Stored, so that the connection header agrees with what happens after the response.
         keepAlive = keptAlive;
         to.set(HttpHeaderNames.CONNECTION, keepAlive ? HttpHeaderValues.KEEP_ALIVE : HttpHeaderValues.CLOSE);
@@ -219,7 +229,7 @@
 
     private void finish() {
         finished = true;
-        completion.onComplete(keepAlive);
+        completion.onComplete(succeeded, keepAlive);
     }
 
     @Override
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -325,7 +325,7 @@
         handler.onRefused(refusal, errorResponse);
     }
 
-    private void onAnswered(boolean keepAlive) {
+    private void onAnswered(boolean succeeded, boolean keepAlive) {
         memory.release(requestMemory);
         requestMemory = 0;
         bodyBytes = 0;
@@ -339,7 +339,7 @@
             closeWhenWritten();
             return;
         }
-        connections.onIdle(context.channel());
+        connections.onIdle(context.channel(), succeeded);
         continueLater();
     }
 
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionTable.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionTable.java
@@ -11,9 +11,9 @@
 /**
  * The open connections of one server, of bounded number. Thread-safe.
  *
- * <p>At the bound, a new connection takes the place of the one that has been open longest without ever completing a
- * request, or whose last response was sent and that is only read until its caller has noticed; in some tables also that
- * of the one that has been idle longest.
+ * <p>At the bound, a new connection takes the place of the one that has been expendable for longest: because it has not completed a
+ * request, because its last request was refused or failed, or because its last response was sent and it is only read until its caller
+ * has noticed; in some tables also because it is idle. One that is idle after a request that succeeded keeps its place.
  */
 final class ConnectionTable {
     private final boolean replacesIdle;
@@ -28,7 +28,7 @@
         this.replacesIdle = replacesIdle;
     }
 
-    /** Returns a table in which a connection that has completed a request keeps its place. */
+    /** Returns a table in which a connection keeps its place while it is idle after a request that succeeded. */
     static ConnectionTable keepingIdle() {
         return new ConnectionTable(false);
     }
@@ -64,14 +64,18 @@
         expendable.remove(connection);
     }
 
-    /** Keeps the place of a connection that has completed a request. */
+    /** Keeps the place of a connection whose request is complete and in progress. */
     synchronized void onRequest(Channel connection) {
         expendable.remove(connection);
     }
 
-    /** Records that the response is complete. */
-    synchronized void onIdle(Channel connection) {
-        if (replacesIdle) {
+    /**
+     * Records that the response is complete.
+     *
+     * @param succeeded whether it was a success
+     */
+    synchronized void onIdle(Channel connection, boolean succeeded) {
+        if (replacesIdle || !succeeded) {
             offer(connection);
         }
     }
@@ -83,6 +87,11 @@
         }
     }
 
+    /** Returns whether a new connection would find a place. */
+    synchronized boolean hasRoom(int maxConnections) {
+        return open.size() < maxConnections || !expendable.isEmpty();
+    }
+
     synchronized long evictions() {
         return evictions;
     }
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
@@ -165,6 +165,11 @@
         return openChannels.size();
     }
 
+    /** Returns whether a new connection would be accepted. */
+    public boolean hasRoom() {
+        return connections.hasRoom(limits.get().maxConnections());
+    }
+
     /** Returns the bytes that the requests of this server, and of others with the same account, hold now. */
     public long bufferedBytes() {
         return memory.heldBytes();
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
@@ -58,6 +58,38 @@
         return caller.readUntilClosed();
     }
 
+    /** Guards against callers that keep all others out with connections on which they were only refused. */
+    @Example
+    void callersWhoseRequestsFailedMakeRoomForOthers() throws Exception {
+        ServerLimits limits = new ServerLimits(2, 1_024, MAX_BODY_BYTES, 2 * MAX_BODY_BYTES, LONG, LONG);
+        server = HttpServer.start(group, Endpoint.of("127.0.0.1", 0), limits, handler);
+        try (RawConnection first = new RawConnection(server.endpoint());
+                RawConnection second = new RawConnection(server.endpoint())) {
+            first.send("GET /fault HTTP/1.1\r\n\r\n").readUntil("IllegalStateException");
+            second.send("GET /fault HTTP/1.1\r\n\r\n").readUntil("IllegalStateException");
+            try (RawConnection other = new RawConnection(server.endpoint())) {
+                other.send("GET /a HTTP/1.1\r\n\r\n");
+                assertThat(other.readUntil("/a 0")).startsWith("HTTP/1.1 200");
+            }
+            assertThat(server.evictedConnections()).isEqualTo(1);
+        }
+    }
+
+    @Example
+    void callersThatWereServedKeepTheirPlaces() throws Exception {
+        ServerLimits limits = new ServerLimits(1, 1_024, MAX_BODY_BYTES, 2 * MAX_BODY_BYTES, LONG, LONG);
+        server = HttpServer.start(group, Endpoint.of("127.0.0.1", 0), limits, handler);
+        try (RawConnection served = new RawConnection(server.endpoint())) {
+            served.send("GET /a HTTP/1.1\r\n\r\n").readUntil("/a 0");
+            assertThat(server.hasRoom()).isFalse();
+            try (RawConnection other = new RawConnection(server.endpoint())) {
+                assertThat(other.readUntilClosed()).isEmpty();
+            }
+            served.send("GET /b HTTP/1.1\r\n\r\n");
+            assertThat(served.readUntil("/b 0")).startsWith("HTTP/1.1 200");
+        }
+    }
+
     /** Guards against connections with an incomplete body that a stopping server closes without a response. */
     @Example
     void aBodyThatIsIncompleteWhenTheServerStopsIsRefused() throws Exception {
