Bind a body by the limit that applies when its head has been received

Cause: a connection kept the limits of the version at which it was accepted. Change: the limit of bodies is asked for with each head. The limits of heads and times stay with the decoder and the timers, so a connection is closed after its next response once any limit has changed; callers reconnect. Measured: HttpServerTest's new test fails on the old code and passes now; HttpServer*Test pass.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ConnectionHandler.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import com.google.common.collect.ImmutableListMultimap;
 import io.netty.buffer.ByteBuf;
@@ -58,7 +59,8 @@
     /** Another host can handle the request at once. */
     private static final Duration STOPPING_RETRY_DELAY = Duration.ofMillis(50);
 
-    private final ServerLimits limits;
+    private final Supplier<ServerLimits> limits;
+    private final ServerLimits limitsAtStart;
     private final ServerHandler handler;
     private final ConnectionTable connections;
     private final MemoryShare memory;
@@ -72,6 +74,7 @@
     private BlockBuffer body;
     private long bodyBytesAtLastTimeout;
     private int bodyBytes;
+    private int maxBodyBytes;
     private long requestMemory;
     private long outputMemory;
     private ChannelResponse response;
@@ -83,13 +86,14 @@
     private boolean receivedSinceLingerCheck;
 
     ConnectionHandler(
-            ServerLimits limits,
+            Supplier<ServerLimits> limits,
             ServerHandler handler,
             ConnectionTable connections,
             MemoryAccount account,
             ReceiveTimeoutHandler receiveTimeout,
             BooleanSupplier draining) {
         this.limits = limits;
+        this.limitsAtStart = limits.get();
         this.handler = handler;
         this.connections = connections;
         this.memory = new MemoryShare(account, this::evict);
@@ -229,7 +233,8 @@
             return;
         }
         long length = HttpUtil.getContentLength(request, -1L);
-        if (length > limits.maxBodyBytes()) {
+        maxBodyBytes = limits.get().maxBodyBytes();
+        if (length > maxBodyBytes) {
             refuse(bodyTooLarge());
             return;
         }
@@ -258,7 +263,7 @@
         }
         ByteBuf bytes = content.content();
         int size = bytes.readableBytes();
-        if (bodyBytes + size > limits.maxBodyBytes()) {
+        if (bodyBytes + size > maxBodyBytes) {
             refuse(bodyTooLarge());
             return;
         }
@@ -274,8 +279,7 @@
     }
 
     private RequestException bodyTooLarge() {
-        return RequestException.of(
-                ErrorKind.REQUEST_TOO_LARGE, "the body is longer than " + limits.maxBodyBytes() + " bytes");
+        return RequestException.of(ErrorKind.REQUEST_TOO_LARGE, "the body is longer than " + maxBodyBytes + " bytes");
     }
 
     private void dispatch() {
@@ -289,7 +293,10 @@
         head = null;
         body = null;
         response = new ChannelResponse(
-                context.channel(), chunksAllowed, () -> keepAlive && !draining.getAsBoolean(), this::onAnswered);
+                context.channel(),
+                chunksAllowed,
+                () -> keepAlive && !draining.getAsBoolean() && areLimitsCurrent(),
+                this::onAnswered);
         try {
             handler.onRequest(request, response);
         } catch (RequestException e) {
@@ -301,6 +308,11 @@
         }
     }
 
+    /** Returns whether the limits of heads and of times, which stay those of the start of the connection, are still in effect. */
+    private boolean areLimitsCurrent() {
+        return limits.get().equals(limitsAtStart);
+    }
+
     private static ImmutableListMultimap<String, String> headersOf(HttpRequest request) {
         ImmutableListMultimap.Builder<String, String> headers = ImmutableListMultimap.builder();
         for (Map.Entry<String, String> header : request.headers()) {
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/HttpServer.java
@@ -107,8 +107,9 @@
     }
 
     /**
-     * Starts listening with limits that may change, and an account that other servers may share. Each connection keeps
-     * the limits that applied when it was accepted; {@link ServerLimits#maxBufferedBytes} has no effect.
+     * Starts listening with limits that may change, and an account that other servers may share. A body is bound by the limit that
+     * applies when its head has been received; the other limits of a connection are those that applied when it was accepted, and it is
+     * closed after its next response once they have changed. {@link ServerLimits#maxBufferedBytes} has no effect.
      *
      * @throws RuntimeException if the endpoint cannot be bound
      */
@@ -235,7 +236,7 @@
                     .setUseRfc9112TransferEncoding(true);
             ReceiveTimeoutHandler receiveTimeout = new ReceiveTimeoutHandler(currentLimits);
             ConnectionHandler connectionHandler =
-                    new ConnectionHandler(currentLimits, handler, connections, memory, receiveTimeout, () -> draining);
+                    new ConnectionHandler(limits, handler, connections, memory, receiveTimeout, () -> draining);
             connection
                     .pipeline()
                     .addLast(new IdleStateHandler(currentLimits.idleTimeout().toMillis(), 0, 0, TimeUnit.MILLISECONDS))
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/server/HttpServerTest.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.channel.EventLoopGroup;
@@ -90,6 +91,23 @@
         }
     }
 
+    /** Guards against proper bodies that are refused on connections which are older than the limit. */
+    @Example
+    void aConnectionFollowsTheLimitOfBodiesAndIsClosedOnceOthersHaveChanged() throws Exception {
+        AtomicReference<ServerLimits> limits =
+                new AtomicReference<>(new ServerLimits(100, 1_024, 10, 2 * MAX_BODY_BYTES, LONG, LONG));
+        server = HttpServer.start(
+                group, Endpoint.of("127.0.0.1", 0), limits::get, MemoryAccount.of(2 * MAX_BODY_BYTES), handler);
+        try (RawConnection caller = new RawConnection(server.endpoint())) {
+            caller.send("POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789")
+                    .readUntil("/a 9");
+            limits.set(new ServerLimits(100, 1_024, 20, 2 * MAX_BODY_BYTES, LONG, LONG));
+            caller.send("POST /b HTTP/1.1\r\nContent-Length: 18\r\n\r\n123456789123456789");
+
+            assertThat(caller.readUntilClosed()).contains("/b 18");
+        }
+    }
+
     /** Guards against connections with an incomplete body that a stopping server closes without a response. */
     @Example
     void aBodyThatIsIncompleteWhenTheServerStopsIsRefused() throws Exception {
