Pass bytes of a request target that are no ASCII unchanged

Cause: the decoder makes one character of each byte, and the encoder writes characters as UTF-8. Change: RequestEncoder writes one byte for each character.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -20,7 +20,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import jdk.net.ExtendedSocketOptions;
 import org.boragebarrow.http.codec.DiscardedTrailers;
 import org.boragebarrow.http.codec.LimitedFields;
@@ -198,7 +197,7 @@
                         channel.pipeline()
                                 .addLast(new InputMonitor(connection))
                                 .addLast(new ResponseDecoder(decoderConfig(), connection))
-                                .addLast(new HttpRequestEncoder())
+                                .addLast(new RequestEncoder())
                                 .addLast(connection);
                     }
                 });
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -147,6 +148,25 @@
         }
     }
 
+    /** Guards against requests whose target reaches the server with other bytes than the caller sent. */
+    @Example
+    void bytesOfARequestTargetThatAreNoAsciiPassUnchanged() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Endpoint endpoint = Endpoint.of("127.0.0.1", server.getLocalPort());
+            client.stream(
+                    endpoint,
+                    HttpCall.of("GET", "/caf\u00c3\u00a9"),
+                    new ResponseCollector(HttpClient.MAX_ANSWER_BYTES));
+            try (Socket connection = server.accept()) {
+                connection.setSoTimeout((int) TIMEOUT.toMillis());
+                byte[] line = connection.getInputStream().readNBytes("GET /cafxx HTTP/1.1\r\n".length());
+
+                assertThat(new String(line, StandardCharsets.ISO_8859_1))
+                        .isEqualTo("GET /caf\u00c3\u00a9 HTTP/1.1\r\n");
+            }
+        }
+    }
+
     @Example
     void idleConnectionsAreNotReusedAfterACallToTheirEndpointTimedOut() throws Exception {
         String answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
