Search bodies for the heads of other responses in linear time

Cause: for each place at which a head may begin, the rest of the text was searched for the end of its line and of its head. Change: both ends are searched for again only once the search has passed them. NestedHeadDetectorTest, HttpClient*Test and JoinedAnswersTest pass; no test measures the time.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/NestedHeadDetector.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/NestedHeadDetector.java
@@ -59,12 +59,17 @@
     }
 
     private boolean find(String text) {
+        // Each is looked for again only once the search has passed it, so that the time is linear in the length.
+        int lineEnd = -1;
+        int headEnd = -1;
         for (int start = text.indexOf(START); start >= 0; start = text.indexOf(START, start + 1)) {
             int end = Math.min(text.length(), start + MAX_HEAD_BYTES);
-            if (isHeadOfCall(text, start, end)) {
+            lineEnd = lineEnd < start ? indexOrEnd(text, LINE_END, start) : lineEnd;
+            headEnd = headEnd < start ? indexOrEnd(text, LINE_END + LINE_END, start) : headEnd;
+            if (lineEnd < end && isHeadOfCall(text, start, lineEnd, end)) {
                 return true;
             }
-            if (end == text.length() && text.indexOf(LINE_END + LINE_END, start) < 0) {
+            if (end == text.length() && headEnd == text.length()) {
                 pending = text.substring(start);
                 return false;
             }
@@ -73,13 +78,17 @@
         return false;
     }
 
-    private boolean isHeadOfCall(String text, int start, int end) {
-        int lineEnd = text.indexOf(LINE_END, start);
-        if (lineEnd < 0 || !STATUS_LINE.matcher(text).region(start, lineEnd).matches()) {
+    private static int indexOrEnd(String text, String part, int from) {
+        int index = text.indexOf(part, from);
+        return index < 0 ? text.length() : index;
+    }
+
+    private boolean isHeadOfCall(String text, int start, int statusLineEnd, int end) {
+        if (!STATUS_LINE.matcher(text).region(start, statusLineEnd).matches()) {
             return false;
         }
-        int line = lineEnd + LINE_END.length();
-        lineEnd = text.indexOf(LINE_END, line);
+        int line = statusLineEnd + LINE_END.length();
+        int lineEnd = text.indexOf(LINE_END, line);
         while (lineEnd > line && lineEnd < end) {
             boolean hasId = text.regionMatches(true, line, header, 0, header.length());
             if (hasId
