Let only entries of services that are named take the place of others at their address

Cause: of two targets at one address, the one that started earlier counts as ended, whoever wrote the other entry. Change: the fleet knows the services of the configuration; entries of others do not replace. If a service is named later, the rule is applied again. Measured: FleetTest's new test, which does not compile on the old code, passes; Fleet*Test, RoutingTableTest, RelayHostTest pass.

--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/Fleet.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/fleet/Fleet.java
@@ -30,6 +30,7 @@
     private final Map<TargetId, Long> unconfirmedUntil = new HashMap<>();
     private final LeavingTargets leaving = new LeavingTargets();
     private final Withdrawals withdrawals = new Withdrawals();
+    private ImmutableSet<ServiceName> services = ImmutableSet.of();
     private boolean tableUnavailable;
     private long graceEndsAt = Long.MIN_VALUE;
 
@@ -69,8 +70,23 @@
         return true;
     }
 
-    private static boolean isReplacedBy(FleetTarget earlier, FleetTarget later) {
-        return !earlier.id().equals(later.id())
+    /**
+     * Sets the services that the configuration names; empty if there is none yet. An entry of another service names no target to
+     * use, and takes no other's place. Returns whether the services are others than before.
+     */
+    public boolean setServices(ImmutableSet<ServiceName> named, long now) {
+        if (services.equals(named)) {
+            return false;
+        }
+        services = named;
+        ImmutableList.copyOf(targets.values()).forEach(target -> put(target, now));
+        return true;
+    }
+
+    private boolean isReplacedBy(FleetTarget earlier, FleetTarget later) {
+        boolean isNamed = services.isEmpty() || services.contains(later.service());
+        return isNamed
+                && !earlier.id().equals(later.id())
                 && earlier.endpoint().equals(later.endpoint())
                 && earlier.startedMillis() > 0
                 && earlier.startedMillis() < later.startedMillis();
--- a/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/RoutingTable.java
+++ b/boragebarrow-core/src/main/java/org/boragebarrow/decision/routing/RoutingTable.java
@@ -2,10 +2,12 @@
 
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import org.boragebarrow.model.OrganisationId;
 import org.boragebarrow.model.ServiceName;
 
@@ -97,6 +99,16 @@
         return known == null ? OrganisationProfile.of(organisation) : known;
     }
 
+    /** Returns the services that are configured, or that routes lead to. */
+    public ImmutableSet<ServiceName> serviceNames() {
+        return Stream.concat(
+                        services.keySet().stream(),
+                        routes.values().stream()
+                                .flatMap(route -> route.services().stream())
+                                .map(Route.WeightedService::service))
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Returns the configuration of the service. */
     public Optional<ServiceProfile> service(ServiceName name) {
         return Optional.ofNullable(services.get(name));
--- a/boragebarrow-core/src/test/java/org/boragebarrow/decision/fleet/FleetTest.java
+++ b/boragebarrow-core/src/test/java/org/boragebarrow/decision/fleet/FleetTest.java
@@ -1,6 +1,7 @@
 package org.boragebarrow.decision.fleet;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import net.jqwik.api.Example;
 import org.boragebarrow.model.AvailabilityZoneId;
 import org.boragebarrow.model.Endpoint;
@@ -118,4 +119,20 @@
 
         assertThat(fleet.all()).hasSize(2);
     }
+
+    /** Guards against live targets that are dropped because an entry of another writer has their address. */
+    @Example
+    void anEntryOfAServiceThatIsNotNamedTakesNoOthersPlaceUntilItIs() {
+        ServiceName stranger = ServiceName.of("stranger");
+        FleetTarget live = target("live", 80, false, 100);
+        FleetTarget other = new FleetTarget(
+                TargetId.of("other"), stranger, live.endpoint(), AvailabilityZoneId.of("zone"), 4, false, 200);
+        fleet.setServices(ImmutableSet.of(SERVICE), 0);
+        fleet.put(live, 0);
+        fleet.put(other, 0);
+        assertThat(fleet.usable(SERVICE)).containsExactly(live);
+
+        fleet.setServices(ImmutableSet.of(SERVICE, stranger), 0);
+        assertThat(fleet.all()).containsExactly(other);
+    }
 }
--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -525,6 +525,9 @@
         public void onNewVersion(RoutingTable table) {
             assignments.setProfiles(table.engineProfiles());
             assignments.setPermissions(new AssignEvent.ColdStartsChanged(table.coldStarts()));
+            if (fleet.setServices(table.serviceNames(), monotonicMillis())) {
+                publishFleet();
+            }
             relay.onNewRouting(table);
             onReadinessChecked();
         }
