Give what is kept of a response a class of its own

Change: ResponseBuffer keeps bodies and events and holds their memory. No change of behaviour; an exception within the delivery of an event is not taken for one of the splitter. Measured: Relay*Test, EventSplitterTest, SecondCopyTest, EndlessAnswersTest, JoinedAnswersTest and BrokenOffBodiesTest pass.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayAttempt.java
@@ -15,8 +15,6 @@
 import org.boragebarrow.decision.assign.Outcome;
 import org.boragebarrow.decision.fleet.FleetTarget;
 import org.boragebarrow.decision.fleet.TargetIncarnation;
-import org.boragebarrow.decision.memory.ResponseMemory;
-import org.boragebarrow.http.buffer.BlockBuffer;
 import org.boragebarrow.http.client.ResponseOrigin;
 import org.boragebarrow.model.AttemptId;
 import org.boragebarrow.model.TargetId;
@@ -25,9 +23,6 @@
 
 /** One attempt of an exchange at one target; confined to the event loop. */
 final class RelayAttempt implements TargetCalls.Listener {
-    /** Maximum size in bytes of a response that is buffered until it is complete, and of an event of a stream. */
-    private static final int MAX_BUFFERED_BYTES = 16 << 20;
-
     /** Statuses by which a host reports that a request did not run; a target that reports this also sets a header. */
     private static final ImmutableSet<Integer> NOT_RUN_STATUSES = ImmutableSet.of(408, 421, 429, 503);
 
@@ -42,13 +37,7 @@
     private final AttemptId id;
     private final Assignment assignment;
     private final PromptReservations reservations;
-    private final EventSplitter splitter = new EventSplitter(MAX_BUFFERED_BYTES);
-    private final BlockBuffer buffered = BlockBuffer.ofUnknownSize();
-    private final ResponseMemory.Holding memory;
-
-    /** The bytes of memory that are held for what is not complete. */
-    private int incompleteBytes;
-
+    private final ResponseBuffer buffer;
     private Optional<EngineClient.CallHandle> handle = Optional.empty();
     private Optional<Future<?>> stallTimer = Optional.empty();
     private Optional<ResponseOrigin> origin = Optional.empty();
@@ -69,8 +58,8 @@
         this.assignment = assignment;
         this.reservations =
                 new PromptReservations(context, assignment.helpers(), reservationName(), this::onReservationExpiring);
-        this.memory = context.responses()
-                .open(assignment.target().id(), assignment.target().service(), this::giveWay);
+        this.buffer = new ResponseBuffer(context.responses()
+                .open(assignment.target().id(), assignment.target().service(), this::giveWay));
     }
 
     AttemptId id() {
@@ -229,7 +218,7 @@
         closed = true;
         stallTimer.ifPresent(timer -> timer.cancel(false));
         handle.ifPresent(EngineClient.CallHandle::close);
-        releaseIncomplete(0);
+        buffer.releaseIncomplete();
         reservations.release();
         context.assignments().reportEnd(id, outcome);
     }
@@ -336,59 +325,37 @@
         if (closed) {
             return;
         }
-        if (!isStreaming()) {
-            buffer(chunk);
-            return;
-        }
-        if (!holdIncomplete(splitter.growthFor(chunk.readableBytes()))) {
-            return;
-        }
-        List<EventSplitter.Event> events;
+        List<EventSplitter.Event> events = List.of();
         try {
-            events = splitter.feed(chunk);
+            if (isStreaming()) {
+                events = buffer.addToStream(chunk);
+            } else {
+                buffer.addToBody(chunk);
+            }
         } catch (IllegalArgumentException e) {
             fail(Outcome.FAILED, true, e.getMessage());
             return;
         }
+        if (isStreaming()) {
+            deliverAll(events);
+        }
+    }
+
+    private void deliverAll(List<EventSplitter.Event> events) {
         for (EventSplitter.Event event : events) {
             if (!deliver(event)) {
                 return;
             }
         }
-        releaseIncomplete(splitter.allocatedBytes());
-    }
-
-    private void buffer(ByteBuf chunk) {
-        if (buffered.size() + chunk.readableBytes() > MAX_BUFFERED_BYTES) {
-            fail(Outcome.FAILED, true, "response is longer than " + MAX_BUFFERED_BYTES + " bytes");
-            return;
-        }
-        if (holdIncomplete(buffered.growthFor(chunk.readableBytes()))) {
-            buffered.add(chunk.slice());
-        }
-    }
-
-    /** Accounts for memory before it is used; fails the attempt and returns false if there is none. */
-    private boolean holdIncomplete(int bytes) {
-        if (!memory.tryHold(bytes)) {
-            fail(Outcome.FAILED, true, "no memory for " + bytes + " bytes beyond the " + memory.heldBytes() + " held");
-            return false;
-        }
-        incompleteBytes += bytes;
-        return true;
-    }
-
-    private void releaseIncomplete(int stillHeld) {
-        memory.release(incompleteBytes - stillHeld);
-        incompleteBytes = stillHeld;
+        buffer.releaseCompleteEvents();
     }
 
     /** Ends the response, whose memory others need. */
     private void giveWay() {
         if (!closed) {
-            fail(Outcome.FAILED, true, "the response held " + memory.heldBytes() + " bytes that others needed");
+            fail(Outcome.FAILED, true, "the response held " + buffer.heldBytes() + " bytes that others needed");
         }
-        boolean isUnread = memory.heldBytes() > 0;
+        boolean isUnread = buffer.heldBytes() > 0;
         if (isUnread) {
             exchange.response().abort();
         }
@@ -407,7 +374,7 @@
             exchange.startResponse(head.orElseThrow());
             exchange.onEventDelivered(lastProgressAt);
             relayedBytes += event.size();
-            write(event);
+            buffer.write(event, exchange.response());
             if (!exchange.response().isWritable()) {
                 setReadEnabled(false);
             }
@@ -415,16 +382,6 @@
         return !closed;
     }
 
-    private void write(EventSplitter.Event event) {
-        if (event.blocks().size() == 1) {
-            exchange.response().write(event.blocks().get(0));
-            return;
-        }
-        memory.onComplete(event.size());
-        incompleteBytes -= event.size();
-        exchange.response().write(event.blocks(), memory::release);
-    }
-
     private void recordProgress() {
         long now = context.ticker().read();
         if (timeToFirstEventMillis < 0) {
@@ -448,16 +405,15 @@
         recordProgress();
         exchange.settleOn(this);
         int status = head.get().status();
-        exchange.onAnswered(this, status, buffered.size());
-        memory.onComplete(buffered.size());
-        incompleteBytes -= buffered.size();
+        exchange.onAnswered(this, status, buffer.bodySize());
+        buffer.completeBody();
         close(status < MIN_SERVER_ERROR ? Outcome.SUCCEEDED : Outcome.FAILED);
-        exchange.response().send(status, head.get().headers(), buffered.toBlocks(), memory::release);
+        buffer.sendBody(status, head.get().headers(), exchange.response());
     }
 
     private void endStream() {
         boolean endsWithConnection = head.orElseThrow().endsWithConnection();
-        if (splitter.hasIncompleteEvent()) {
+        if (buffer.hasIncompleteEvent()) {
             Outcome outcome = endsWithConnection ? Outcome.ABORTED : Outcome.FAILED;
             fail(outcome, true, "the stream ended within an event");
             return;
