Move the following of the store's tables out of the host

Cause: RelayHost had grown to 650 lines with the handling of eras. Change: StoreFollowers holds the three followers, their timing and what a new era does to them. No change of behaviour.

--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/RelayHost.java
@@ -19,7 +19,6 @@
 import org.boragebarrow.decision.fleet.TargetIncarnation;
 import org.boragebarrow.decision.memory.ResponseMemory;
 import org.boragebarrow.decision.quarantine.Quarantine;
-import org.boragebarrow.decision.retry.Backoff;
 import org.boragebarrow.decision.retry.RetryQuota;
 import org.boragebarrow.decision.routing.CallerLimits;
 import org.boragebarrow.decision.routing.RoutingTable;
@@ -39,7 +38,6 @@
 import org.boragebarrow.node.settings.RelaySettings;
 import org.boragebarrow.node.watch.RowRouter;
 import org.boragebarrow.node.watch.SharedTable;
-import org.boragebarrow.node.watch.TableFollower;
 import org.boragebarrow.node.watch.TableSharing;
 import org.boragebarrow.peer.link.PeerIdentity;
 import org.boragebarrow.peer.proto.Envelope;
@@ -60,43 +58,6 @@
     /** Minimum number of hosts that share the retry quota, used until the hosts are known; the largest site has 9. */
     private static final int MIN_QUOTA_HOSTS = 9;
 
-    static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
-
-    /** Maximum delay between two calls to a failing store: one second of the 2 s in which a change must take effect. */
-    static final Duration MAX_RETRY_DELAY = Duration.ofMillis(800);
-
-    /**
-     * How the routing and fleet tables are polled. A call that was sent to a store before it became unresponsive is
-     * never answered, and the store's guarantees hold again 3 s after its recovery: the call fails just before that,
-     * after the wait plus the time that the store's client allows for the call itself. The pause after a change is a
-     * tenth of the 2 s in which the most urgent changes must take effect.
-     */
-    static final TableFollower.PollTiming CONFIGURATION_TIMING =
-            new TableFollower.PollTiming(Duration.ofMillis(1_700), Duration.ofMillis(200));
-
-    /**
-     * The delay after changes of the fleet until the host is ready for the first time: when a fleet starts, its targets
-     * register one after the other, and each host would read each of them by itself. Within the time in which a drain
-     * must take effect.
-     */
-    static final Duration FLEET_DELAY_WHILE_STARTING = Duration.ofMillis(1_000);
-
-    /**
-     * How the hosts table is polled. A host that no other host reaches learns of a quarantine only there, within half of
-     * the shortest time in which it has to take effect; the store lets a call wait for 30 s at most.
-     */
-    private static final TableFollower.PollTiming HOSTS_TIMING =
-            new TableFollower.PollTiming(Duration.ofSeconds(25), Duration.ofMillis(1_500));
-
-    /**
-     * The time over which the hosts spread their reads after the store has come back from an older copy; a tenth of the 2 s in which
-     * the most urgent changes must take effect.
-     */
-    private static final Duration MAX_READ_DELAY_IN_NEW_ERA = Duration.ofMillis(200);
-
-    /** Maximum delay between two calls for the hosts table; a host without peers assigns its own requests. */
-    private static final Duration MAX_HOSTS_RETRY_DELAY = Duration.ofSeconds(3);
-
     /**
      * How long a stopping host accepts new requests. The balancer needs two failed probes, a second apart; a request
      * that is sent later than 3 s after the signal to stop must end within the grace period, which a stream may exceed.
@@ -137,16 +98,13 @@
     private final ResponseMemory responses;
     private final Relay relay;
     private final FleetFeed fleetFeed;
-    private final TableFollower routingFollower;
-    private final TableFollower fleetFollower;
-    private final TableFollower hostFollower;
+    private final StoreFollowers followers;
     private final EarlyRequests early = new EarlyRequests(this::onFirstReads);
     private final CompletableFuture<Void> firstReads = new CompletableFuture<>();
     private volatile boolean stopping;
     private volatile boolean readinessHeld;
     private volatile int quarantinedParts;
     private volatile int emptiedZones;
-    private volatile int newEras;
     private boolean loggedReadiness;
 
     /**
@@ -210,15 +168,6 @@
                 metrics));
         RoutingFeed routingFeed = new RoutingFeed(decoders, routing, emptied, log, ticker::read, new OperatorChanges());
         this.fleetFeed = new FleetFeed(decoders, fleet, log, this::monotonicMillis, new FleetChanges());
-        this.routingFollower = new TableFollower(
-                loop,
-                sharedRouting,
-                backoff(MAX_RETRY_DELAY),
-                CONFIGURATION_TIMING,
-                early.awaitingFirstRead(routingFeed));
-        this.fleetFollower = new TableFollower(
-                loop, sharedFleet, backoff(MAX_RETRY_DELAY), CONFIGURATION_TIMING, early.awaitingFirstRead(fleetFeed));
-        fleetFollower.setDelayAfterChanges(FLEET_DELAY_WHILE_STARTING);
         this.quarantineDuty = new QuarantineDuty(
                 quarantine,
                 tables.hosts(),
@@ -231,15 +180,17 @@
         calls.setSignalListener(signals);
         calls.setUnexpectedBytesListener(new UnexpectedBytesLog(log, metrics));
         assignments.setLeavingListener(signals);
-        this.hostFollower = new TableFollower(
+        this.followers = new StoreFollowers(
                 loop,
-                tables.hosts(),
-                backoff(MAX_HOSTS_RETRY_DELAY),
-                HOSTS_TIMING,
-                early.awaitingFirstRead(
-                        new RowRouter(QuarantineDuty.ROW_PREFIX, quarantineDuty, assignments.directory())));
-        tables.eras().addListener(era -> loop.execute(this::onNewEra));
-        metrics.gauge("boragebarrow.store.eras", () -> newEras);
+                random,
+                tables.eras(),
+                new StoreFollowers.Followed(sharedRouting, early.awaitingFirstRead(routingFeed)),
+                new StoreFollowers.Followed(sharedFleet, early.awaitingFirstRead(fleetFeed)),
+                new StoreFollowers.Followed(
+                        tables.hosts(),
+                        early.awaitingFirstRead(
+                                new RowRouter(QuarantineDuty.ROW_PREFIX, quarantineDuty, assignments.directory()))));
+        metrics.gauge("boragebarrow.store.eras", followers::newEras);
         metrics.gauge("boragebarrow.requests.open", relay::inProgress);
         metrics.gauge("boragebarrow.targets.slow", assignments::slowTargetCount);
         metrics.gauge("boragebarrow.attempts.queued", assignments::queuedCount);
@@ -263,10 +214,6 @@
         return new SharedTable(table, settings.id(), loop, ticker, new TablePeers(table.name()));
     }
 
-    private Backoff backoff(Duration maxDelay) {
-        return new Backoff(MIN_RETRY_DELAY, maxDelay, random);
-    }
-
     /** Starts to follow the store's tables. */
     public void start() {
         log.write(
@@ -279,17 +226,7 @@
                 settings.callers(),
                 "store",
                 settings.store());
-        loop.execute(routingFollower::start);
-        loop.execute(fleetFollower::start);
-        loop.execute(hostFollower::start);
-    }
-
-    /** Reads all tables again after the store has come back from an older copy. */
-    private void onNewEra() {
-        newEras++;
-        for (TableFollower follower : ImmutableList.of(routingFollower, fleetFollower, hostFollower)) {
-            follower.readAgain(Duration.ofNanos(random.nextLong(MAX_READ_DELAY_IN_NEW_ERA.toNanos())));
-        }
+        followers.start();
     }
 
     /** Applies the settings that may change at run time: the store's address, the regions of zones, the retry quota and the grace period. */
@@ -303,9 +240,7 @@
             retryQuota.setLimits(newSettings.retryRatio(), newSettings.retrySlack(), newSettings.retryWindow());
             allowDuplicates(newSettings.duplicateShare());
             if (storeMoved) {
-                routingFollower.restartCall();
-                fleetFollower.restartCall();
-                hostFollower.restartCall();
+                followers.restartCalls();
             }
         });
     }
@@ -482,7 +417,7 @@
         sleepUntil(lastAnswersAt, true);
         log.write(RelayEvent.STOPPED, "requests", inProgress());
         CompletableFuture.runAsync(relay::endAll, loop).join();
-        stopFollowers();
+        followers.stop();
         Duration left = Duration.ofNanos(lastAnswersAt - ticker.read());
         return left.plus(Comparators.min(WRITE_TIME, exitTime.dividedBy(2)));
     }
@@ -491,16 +426,10 @@
     @Override
     public void close() {
         stopping = true;
-        stopFollowers();
+        followers.stop();
         assignments.close();
     }
 
-    private void stopFollowers() {
-        routingFollower.stop();
-        fleetFollower.stop();
-        hostFollower.stop();
-    }
-
     private void sleepUntil(long end, boolean untilIdle) throws InterruptedException {
         while (end - ticker.read() > 0 && !(untilIdle && inProgress() == 0)) {
             TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
@@ -516,7 +445,7 @@
         if (isReady() != loggedReadiness) {
             loggedReadiness = isReady();
             log.write(RelayEvent.READY, "ready", loggedReadiness);
-            fleetFollower.setDelayAfterChanges(CONFIGURATION_TIMING.delayAfterChanges());
+            followers.endStart();
         }
     }
 
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/SimulatedZone.java
@@ -198,9 +198,9 @@
             };
             this.table = new SharedTable(this, id, channel.eventLoop(), ticker, this);
             this.sharing = new TableSharing(ImmutableList.of(table));
-            Backoff backoff = new Backoff(RelayHost.MIN_RETRY_DELAY, RelayHost.MAX_RETRY_DELAY, random);
+            Backoff backoff = new Backoff(StoreFollowers.MIN_RETRY_DELAY, StoreFollowers.MAX_RETRY_DELAY, random);
             this.follower =
-                    new TableFollower(channel.eventLoop(), table, backoff, RelayHost.CONFIGURATION_TIMING, this);
+                    new TableFollower(channel.eventLoop(), table, backoff, StoreFollowers.CONFIGURATION_TIMING, this);
         }
 
         HostId id() {
