--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/StoreHistoriesTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/watch/StoreHistoriesTest.java
@@ -110,6 +110,7 @@
                     follower.stop();
                     start();
                 }
+                default -> throw new AssertionError(step);
             }
             runTasks();
         }
