--- a/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/PromptReservations.java
+++ b/boragebarrow-node/src/main/java/org/boragebarrow/node/relay/PromptReservations.java
@@ -46,7 +46,7 @@
     /**
      * Creates reservations that are not sent yet.
      *
-     * @param expiring runs when the memory on a helper expires before the helper may be asked to keep it
+     * @param expiring runs when the memory on a helper expires before the helper may be asked to keep it; may end the attempt
      */
     PromptReservations(RelayContext context, ImmutableList<HelperTarget> helpers, String name, Runnable expiring) {
         this.context = context;
@@ -112,13 +112,15 @@
             if (extendedUntil.getOrDefault(target, now) - now > 0) {
                 continue;
             }
-            if (context.quiet().tryAcquire(target, now)) {
-                send(helper, RESERVATION_LIFETIME).exceptionally(failure -> logFailure(helper, failure));
-            }
             if (context.quiet().isQuiet(target, now) && !isHeldFor(target, RENEWAL_INTERVAL, now)) {
                 expiring.run();
+            }
+            if (released) {
                 return;
             }
+            if (context.quiet().tryAcquire(target, now)) {
+                send(helper, RESERVATION_LIFETIME).exceptionally(failure -> logFailure(helper, failure));
+            }
         }
         scheduleRenewal();
     }
--- a/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelaySignalTest.java
+++ b/boragebarrow-node/src/test/java/org/boragebarrow/node/relay/RelaySignalTest.java
@@ -354,4 +354,20 @@
 
         assertThat(fixture.calls.reserved).isEmpty();
     }
+
+    /** Guards against memory on sound helpers that expires because another helper does not renew its own. */
+    @Example
+    void otherHelpersRenewTheMemoryOfARequestThatStays() {
+        FleetTarget sound = fixture.addTarget("sound");
+        fixture.setRoute(RequestKind.AT_MOST_ONCE_STREAM, 2);
+        fixture.send();
+        fixture.assignments.assign(first, 100, second, sound);
+        fixture.advance(1);
+        turnAway(second, 10_000);
+        for (int i = 0; i < 39; i++) {
+            fixture.advance(100);
+        }
+
+        assertThat(reservedAt(sound)).isEqualTo(5);
+    }
 }
