Test that hosts with two keys of their links come to one

Cause: the change of a key, which a drill of the store can lead to, was tested in the directory of hosts only. Change: a test of the links: those that are opened later use the new key, open ones stay. Measured: PeerLinksTest passes.

--- a/boragebarrow-peer/src/test/java/org/boragebarrow/peer/link/PeerLinksTest.java
+++ b/boragebarrow-peer/src/test/java/org/boragebarrow/peer/link/PeerLinksTest.java
@@ -98,6 +98,27 @@
         }
     }
 
+    /** Guards against hosts that never link again after the key in the store was lost and another one was written. */
+    @Example
+    void hostsWithTwoKeysLinkOnceAllHaveOneAndTheirOpenLinksStay() throws Exception {
+        near.send(far.endpoint(), message(1));
+        assertThat(RecordingListener.await(farEvents.messages)).isEqualTo(message(1));
+        PeerKey newKey = key("the key that was written later");
+        RecordingListener laterEvents = new RecordingListener();
+        PeerLinks later = PeerLinks.start(identity("later"), newKey, laterEvents, farLoops, ANY_PORT);
+        near.setKey(newKey);
+        far.setKey(newKey);
+
+        near.send(later.endpoint(), message(2));
+        assertThat(RecordingListener.await(laterEvents.messages)).isEqualTo(message(2));
+        later.send(near.endpoint(), message(3));
+        assertThat(RecordingListener.await(nearEvents.messages)).isEqualTo(message(3));
+        near.send(far.endpoint(), message(4));
+        assertThat(RecordingListener.await(farEvents.messages)).isEqualTo(message(4));
+        assertThat(nearEvents.failedLinks).isEmpty();
+        later.close();
+    }
+
     @Example
     void aHostWithAnotherKeyIsRejectedAndReported() throws Exception {
         RecordingListener otherKeyEvents = new RecordingListener();
