Say that a response is writable again once all its parts are written

Cause: found while reading the diff again: a large event is written in parts, and while some are queued the response is not writable, so the target is not read. If the last part was small, the channel's writability did not change after it, nobody was told, and the stream stopped for good. Change: the end of the queue tells the listener, too.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/server/ChannelResponse.java
@@ -201,6 +201,11 @@
         writingQueue = false;
         if (endQueued && queue.isEmpty() && isOpen()) {
             writeEnd();
+            return;
+        }
+        // While parts were queued, the response was not writable; the channel need not change any more.
+        if (!finished && isWritable()) {
+            writabilityAction.run();
         }
     }
 
