Reject responses whose status is not three digits from 100 to 599

Of statuses that are no three digits, such as "0200", "+200" or "20 0", they got another number than the target had sent.

Cause: the decoder takes any word that Java parses as a number for a status. Each class of responses but 1xx was then treated as final, so a status outside all classes was passed on as it was. Change: the decoder of the HTTP client accepts a status only if it is three digits of one of the five classes. Any other makes the head malformed, as it was before for a word that is no number: the attempt fails as possibly run, is logged with the request's id and counted, and is repeated only on routes that allow it. All readers of responses use this decoder.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -15,6 +16,7 @@
 /** Decodes the responses on one connection; knows what was received after the end of the last one. */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_START_BYTES = 4 << 10;
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
 
     private final Connection connection;
     private int unreadBytes;
@@ -45,6 +47,17 @@
         }
     }
 
+    /** Creates the message from the status line; throws if the status is not three digits of one of the five classes. */
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        String status = statusLine[1];
+        if (!STATUS.matcher(status).matches()) {
+            throw new IllegalArgumentException(
+                    "status \"" + InputMonitor.show(status) + "\" is not three digits from 100 to 599");
+        }
+        return super.createMessage(statusLine);
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("Content-Length beside Transfer-Encoding");
