End responses without a length only when the server has ended its output

Cause: a write that meets a reset makes Netty close the channel, and the decoder takes any end of the channel for the end of such a response. Only a read that meets the reset fails the call first. Which of them does is a race: with 40,000 bytes read, an upload of 3.5 MB fits the buffers of a loopback connection (3.84 MB were written to one), so that mostly reading noticed it, and "mostly 502" was seen. After a write has met the reset, a read returns the end of input (checked with plain sockets), so reading on would not tell either. Change: the channel records whether a read returned the end of input, which the kernel returns first only if the peer ended its output; the decoder completes a response at the end of its connection only then. The reason does not matter: a reset met by writing, also while reading is paused for a slow caller, and a close by this side, such as that of the event loops, leave the response incomplete, and the call fails as disconnected, as where reading meets the reset.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -257,7 +257,7 @@
     /**
      * Returns whether the end of the response can be determined without the end of the connection.
      *
-     * <p>The decoder ends any other response when the connection is closed, but not when it is reset.
+     * <p>The decoder ends any other response when the server ends its output.
      */
     private boolean isSelfDelimited(HttpResponse response) {
         return HttpUtil.isTransferEncodingChunked(response)
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ClientLimits.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ClientLimits.java
@@ -12,7 +12,7 @@
  * @param tcpKeepAlive whether TCP keep-alive is enabled with short intervals, so that a connection fails within seconds
  *     when its peer becomes unreachable
  * @param allowCloseDelimited whether a response with neither {@code Content-Length} nor chunked encoding is accepted;
- *     it ends when the connection is closed
+ *     it ends when the server closes the connection, not when it resets it
  */
 public record ClientLimits(
         Duration connectTimeout, Duration idleTimeout, boolean tcpKeepAlive, boolean allowCloseDelimited) {
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
@@ -47,6 +47,19 @@
         }
     }
 
+    /**
+     * Completes a response that ends with its connection, if the server ended it.
+     *
+     * <p>A failed write closes the channel without an error on its input, so that a reset, or a close by this side, would otherwise
+     * look like the end.
+     */
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        if (((ClientSocketChannel) context.channel()).isEndOfInput()) {
+            super.decodeLast(context, in, out);
+        }
+    }
+
     /** Creates the message from the status line; throws if the status is not three digits of one of the five classes. */
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/StreamListener.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/StreamListener.java
@@ -24,7 +24,7 @@
      * Receives the end of a complete response.
      *
      * <p>The end is given by the length, the final chunk or, if {@link ClientLimits#allowCloseDelimited} allows it, the
-     * closing of the connection.
+     * closing of the connection by the server.
      */
     void onEnd();
 
