Reject responses with a blank in the name of a field

Cause: the decoder ends the name of a field in a response at the first blank and looks for the colon from there. What it drops is not seen by the validation of names, which rejects control bytes and names without a colon. Change: the name must be followed by the colon at once; anything else makes the head malformed. The same holds for the fields of trailers. Control bytes, an empty name and a line without a colon were rejected before; the tests of these stay.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 
 /** Decodes the responses on one connection; knows what was received after the end of the last one. */
 final class ResponseDecoder extends HttpResponseDecoder {
@@ -71,6 +72,20 @@
         return super.createMessage(statusLine);
     }
 
+    /**
+     * Returns the name of a field; throws if anything but the colon follows it.
+     *
+     * <p>The decoder ends names in responses at the first blank, and would drop what comes between that and the colon.
+     */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (line[start + length] != ':') {
+            throw new IllegalArgumentException("blank in the name of a field that begins with \""
+                    + InputMonitor.show(new String(line, start, length, StandardCharsets.ISO_8859_1)) + "\"");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("Content-Length beside Transfer-Encoding");
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientMalformedHeadTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientMalformedHeadTest.java
@@ -82,4 +82,66 @@
             assertWithMessage(response).that(receive(response)).isEqualTo("200 hi");
         }
     }
+
+    private void assertMalformedField(String line) throws Exception {
+        assertWithMessage(line)
+                .that(receive("HTTP/1.1 200 OK\r\n" + line + BODY))
+                .startsWith("failed: malformed response");
+        assertWithMessage(line)
+                .that(receive("HTTP/1.1 200 OK\r\nX-Z: 1\r\nContent-Length: 2\r\n" + line + "\r\n\r\nhi"))
+                .startsWith("failed: malformed response");
+    }
+
+    @Example
+    void aBlankInTheNameOfAFieldIsMalformed() throws Exception {
+        for (String line : List.of(
+                "X-A : 1", "X-A  : 1", "X-A\t: 1", "X-A \t: 1", "X A: 1", "X\tA: 1", "X A : 1", ": 1", "X-A :")) {
+            assertMalformedField(line);
+        }
+        assertMalformed("HTTP/1.1 200 OK\r\n X-A: 1");
+        assertMalformed("HTTP/1.1 200 OK\r\n\tX-A: 1");
+    }
+
+    @Example
+    void aControlByteInTheNameOfAFieldIsMalformed() throws Exception {
+        for (char control : new char[] {0, 1, 8, 0x0b, 0x0c, '\r', 0x1f, 0x7f, 0xa0}) {
+            assertMalformedField("X" + control + "A: 1");
+            assertMalformedField("X-A" + control + ": 1");
+            assertMalformedField(control + "X-A: 1");
+        }
+        assertMalformedField("X-A");
+        assertMalformedField("X A");
+    }
+
+    @Example
+    void aBlankAfterTheNameOfALengthDoesNotDelimitTheBody() throws Exception {
+        for (String line : List.of(
+                "Content-Length : 2",
+                "Content-Length\t: 2",
+                "Transfer-Encoding : chunked",
+                "Content-Length: 5\r\nTransfer-Encoding : chunked",
+                "Content-Length : 2\r\nContent-Length: 5")) {
+            assertWithMessage(line)
+                    .that(receive("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n2\r\nhi\r\n0\r\n\r\n"))
+                    .startsWith("failed: malformed response");
+        }
+    }
+
+    @Example
+    void aBlankInTheNameOfAFieldOfATrailerIsMalformed() throws Exception {
+        String chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n";
+
+        assertWithMessage("blank")
+                .that(receive(chunks + "X-A : 1\r\n\r\n"))
+                .startsWith("failed: malformed response");
+        assertWithMessage("no blank").that(receive(chunks + "X-A: 1\r\n\r\n")).isEqualTo("200 hi");
+    }
+
+    @Example
+    void blanksAroundTheValueOfAFieldAreAccepted() throws Exception {
+        for (String line : List.of("X-A:1", "X-A:  1", "X-A:\t1", "X-A: 1 ", "X-A: 1\t", "X-A: a b", "X-A: 1\r\n 2", "X-A:",
+                "X-A: 1\r\n\t2\r\n 3", "X-A: a:b : c", "!#$%&'*+-.^_`|~09aZ: 1")) {
+            assertWithMessage(line).that(receive("HTTP/1.1 200 OK\r\n" + line + BODY)).isEqualTo("200 hi");
+        }
+    }
 }
