Start both calls of a test before either is answered

If the first is answered before the second starts, that takes the idle connection, on which the server answers nothing more. The product does what it should; the test relied on the order. Change: both calls start in one task of the only event loop, which receives nothing meanwhile. All checks stay.

--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientTest.java
@@ -171,10 +171,13 @@
     void idleConnectionsAreNotReusedAfterACallToTheirEndpointTimedOut() throws Exception {
         String answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
         try (ScriptedServer server = ScriptedServer.startUnresponsiveAfterFirstRequest(answer)) {
-            CompletableFuture<HttpAnswer> one = client.exchange(server.endpoint(), CALL, TIMEOUT);
-            CompletableFuture<HttpAnswer> two = client.exchange(server.endpoint(), CALL, TIMEOUT);
-            one.join();
-            two.join();
+            // Nothing is received within one task, so that the second call cannot use the connection of the first.
+            CompletableFuture<Void> both = group.next()
+                    .submit(() -> CompletableFuture.allOf(
+                            client.exchange(server.endpoint(), CALL, TIMEOUT),
+                            client.exchange(server.endpoint(), CALL, TIMEOUT)))
+                    .get();
+            both.join();
             assertThat(server.connections()).isEqualTo(2);
             assertThat(failure(server.endpoint(), Duration.ofMillis(300)).sent())
                     .isTrue();
