--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientMalformedHeadTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientMalformedHeadTest.java
@@ -54,8 +54,24 @@
     @Example
     void aStatusThatIsNotThreeDigitsIsMalformed() throws Exception {
         for (String status : List.of(
-                "", "2", "20", "2000", "0200", "00200", "+200", "-200", "+20", "2 00", "20 0", "2\t00", "200.0", "2e2",
-                "0xc8", "200OK", "2\u00000", "OK")) {
+                "",
+                "2",
+                "20",
+                "2000",
+                "0200",
+                "00200",
+                "+200",
+                "-200",
+                "+20",
+                "2 00",
+                "20 0",
+                "2\t00",
+                "200.0",
+                "2e2",
+                "0xc8",
+                "200OK",
+                "2\u00000",
+                "OK")) {
             assertMalformed("HTTP/1.1 " + status);
             assertMalformed("HTTP/1.1 " + status + " OK");
         }
@@ -73,9 +89,8 @@
 
     @Example
     void anyInformationalStatusIsSkipped() throws Exception {
-        int[] statuses = IntStream.range(100, 200)
-                .filter(status -> status != 101)
-                .toArray();
+        int[] statuses =
+                IntStream.range(100, 200).filter(status -> status != 101).toArray();
         for (int status : statuses) {
             String response = "HTTP/1.1 " + status + " Wait\r\n\r\nHTTP/1.1 200 OK" + BODY;
 
@@ -131,17 +146,27 @@
     void aBlankInTheNameOfAFieldOfATrailerIsMalformed() throws Exception {
         String chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n";
 
-        assertWithMessage("blank")
-                .that(receive(chunks + "X-A : 1\r\n\r\n"))
-                .startsWith("failed: malformed response");
+        assertWithMessage("blank").that(receive(chunks + "X-A : 1\r\n\r\n")).startsWith("failed: malformed response");
         assertWithMessage("no blank").that(receive(chunks + "X-A: 1\r\n\r\n")).isEqualTo("200 hi");
     }
 
     @Example
     void blanksAroundTheValueOfAFieldAreAccepted() throws Exception {
-        for (String line : List.of("X-A:1", "X-A:  1", "X-A:\t1", "X-A: 1 ", "X-A: 1\t", "X-A: a b", "X-A: 1\r\n 2", "X-A:",
-                "X-A: 1\r\n\t2\r\n 3", "X-A: a:b : c", "!#$%&'*+-.^_`|~09aZ: 1")) {
-            assertWithMessage(line).that(receive("HTTP/1.1 200 OK\r\n" + line + BODY)).isEqualTo("200 hi");
+        for (String line : List.of(
+                "X-A:1",
+                "X-A:  1",
+                "X-A:\t1",
+                "X-A: 1 ",
+                "X-A: 1\t",
+                "X-A: a b",
+                "X-A: 1\r\n 2",
+                "X-A:",
+                "X-A: 1\r\n\t2\r\n 3",
+                "X-A: a:b : c",
+                "!#$%&'*+-.^_`|~09aZ: 1")) {
+            assertWithMessage(line)
+                    .that(receive("HTTP/1.1 200 OK\r\n" + line + BODY))
+                    .isEqualTo("200 hi");
         }
     }
 }
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/MalformedResponseReadersTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/MalformedResponseReadersTest.java
@@ -80,24 +80,23 @@
         CompletableFuture<Void> end = new CompletableFuture<>();
         ServiceClient.Call call = new ServiceClient.Call(
                 RequestId.of("r"), ATTEMPT, "GET", "/", ImmutableListMultimap.of(), ImmutableList.of(), TIMEOUT);
-        new HttpServiceClient(client)
-                .call(target(TargetKind.SERVICE, endpoint), call, new ServiceClient.Listener() {
-                    @Override
-                    public void onHead(int status, ImmutableListMultimap<String, String> headers) {}
-
-                    @Override
-                    public void onBody(ByteBuffer part) {}
-
-                    @Override
-                    public void onEnd() {
-                        end.complete(null);
-                    }
-
-                    @Override
-                    public void onFailure(TargetFailure failure) {
-                        end.completeExceptionally(new HttpCallException(failure.sent(), failure.message()));
-                    }
-                });
+        new HttpServiceClient(client).call(target(TargetKind.SERVICE, endpoint), call, new ServiceClient.Listener() {
+            @Override
+            public void onHead(int status, ImmutableListMultimap<String, String> headers) {}
+
+            @Override
+            public void onBody(ByteBuffer part) {}
+
+            @Override
+            public void onEnd() {
+                end.complete(null);
+            }
+
+            @Override
+            public void onFailure(TargetFailure failure) {
+                end.completeExceptionally(new HttpCallException(failure.sent(), failure.message()));
+            }
+        });
         return end;
     }
 
@@ -141,7 +140,9 @@
             Call call = entry.getValue().getKey();
             String body = entry.getValue().getValue();
 
-            assertWithMessage(entry.getKey()).that(isBelieved(call, "200 OK", body)).isTrue();
+            assertWithMessage(entry.getKey())
+                    .that(isBelieved(call, "200 OK", body))
+                    .isTrue();
             for (String head : List.of("000 OK", "999 OK", "0200 OK", "200 OK\r\nX-A : 1", "200 OK\r\nX A: 1")) {
                 assertWithMessage(entry.getKey() + ", " + head)
                         .that(isBelieved(call, head, body))
