Check statuses without a regular expression

Cause: the check is made for each response, also by a host that has just started and whose code is not compiled yet. That the expression is the reason is suspected, not shown. Change: three comparisons of characters. Measured: HttpClientMalformedHeadTest passes.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ResponseDecoder.java
@@ -2,8 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.regex.Pattern;
 
+import com.google.common.base.CharMatcher;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -17,7 +17,8 @@
 /** Decodes the responses on one connection; knows what was received after the end of the last one. */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_START_BYTES = 4 << 10;
-    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+    private static final int STATUS_DIGITS = 3;
+    private static final CharMatcher DIGITS = CharMatcher.inRange('0', '9');
 
     private final Connection connection;
     private int unreadBytes;
@@ -65,13 +66,20 @@
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         String status = statusLine[1];
-        if (!STATUS.matcher(status).matches()) {
+        if (!isStatus(status)) {
             throw new IllegalArgumentException(
                     "status \"" + InputMonitor.show(status) + "\" is not three digits from 100 to 599");
         }
         return super.createMessage(statusLine);
     }
 
+    private static boolean isStatus(String text) {
+        return text.length() == STATUS_DIGITS
+                && text.charAt(0) >= '1'
+                && text.charAt(0) <= '5'
+                && DIGITS.matchesAllOf(text);
+    }
+
     /**
      * Returns the name of a field; throws if anything but the colon follows it.
      *
