Wait for a reset behind a response that ends before its request is written

Cause: the end of the output is read and ends the response; the reset that follows is not noticed, as the connection is closed by then. The kernel had taken all of the upload (up to 3.84 MB), so that no write was left to notice it either. Change: if a response without a length has begun before its request is written, the end of its connection's input does not close the connection; the call ends when the request is written, fails if writing it meets a reset, and ends after 100 ms otherwise, so that a target that ends its answer in order and reads no more does not keep it. Not noticed: a reset behind the end of a response whose request the buffers of both ends hold entirely.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -1,11 +1,14 @@
 package org.boragebarrow.http.client;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import com.google.common.collect.ImmutableListMultimap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -19,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import org.boragebarrow.model.Endpoint;
 import org.boragebarrow.port.EngineClient;
 import org.boragebarrow.port.TargetFailure;
@@ -36,6 +40,13 @@
      */
     private static final int MAX_SKIPPED_ANSWERS = 16;
 
+    /**
+     * How long a reset is waited for after the server has ended its output, while the request is not written.
+     *
+     * <p>A server that closes its connection with unread bytes may end its output first and reset the connection at once.
+     */
+    private static final Duration RESET_WAIT = Duration.ofMillis(100);
+
     private final EventLoop loop;
     private final Endpoint endpoint;
     private final HttpCall call;
@@ -51,6 +62,8 @@
     private int skippedAnswers;
     private long skippedBytes;
     private boolean keepAlive;
+    private boolean requestWritten;
+    private Optional<Future<?>> resetTimer = Optional.empty();
     private boolean done;
 
     ActiveCall(EventLoop loop, Endpoint endpoint, HttpCall call, StreamListener listener, boolean closeDelimited) {
@@ -99,7 +112,7 @@
     }
 
     private void send(HttpRequest request, Channel openChannel) {
-        BodyWriter body = new BodyWriter(openChannel, call.body(), this::checkWritten);
+        BodyWriter body = new BodyWriter(openChannel, call.body(), this::onRequestWritten);
         writer = Optional.of(body);
         sent = true;
         openChannel.write(request).addListener((ChannelFuture written) -> checkWritten(written));
@@ -182,6 +195,7 @@
             return;
         }
         done = true;
+        resetTimer.ifPresent(timer -> timer.cancel(false));
         channel.ifPresent(
                 openChannel -> openChannel.pipeline().get(Connection.class).reset(openChannel));
     }
@@ -192,6 +206,14 @@
         }
     }
 
+    private void onRequestWritten(ChannelFuture last) {
+        checkWritten(last);
+        requestWritten = last.isSuccess();
+        if (requestWritten && resetTimer.isPresent()) {
+            complete();
+        }
+    }
+
     private void receiveHead(HttpResponse response) {
         HttpResponseStatus status = response.status();
         if (status.equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
@@ -238,6 +260,10 @@
         for (Map.Entry<String, String> header : response.headers()) {
             headers.put(header);
         }
+        if (!selfDelimited && !requestWritten) {
+            // Otherwise the end of the response would close the connection, and a reset behind it would not be noticed.
+            channel.orElseThrow().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        }
         listener.onOrigin(connection().origin(status.reasonPhrase(), skippedAnswers));
         listener.onHead(status.code(), headers.build());
     }
@@ -305,8 +331,26 @@
         }
     }
 
+    /** Completes the call, or waits for a reset if the server has ended its output before the request is written. */
     private void finish() {
+        if (requestWritten || !isHalfClosed()) {
+            complete();
+            return;
+        }
+        resetTimer = Optional.of(loop.schedule(this::complete, RESET_WAIT.toMillis(), TimeUnit.MILLISECONDS));
+    }
+
+    private boolean isHalfClosed() {
+        return channel.map(openChannel -> ((ClientSocketChannel) openChannel).isEndOfInput())
+                .orElse(false);
+    }
+
+    private void complete() {
+        if (done) {
+            return;
+        }
         done = true;
+        resetTimer.ifPresent(timer -> timer.cancel(false));
         Channel openChannel = channel.orElseThrow();
         Connection connection = openChannel.pipeline().get(Connection.class);
         boolean written = writer.map(BodyWriter::isFinished).orElse(false);
--- a/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientResponseEndTest.java
+++ b/boragebarrow-http/src/test/java/org/boragebarrow/http/client/HttpClientResponseEndTest.java
@@ -15,6 +15,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -111,9 +112,10 @@
         return connection;
     }
 
-    private static void reset(Socket connection) throws IOException {
+    private static Void reset(Socket connection) throws IOException {
         connection.setSoLinger(true, 0);
         connection.close();
+        return null;
     }
 
     /** Waits until the event loop has done what was requested of it so far. */
@@ -177,6 +179,54 @@
         }
     }
 
+    /** As a server that closes its connection with unread bytes may do; the client reads the end first. */
+    @Example
+    void aResponseIsNotWholeIfAResetFollowsItsEndWhileTheRequestIsWritten() throws Exception {
+        Recorder response = new Recorder();
+        client.stream(endpoint, upload(), response);
+        try (Socket connection = answer(READ_BYTES)) {
+            response.awaitBody();
+            EventLoop loop = group.next();
+            loop.submit(() -> {
+                        connection.shutdownOutput();
+                        return loop.schedule(() -> reset(connection), 1, TimeUnit.MILLISECONDS);
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            assertThat(response.awaitEnd()).isEqualTo("disconnected");
+        }
+    }
+
+    @Example
+    void aResponseIsWholeIfItsServerEndsItAndReadsNoMore() throws Exception {
+        Recorder response = new Recorder();
+        client.stream(endpoint, upload(), response);
+        try (Socket connection = answer(READ_BYTES)) {
+            connection.shutdownOutput();
+
+            assertThat(response.awaitEnd()).isEqualTo("whole: " + BODY);
+        }
+    }
+
+    @Example
+    void aCallThatIsClosedBehindTheEndOfItsResponseStaysSilent() throws Exception {
+        Recorder response = new Recorder();
+        EngineClient.CallHandle call = client.stream(endpoint, upload(), response);
+        try (Socket connection = answer(READ_BYTES)) {
+            response.awaitBody();
+            EventLoop loop = group.next();
+            loop.submit(() -> {
+                        connection.shutdownOutput();
+                        return loop.schedule(call::close, 1, TimeUnit.MILLISECONDS);
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            drain(connection);
+            awaitLoop();
+            assertThat(response.end.isDone()).isFalse();
+        }
+    }
+
     @Example
     void aResponseIsNotWholeIfTheClientClosesItsConnection() throws Exception {
         Recorder response = new Recorder();
