Ask for a pending error behind the end of a response instead of limiting send buffers

It left out requests that the buffers hold, too. Change: the buffers are the kernel's again. If a response without a length answers a request with a body, the end of its connection's input does not close the connection; 20 ms later the call asks whether an error is pending, and ends, or fails as disconnected. A selector tells it: it reports a connected channel as ready to connect only if an error is pending. The request need not be written any more for the call to end.

--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ActiveCall.java
@@ -41,11 +41,11 @@
     private static final int MAX_SKIPPED_ANSWERS = 16;
 
     /**
-     * How long a reset is waited for after the server has ended its output, while the request is not written.
+     * How long a reset behind the end of a response is waited for.
      *
      * <p>A server that closes its connection with unread bytes may end its output first and reset the connection at once.
      */
-    private static final Duration RESET_WAIT = Duration.ofMillis(100);
+    private static final Duration RESET_WAIT = Duration.ofMillis(20);
 
     private final EventLoop loop;
     private final Endpoint endpoint;
@@ -62,7 +62,7 @@
     private int skippedAnswers;
     private long skippedBytes;
     private boolean keepAlive;
-    private boolean requestWritten;
+    private boolean staysOpenAtEnd;
     private Optional<Future<?>> resetTimer = Optional.empty();
     private boolean done;
 
@@ -112,7 +112,7 @@
     }
 
     private void send(HttpRequest request, Channel openChannel) {
-        BodyWriter body = new BodyWriter(openChannel, call.body(), this::onRequestWritten);
+        BodyWriter body = new BodyWriter(openChannel, call.body(), this::checkWritten);
         writer = Optional.of(body);
         sent = true;
         openChannel.write(request).addListener((ChannelFuture written) -> checkWritten(written));
@@ -206,14 +206,6 @@
         }
     }
 
-    private void onRequestWritten(ChannelFuture last) {
-        checkWritten(last);
-        requestWritten = last.isSuccess();
-        if (requestWritten && resetTimer.isPresent()) {
-            complete();
-        }
-    }
-
     private void receiveHead(HttpResponse response) {
         HttpResponseStatus status = response.status();
         if (status.equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
@@ -260,8 +252,9 @@
         for (Map.Entry<String, String> header : response.headers()) {
             headers.put(header);
         }
-        if (!selfDelimited && !requestWritten) {
-            // Otherwise the end of the response would close the connection, and a reset behind it would not be noticed.
+        // Without a body, the server has nothing left to read when it closes the connection.
+        staysOpenAtEnd = !selfDelimited && call.bodyLength() > 0;
+        if (staysOpenAtEnd) {
             channel.orElseThrow().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         }
         listener.onOrigin(connection().origin(status.reasonPhrase(), skippedAnswers));
@@ -331,26 +324,28 @@
         }
     }
 
-    /** Completes the call, or waits for a reset if the server has ended its output before the request is written. */
     private void finish() {
-        if (requestWritten || !isHalfClosed()) {
+        if (staysOpenAtEnd) {
+            resetTimer =
+                    Optional.of(loop.schedule(this::completeUnlessReset, RESET_WAIT.toMillis(), TimeUnit.MILLISECONDS));
+        } else {
             complete();
-            return;
         }
-        resetTimer = Optional.of(loop.schedule(this::complete, RESET_WAIT.toMillis(), TimeUnit.MILLISECONDS));
-    }
-
-    private boolean isHalfClosed() {
-        return channel.map(openChannel -> ((ClientSocketChannel) openChannel).isEndOfInput())
-                .orElse(false);
     }
 
-    private void complete() {
+    private void completeUnlessReset() {
         if (done) {
             return;
         }
+        if (((ClientSocketChannel) channel.orElseThrow()).hasPendingError()) {
+            failDisconnected("connection to " + endpoint + " was reset behind the end of the response");
+        } else {
+            complete();
+        }
+    }
+
+    private void complete() {
         done = true;
-        resetTimer.ifPresent(timer -> timer.cancel(false));
         Channel openChannel = channel.orElseThrow();
         Connection connection = openChannel.pipeline().get(Connection.class);
         boolean written = writer.map(BodyWriter::isFinished).orElse(false);
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ClientSocketChannel.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/ClientSocketChannel.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -21,6 +23,22 @@
         return endOfInput;
     }
 
+    /**
+     * Returns whether an error is known to be pending, such as a reset behind the end of the input. Called on the event loop.
+     *
+     * <p>Reading does not tell, as it returns the end of the input also after such a reset.
+     */
+    boolean hasPendingError() {
+        try (Selector selector = javaChannel().provider().openSelector()) {
+            // A channel that is connected is ready to connect only if an error is pending.
+            javaChannel().register(selector, SelectionKey.OP_CONNECT);
+            return selector.selectNow() > 0;
+        } catch (IOException e) {
+            // No selector can be opened while the process has no file descriptor left.
+            return false;
+        }
+    }
+
     @Override
     protected int doReadBytes(ByteBuf buffer) throws Exception {
         int bytes = super.doReadBytes(buffer);
--- a/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
+++ b/boragebarrow-http/src/main/java/org/boragebarrow/http/client/HttpClient.java
@@ -48,13 +48,6 @@
 
     private static final int KEEP_ALIVE_PROBES = 2;
 
-    /**
-     * The size of the send buffer of a connection on which the closing of the connection may end a response, in bytes.
-     *
-     * <p>A part of a request in this buffer counts as written, so that a reset behind the end of the response is not noticed.
-     */
-    private static final int SEND_BUFFER_BYTES = 128 << 10;
-
     private final EventLoopGroup group;
     private final ClientLimits limits;
     private final IdleConnectionPool pool = new IdleConnectionPool();
@@ -208,9 +201,6 @@
                                 .addLast(connection);
                     }
                 });
-        if (limits.allowCloseDelimited()) {
-            bootstrap.option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES);
-        }
         if (limits.tcpKeepAlive()) {
             bootstrap
                     .option(ChannelOption.SO_KEEPALIVE, true)
